domain: core types, shards and the aggregates' folders

The shape that everything else is built on: one folder an aggregate, each with its own error; ids as type aliases, standard types for time, state in shards.

--- /dev/null
+++ b/crates/agateport-domain/src/bundle/mod.rs
@@ -0,0 +1,185 @@
+//! The versioned bundle that operators sign and roll out.
+
+mod error;
+mod signed;
+
+pub use error::Error;
+pub use signed::{Signature, Signed};
+
+use crate::group::Acknowledge;
+use crate::id::{BundleVersion, GroupId, PriorityId, ServerId, Zone};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Everything that operators declare.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Bundle {
+    /// Version; a node never goes to a lower one.
+    pub version: BundleVersion,
+    /// Priority of callers that name none.
+    pub default_priority: PriorityId,
+    /// Database groups.
+    #[serde(rename = "group")]
+    pub groups: Vec<Group>,
+    /// Ranks of work.
+    #[serde(rename = "priority")]
+    pub priorities: Vec<Priority>,
+    /// Tables whose reads may be served with data of a stated age.
+    #[serde(default, rename = "read")]
+    pub reads: Vec<Read>,
+    /// Tables with rules for their writes.
+    #[serde(default, rename = "write")]
+    pub writes: Vec<Write>,
+    /// Limits of queues.
+    #[serde(default)]
+    pub limits: Limits,
+}
+
+/// One database group; callers name it as their database.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Group {
+    /// Name of the group.
+    pub name: GroupId,
+    /// Whose copy of a write must be certain.
+    #[serde(default)]
+    pub acknowledge: Acknowledge,
+    /// Servers of the group.
+    #[serde(rename = "server")]
+    pub servers: Vec<Server>,
+}
+
+/// One upstream server.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Server {
+    /// Name of the server, unique in the bundle.
+    pub name: ServerId,
+    /// Availability zone that it runs in.
+    pub zone: Zone,
+    /// Address of its PostgreSQL port.
+    pub address: SocketAddr,
+    /// Statements that it runs at once without slowing down.
+    pub slots: usize,
+    /// Connections that it takes at once.
+    pub connections: usize,
+}
+
+/// One rank of work.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Priority {
+    /// Name of the priority.
+    pub name: PriorityId,
+    /// Time within which an answer is worth its worth.
+    #[serde(with = "humantime_serde")]
+    pub target: Duration,
+    /// Worth of an answer within the target.
+    pub worth: u32,
+    /// Share of the slots kept for this priority in a flood of others, in
+    /// percent.
+    #[serde(default)]
+    pub minimum_share: u32,
+}
+
+/// A table whose reads may be served with data of a stated age.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Read {
+    /// Name of the table, in lower case.
+    pub table: String,
+    /// How old the data may be.
+    #[serde(with = "humantime_serde")]
+    pub maximum_staleness: Duration,
+}
+
+/// A table with a rule for its writes.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Write {
+    /// Name of the table, in lower case.
+    pub table: String,
+    /// Whether a write to it may be sent again when its answer is lost.
+    pub repeatable: bool,
+}
+
+/// Limits of queues.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(default, deny_unknown_fields)]
+pub struct Limits {
+    /// Requests that may wait for one server.
+    pub queue: usize,
+}
+
+/// Requests that may wait for one server, when the bundle doesn't say.
+const DEFAULT_QUEUE: usize = 256;
+
+impl Default for Limits {
+    fn default() -> Self {
+        Self {
+            queue: DEFAULT_QUEUE,
+        }
+    }
+}
+
+impl Bundle {
+    /// Reads a bundle from TOML and checks it.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the text isn't a bundle, or contradicts itself.
+    pub fn parse(text: &str) -> Result<Self, Error> {
+        let bundle: Self = toml::from_str(text)?;
+        bundle.check()?;
+        Ok(bundle)
+    }
+
+    /// Returns the group named `name`.
+    #[must_use]
+    pub fn group(&self, name: &str) -> Option<&Group> {
+        self.groups.iter().find(|group| &*group.name == name)
+    }
+
+    /// Returns the server named `name`, and its group.
+    #[must_use]
+    pub fn server(&self, name: &str) -> Option<(&Group, &Server)> {
+        let mut servers = self
+            .groups
+            .iter()
+            .flat_map(|group| group.servers.iter().map(move |server| (group, server)));
+        servers.find(|(_, server)| &*server.name == name)
+    }
+
+    /// Returns the priority named `name`.
+    #[must_use]
+    pub fn priority(&self, name: &str) -> Option<&Priority> {
+        self.priorities
+            .iter()
+            .find(|priority| &*priority.name == name)
+    }
+
+    /// Returns how old the data of a read may be that names these tables; none
+    /// when a table has no rule.
+    pub fn maximum_staleness<'a>(
+        &self,
+        tables: impl IntoIterator<Item = &'a String>,
+    ) -> Option<Duration> {
+        let limits = tables.into_iter().map(|table| {
+            let rule = self.reads.iter().find(|read| read.table == *table)?;
+            Some(rule.maximum_staleness)
+        });
+        limits.collect::<Option<Vec<_>>>()?.into_iter().min()
+    }
+
+    fn check(&self) -> Result<(), Error> {
+        if self.priority(&self.default_priority).is_none() {
+            return Err(Error::UnknownPriority(self.default_priority.clone()));
+        }
+        if let Some(group) = self.groups.iter().find(|group| group.servers.is_empty()) {
+            return Err(Error::NoServer(group.name.clone()));
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -0,0 +1,123 @@
+//! One database group: its servers, its primary, and what it has acknowledged.
+
+mod error;
+
+pub use error::Error;
+
+use crate::id::{ServerId, Term};
+use crate::session::Watermark;
+use serde::{Deserialize, Serialize};
+use std::collections::BTreeMap;
+use std::time::{Duration, Instant};
+
+/// What a server is to its group.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Role {
+    /// Takes writes.
+    Primary,
+    /// Follows the primary's log.
+    Replica,
+    /// Takes nothing, and waits to be told whom to follow.
+    Fenced,
+}
+
+/// What a server says of itself.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Status {
+    /// Highest term that the server has been told.
+    pub term: Term,
+    /// Last entry of its log.
+    pub last: Watermark,
+    /// What it is to its group.
+    pub role: Role,
+    /// How long ago it last knew itself level with its primary; none when it
+    /// doesn't know.
+    pub age: Option<Duration>,
+}
+
+/// Whose copy of a write must be certain before its caller is told.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Acknowledge {
+    /// A majority of the group's servers, the primary among them.
+    #[default]
+    Majority,
+    /// The primary alone; a failover can lose such a write.
+    Primary,
+}
+
+#[derive(Clone, Copy, Debug)]
+struct Report {
+    status: Status,
+    heard: Instant,
+}
+
+/// One database group, as one node knows it.
+#[derive(Clone, Debug)]
+pub struct Group {
+    acknowledge: Acknowledge,
+    reports: BTreeMap<ServerId, Option<Report>>,
+}
+
+impl Group {
+    /// Creates a group of which nothing is known but its servers.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no server.
+    pub fn new(
+        acknowledge: Acknowledge,
+        servers: impl IntoIterator<Item = ServerId>,
+    ) -> Result<Self, Error> {
+        let reports: BTreeMap<_, _> = servers.into_iter().map(|server| (server, None)).collect();
+        if reports.is_empty() {
+            return Err(Error);
+        }
+        Ok(Self {
+            acknowledge,
+            reports,
+        })
+    }
+
+    /// Records what a server said of itself at `now`.
+    pub fn report(&mut self, server: &ServerId, status: Status, now: Instant) {
+        if let Some(report) = self.reports.get_mut(server) {
+            *report = Some(Report { status, heard: now });
+        }
+    }
+
+    /// Returns the primary of the highest term heard of.
+    #[must_use]
+    pub fn primary(&self) -> Option<&ServerId> {
+        let primaries = self.reports.iter().filter_map(|(server, report)| {
+            let status = report.as_ref()?.status;
+            (status.role == Role::Primary).then_some((status.term, server))
+        });
+        primaries.max().map(|(_, server)| server)
+    }
+
+    /// Returns the last status of a server, and when it was heard.
+    #[must_use]
+    pub fn status(&self, server: &ServerId) -> Option<(Status, Instant)> {
+        let report = self.reports.get(server)?.as_ref()?;
+        Some((report.status, report.heard))
+    }
+
+    /// Tells whether the write at `written` may be acknowledged.
+    ///
+    /// With [`Acknowledge::Majority`], a majority of the servers must be at the
+    /// write's own term and hold its position. A superseded primary can't
+    /// gather that majority, so no clock is needed.
+    #[must_use]
+    pub fn is_acknowledged(&self, written: Watermark) -> bool {
+        if self.acknowledge == Acknowledge::Primary {
+            return true;
+        }
+        let holders = self.reports.values().flatten().filter(|report| {
+            let status = report.status;
+            status.term == written.term && status.last >= written
+        });
+        holders.count() > self.reports.len() / 2
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/src/id.rs
@@ -0,0 +1,24 @@
+//! Ids of the things that the system decides about.
+
+use std::sync::Arc;
+
+/// Version of a bundle; a node only ever goes up.
+pub type BundleVersion = u64;
+/// Name of a database group, unique in a bundle.
+pub type GroupId = Arc<str>;
+/// Name of an entry VM's node.
+pub type NodeId = Arc<str>;
+/// Number of log entries up to and including this one.
+pub type Position = u64;
+/// Name of a priority, unique in a bundle.
+pub type PriorityId = Arc<str>;
+/// Number of a request, unique at the node that took it.
+pub type RequestId = u64;
+/// Name of an upstream server, unique in a bundle.
+pub type ServerId = Arc<str>;
+/// Number of a caller's session, unique at the node that took it.
+pub type SessionId = u64;
+/// Number of a primary's reign over its group; two promoters never share one.
+pub type Term = u64;
+/// Name of an availability zone.
+pub type Zone = Arc<str>;
--- /dev/null
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -0,0 +1,20 @@
+//! Which nodes keep the connections of which upstream server.
+//!
+//! Owners are for efficiency only: two at once, or none for a moment, break no
+//! promise, since safety is in terms, watermarks and keys.
+
+mod even;
+mod rendezvous;
+
+pub use even::Even;
+pub use rendezvous::Rendezvous;
+
+use crate::id::{NodeId, ServerId, Zone};
+use crate::membership::View;
+
+/// A way to share the servers among the nodes.
+pub trait Policy {
+    /// Returns the nodes that may serve `server`, the preferred one first, as
+    /// the node `asker` is to use them.
+    fn owners(&self, asker: &NodeId, server: &ServerId, zone: &Zone, view: &View) -> Vec<NodeId>;
+}
--- /dev/null
+++ b/crates/agateport-domain/src/owner/rendezvous.rs
@@ -0,0 +1,32 @@
+//! One owner for each server, by rendezvous hashing.
+
+use super::Policy;
+use crate::id::{NodeId, ServerId, Zone};
+use crate::membership::View;
+use sha2::{Digest, Sha256};
+
+/// Ranks the nodes by a hash of node and server, those in the server's
+/// availability zone first.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Rendezvous;
+
+impl Policy for Rendezvous {
+    fn owners(&self, _asker: &NodeId, server: &ServerId, zone: &Zone, view: &View) -> Vec<NodeId> {
+        let ranked = view.live().map(|member| {
+            let is_far = member.zone != *zone;
+            (is_far, score(&member.name, server), member.name.clone())
+        });
+        let mut ranked: Vec<_> = ranked.collect();
+        ranked.sort();
+        ranked.into_iter().map(|(_, _, name)| name).collect()
+    }
+}
+
+/// A hash that every node works out alike, whatever program version it runs.
+fn score(node: &NodeId, server: &ServerId) -> [u8; 32] {
+    let mut hash = Sha256::new();
+    hash.update(node.as_bytes());
+    hash.update([0]);
+    hash.update(server.as_bytes());
+    hash.finalize().into()
+}
--- /dev/null
+++ b/crates/agateport-domain/src/prelude.rs
@@ -0,0 +1,11 @@
+//! The common types, for `use agateport_domain::prelude::*`.
+
+pub use crate::id::{
+    BundleVersion, GroupId, NodeId, Position, PriorityId, RequestId, ServerId, SessionId, Term,
+    Zone,
+};
+pub use crate::session::Watermark;
+pub use crate::shard::Sharded;
+pub use std::collections::{BTreeMap, BTreeSet};
+pub use std::sync::Arc;
+pub use std::time::{Duration, Instant, SystemTime};
--- /dev/null
+++ b/crates/agateport-domain/src/request/error.rs
@@ -0,0 +1,78 @@
+//! Why a request isn't run, and what its life forbids.
+
+use super::State;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+use thiserror::Error;
+
+/// A step that the request's state doesn't allow.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+#[error("the request is {state:?} and can't take this step")]
+pub struct Error {
+    /// State that the request was in.
+    pub state: State,
+}
+
+/// Why a request was refused before it ran.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Reason {
+    /// The server isn't, or is no longer, the primary.
+    NotPrimary,
+    /// The replica hasn't what the session has seen.
+    Behind,
+    /// The replica's age isn't known, or is over the limit.
+    Stale,
+    /// The queue is full.
+    QueueFull,
+    /// The target can't be met.
+    TargetMissed,
+    /// No connection to the upstream could be had.
+    UpstreamUnreachable,
+    /// No node that owns the server could be reached.
+    OwnerUnreachable,
+    /// The group or server isn't in the bundle in force.
+    UnknownServer,
+    /// No bundle is in force yet.
+    NoBundle,
+    /// The node or upstream is leaving.
+    Leaving,
+}
+
+impl Reason {
+    /// Returns the name used in metrics and messages.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::NotPrimary => "not_primary",
+            Self::Behind => "behind",
+            Self::Stale => "stale",
+            Self::QueueFull => "queue_full",
+            Self::TargetMissed => "target_missed",
+            Self::UpstreamUnreachable => "upstream_unreachable",
+            Self::OwnerUnreachable => "owner_unreachable",
+            Self::UnknownServer => "unknown_server",
+            Self::NoBundle => "no_bundle",
+            Self::Leaving => "leaving",
+        }
+    }
+}
+
+/// A request that certainly did not run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Error, PartialEq, Serialize)]
+#[error("not run: {}", reason.name())]
+pub struct Refusal {
+    /// Why it was refused.
+    pub reason: Reason,
+    /// How long to wait before another try.
+    pub retry_after: Option<Duration>,
+}
+
+impl From<Reason> for Refusal {
+    fn from(reason: Reason) -> Self {
+        Self {
+            reason,
+            retry_after: None,
+        }
+    }
+}
