--- /dev/null
+++ b/crates/agateport-wire/src/frame.rs
@@ -0,0 +1,85 @@
+//! The messages between nodes.
+
+use crate::Error;
+use agateport_domain::request::{Command, Completion, Refusal};
+use bytes::{Bytes, BytesMut};
+use serde::{Deserialize, Serialize};
+use tokio_util::codec::{Decoder, Encoder, LengthDelimitedCodec};
+
+/// Longest frame, in bytes.
+const MAXIMUM_FRAME: usize = 16 * 1024 * 1024;
+
+/// A prepared statement that a batch uses.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Prepared {
+    /// Name at the upstream, the same for the same text.
+    pub name: String,
+    /// Parse message, as the PostgreSQL protocol encodes it.
+    pub parse: Bytes,
+}
+
+/// Messages of a caller up to where it waits for an answer.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Batch {
+    /// Statements that must be prepared before the messages are sent.
+    pub statements: Vec<Prepared>,
+    /// Messages, as the PostgreSQL protocol encodes them.
+    pub messages: Bytes,
+}
+
+/// A message between nodes.
+///
+/// A stream carries one request, or one transaction: `Open`, then a `Batch` and
+/// its answer in turn until the answer says that no transaction is open.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Frame {
+    /// Asks an owner for its server.
+    Open(Command),
+    /// Asks for a batch to be run.
+    Batch(Batch),
+    /// A part of the answer, as the PostgreSQL protocol encodes it.
+    Answer(Bytes),
+    /// The end of the answer.
+    Finished(Completion),
+    /// The batch certainly did not run.
+    Refused(Refusal),
+    /// The batch was sent, and the answer is lost.
+    Unknown,
+}
+
+/// Encodes frames: a length, then the frame in postcard.
+#[derive(Debug)]
+pub struct Codec {
+    length: LengthDelimitedCodec,
+}
+
+impl Default for Codec {
+    fn default() -> Self {
+        let length = LengthDelimitedCodec::builder()
+            .max_frame_length(MAXIMUM_FRAME)
+            .new_codec();
+        Self { length }
+    }
+}
+
+impl Decoder for Codec {
+    type Error = Error;
+    type Item = Frame;
+
+    fn decode(&mut self, buffer: &mut BytesMut) -> Result<Option<Frame>, Error> {
+        let Some(bytes) = self.length.decode(buffer)? else {
+            return Ok(None);
+        };
+        Ok(Some(postcard::from_bytes(&bytes)?))
+    }
+}
+
+impl Encoder<Frame> for Codec {
+    type Error = Error;
+
+    fn encode(&mut self, frame: Frame, buffer: &mut BytesMut) -> Result<(), Error> {
+        let bytes = Bytes::from(postcard::to_stdvec(&frame)?);
+        self.length.encode(bytes, buffer)?;
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/agateport-wire/src/platform.rs
@@ -0,0 +1,154 @@
+//! The platform's table service, object store and list of VMs, over HTTP.
+
+use reqwest::{Client, Response, StatusCode};
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+use std::time::Duration;
+
+/// Time after which an answer of the platform is given up.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Version of a row; zero stands for a row that isn't there.
+pub type RowVersion = u64;
+
+/// A row of the table service.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Row {
+    /// Version, one higher at each change.
+    pub version: RowVersion,
+    /// Value as text.
+    pub value: String,
+}
+
+/// One change of a transaction.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Operation {
+    /// Key of the row.
+    pub key: String,
+    /// Version that the row must have.
+    pub expected: RowVersion,
+    /// Value to set.
+    pub value: String,
+}
+
+/// A VM in the platform's list.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Vm {
+    /// Name of the VM.
+    pub name: String,
+    /// Availability zone of the VM.
+    pub zone: String,
+    /// Address of its node for peers.
+    pub address: SocketAddr,
+    /// Whether it is leaving.
+    #[serde(default)]
+    pub is_leaving: bool,
+}
+
+/// An answer that the platform did not give.
+#[derive(Debug, thiserror::Error)]
+pub enum Error {
+    /// No answer came, so a change may have taken effect or not.
+    #[error("the platform gave no answer")]
+    NoAnswer(#[from] reqwest::Error),
+    /// A row had another version than the one expected.
+    #[error("a row has changed")]
+    Conflict,
+    /// The platform answered that it can't.
+    #[error("the platform answered with status {0}")]
+    Status(StatusCode),
+}
+
+/// A client of the platform.
+#[derive(Clone, Debug)]
+pub struct Platform {
+    base: String,
+    client: Client,
+}
+
+impl Platform {
+    /// Creates a client of the platform at `address`.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the HTTP library can't start.
+    pub fn new(address: SocketAddr) -> Result<Self, Error> {
+        let client = Client::builder().timeout(TIMEOUT).no_proxy().build()?;
+        Ok(Self {
+            base: format!("http://{address}"),
+            client,
+        })
+    }
+
+    /// Reads a row; none if it isn't there.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform doesn't answer.
+    pub async fn row(&self, key: &str) -> Result<Option<Row>, Error> {
+        let response = self.get(&format!("table/{key}")).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(checked(response)?.json().await?))
+    }
+
+    /// Changes all rows, or none if a version isn't the one expected.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Conflict`] if a row has changed; any other error leaves it open
+    /// whether the change took effect.
+    pub async fn commit(&self, operations: &[Operation]) -> Result<(), Error> {
+        let url = format!("{}/transaction", self.base);
+        let response = self.client.post(url).json(operations).send().await?;
+        checked(response)?;
+        Ok(())
+    }
+
+    /// Reads an object; none if it isn't there.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform doesn't answer.
+    pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
+        let response = self.get(&format!("object/{key}")).await?;
+        if response.status() == StatusCode::NOT_FOUND {
+            return Ok(None);
+        }
+        Ok(Some(checked(response)?.bytes().await?.to_vec()))
+    }
+
+    /// Writes an object.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform doesn't answer.
+    pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
+        let url = format!("{}/object/{key}", self.base);
+        checked(self.client.put(url).body(bytes).send().await?)?;
+        Ok(())
+    }
+
+    /// Reads the list of VMs, which lags behind.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the platform doesn't answer.
+    pub async fn vms(&self) -> Result<Vec<Vm>, Error> {
+        Ok(checked(self.get("vms").await?)?.json().await?)
+    }
+
+    async fn get(&self, path: &str) -> Result<Response, Error> {
+        let url = format!("{}/{path}", self.base);
+        Ok(self.client.get(url).send().await?)
+    }
+}
+
+fn checked(response: Response) -> Result<Response, Error> {
+    match response.status() {
+        status if status.is_success() => Ok(response),
+        StatusCode::CONFLICT => Err(Error::Conflict),
+        status => Err(Error::Status(status)),
+    }
+}
--- /dev/null
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -0,0 +1,79 @@
+//! The domain's results as messages of the PostgreSQL protocol.
+
+use super::Backend;
+use agateport_domain::request::{Reason, Refusal};
+use agateport_domain::session::Transaction;
+use bytes::{Bytes, BytesMut};
+use pgwire::error::ErrorInfo;
+use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
+
+/// SQLSTATE for a request whose outcome isn't known.
+const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
+
+/// Encodes one message.
+#[must_use]
+pub fn encode(message: &Backend) -> Bytes {
+    let mut buffer = BytesMut::new();
+    // Encoding fails only for messages over a gigabyte, which are never built here.
+    let _ = message.encode(&mut buffer);
+    buffer.freeze()
+}
+
+/// Builds an error message.
+#[must_use]
+pub fn error(severity: &str, code: &str, message: String) -> Backend {
+    let info = ErrorInfo::new(severity.to_owned(), code.to_owned(), message);
+    Backend::ErrorResponse(ErrorResponse::from(info))
+}
+
+/// Builds the error message for a request that certainly did not run.
+#[must_use]
+pub fn refusal(refusal: &Refusal) -> Backend {
+    let text = match refusal.retry_after {
+        Some(wait) => format!("{refusal}; retry after {} ms", wait.as_millis()),
+        None => refusal.to_string(),
+    };
+    error("ERROR", sqlstate(refusal.reason), text)
+}
+
+/// Builds the error message for a request that may have run.
+#[must_use]
+pub fn unknown() -> Backend {
+    let text = "the outcome is unknown: the request was sent and its answer is lost";
+    error("ERROR", TRANSACTION_RESOLUTION_UNKNOWN, text.to_owned())
+}
+
+/// Returns the SQLSTATE of a refusal: all are of classes that clients retry.
+#[must_use]
+pub fn sqlstate(reason: Reason) -> &'static str {
+    match reason {
+        Reason::QueueFull | Reason::TargetMissed => "53300",
+        Reason::UnknownServer => "3D000",
+        Reason::NoBundle | Reason::Leaving => "57P03",
+        Reason::Behind
+        | Reason::NotPrimary
+        | Reason::OwnerUnreachable
+        | Reason::Stale
+        | Reason::UpstreamUnreachable => "40001",
+    }
+}
+
+/// Turns the protocol's transaction status into the domain's.
+#[must_use]
+pub fn transaction(status: TransactionStatus) -> Transaction {
+    match status {
+        TransactionStatus::Idle => Transaction::Idle,
+        TransactionStatus::Transaction => Transaction::Open,
+        TransactionStatus::Error => Transaction::Failed,
+    }
+}
+
+/// Builds the message that ends an answer.
+#[must_use]
+pub fn ready(transaction: Transaction) -> Backend {
+    Backend::ReadyForQuery(ReadyForQuery::new(match transaction {
+        Transaction::Idle => TransactionStatus::Idle,
+        Transaction::Open => TransactionStatus::Transaction,
+        Transaction::Failed => TransactionStatus::Error,
+    }))
+}
--- /dev/null
+++ b/crates/agateport-wire/src/postgres/mod.rs
@@ -0,0 +1,17 @@
+//! The PostgreSQL protocol towards callers and upstreams, by `pgwire`'s codecs.
+
+mod codec;
+pub mod control;
+mod convert;
+mod upstream;
+
+pub use codec::{Client, Phase, Server};
+pub use convert::{encode, error, ready, refusal, sqlstate, transaction, unknown};
+pub use pgwire::messages::{PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend};
+pub use upstream::Upstream;
+
+/// Parameter that an upstream reports its log's last entry in, as term/position.
+pub const LOG_POSITION: &str = "agateport.log_position";
+
+/// Parameter that a caller is given its watermark in, as term/position.
+pub const WATERMARK: &str = "agateport.watermark";
--- /dev/null
+++ b/crates/agateport-wire/src/postgres/upstream.rs
@@ -0,0 +1,159 @@
+//! One connection to an upstream server.
+
+use super::codec::Client;
+use super::{Backend, Frontend, LOG_POSITION};
+use crate::Error;
+use agateport_domain::session::Watermark;
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use pgwire::messages::simplequery::Query;
+use pgwire::messages::startup::{Authentication, Startup};
+use std::collections::BTreeSet;
+use std::net::SocketAddr;
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// One connection to an upstream server.
+#[derive(Debug)]
+pub struct Upstream {
+    address: SocketAddr,
+    framed: Framed<TcpStream, Client>,
+    prepared: BTreeSet<String>,
+    seen: Option<Watermark>,
+}
+
+impl Upstream {
+    /// Connects and logs in.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the upstream can't be reached or refuses the connection.
+    pub async fn connect(address: SocketAddr, user: &str, database: &str) -> Result<Self, Error> {
+        let unreachable = |source| Error::Unreachable {
+            peer: address.to_string(),
+            source,
+        };
+        let stream = TcpStream::connect(address).await.map_err(unreachable)?;
+        stream.set_nodelay(true)?;
+        let mut upstream = Self {
+            address,
+            framed: Framed::new(stream, Client),
+            prepared: BTreeSet::new(),
+            seen: None,
+        };
+        upstream.log_in(user, database).await?;
+        Ok(upstream)
+    }
+
+    /// Sends messages that are encoded already.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the connection broke.
+    pub async fn send(&mut self, messages: Bytes) -> Result<(), Error> {
+        self.framed.send(messages).await
+    }
+
+    /// Receives one message; reports of the log's position are kept, not
+    /// returned.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the connection broke.
+    pub async fn receive(&mut self) -> Result<Backend, Error> {
+        loop {
+            let message = self.framed.next().await.unwrap_or(Err(Error::Ended))?;
+            match message {
+                Backend::ParameterStatus(status) if status.name == LOG_POSITION => {
+                    self.seen = status.value.parse().ok();
+                }
+                message => return Ok(message),
+            }
+        }
+    }
+
+    /// Runs a text of SQL and returns the first column of its rows as text.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the connection broke or the upstream reports an error.
+    pub async fn query(&mut self, sql: &str) -> Result<Vec<String>, Error> {
+        let query = Query::new(sql.to_owned());
+        self.framed.send(Frontend::Query(query)).await?;
+        let mut rows = Vec::new();
+        let mut failure = None;
+        loop {
+            match self.receive().await? {
+                Backend::DataRow(row) => rows.push(first_column(&row.data)),
+                Backend::ErrorResponse(error) => failure = Some(message(&error)),
+                Backend::ReadyForQuery(_) => break,
+                _ => {}
+            }
+        }
+        match failure {
+            Some(message) => Err(Error::Refused {
+                address: self.address,
+                message,
+            }),
+            None => Ok(rows),
+        }
+    }
+
+    /// Returns the last position of the log that the upstream reported.
+    #[must_use]
+    pub fn seen(&self) -> Option<Watermark> {
+        self.seen
+    }
+
+    /// Tells whether the statement is prepared on this connection.
+    #[must_use]
+    pub fn is_prepared(&self, name: &str) -> bool {
+        self.prepared.contains(name)
+    }
+
+    /// Records that a statement is prepared on this connection.
+    pub fn set_prepared(&mut self, name: String) {
+        self.prepared.insert(name);
+    }
+
+    async fn log_in(&mut self, user: &str, database: &str) -> Result<(), Error> {
+        let mut startup = Startup::new();
+        let parameters = [("user", user), ("database", database)];
+        for (name, value) in parameters {
+            startup.parameters.insert(name.to_owned(), value.to_owned());
+        }
+        self.framed.send(Frontend::Startup(startup)).await?;
+        loop {
+            match self.receive().await? {
+                Backend::ReadyForQuery(_) => return Ok(()),
+                Backend::ErrorResponse(error) => {
+                    return Err(Error::Refused {
+                        address: self.address,
+                        message: message(&error),
+                    });
+                }
+                Backend::Authentication(method) if method != Authentication::Ok => {
+                    return Err(Error::Refused {
+                        address: self.address,
+                        message: format!("authentication by {method:?} is not supported"),
+                    });
+                }
+                _ => {}
+            }
+        }
+    }
+}
+
+fn message(error: &pgwire::messages::response::ErrorResponse) -> String {
+    let texts = error.fields.iter().filter(|(kind, _)| *kind == b'M');
+    texts.map(|(_, text)| text.as_str()).collect()
+}
+
+fn first_column(data: &[u8]) -> String {
+    let Some((length, rest)) = data.split_first_chunk::<4>() else {
+        return String::new();
+    };
+    let length = usize::try_from(i32::from_be_bytes(*length)).unwrap_or(0);
+    let bytes = rest.get(..length).unwrap_or_default();
+    String::from_utf8_lossy(bytes).into_owned()
+}
--- /dev/null
+++ b/crates/agateport-wire/src/tls.rs
@@ -0,0 +1,52 @@
+//! Certificates and keys of a node, from PEM files.
+
+use crate::Error;
+use rustls::RootCertStore;
+use rustls::pki_types::pem::PemObject;
+use rustls::pki_types::{CertificateDer, PrivateKeyDer};
+use std::path::Path;
+
+/// A node's identity towards its peers.
+#[derive(Debug)]
+pub struct Identity {
+    /// Certificates that sign the nodes' certificates.
+    pub authorities: RootCertStore,
+    /// The node's certificate and those between it and an authority.
+    pub chain: Vec<CertificateDer<'static>>,
+    /// The node's private key.
+    pub key: PrivateKeyDer<'static>,
+}
+
+impl Identity {
+    /// Reads an identity from PEM files.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if a file can't be read or isn't of the right kind.
+    pub fn load(authority: &Path, certificate: &Path, key: &Path) -> Result<Self, Error> {
+        let mut authorities = RootCertStore::empty();
+        for der in certificates(authority)? {
+            authorities.add(der)?;
+        }
+        let key = PrivateKeyDer::from_pem_file(key).map_err(|source| Error::Certificate {
+            path: key.display().to_string(),
+            source,
+        })?;
+        Ok(Self {
+            authorities,
+            chain: certificates(certificate)?,
+            key,
+        })
+    }
+}
+
+fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+    let unreadable = |source| Error::Certificate {
+        path: path.display().to_string(),
+        source,
+    };
+    CertificateDer::pem_file_iter(path)
+        .map_err(unreadable)?
+        .collect::<Result<_, _>>()
+        .map_err(unreadable)
+}
