standin: a platform and a replicated database group

The group speaks the PostgreSQL protocol over SQLite, keeps a log with terms and positions, and replicates it with a lag; faults are switched on an admin port.

--- /dev/null
+++ b/crates/agateport-standin/src/group/command.rs
@@ -0,0 +1,114 @@
+//! What a text of SQL asks of the server.
+
+use agateport_domain::id::Term;
+use agateport_domain::session::Watermark;
+use sqlparser::dialect::PostgreSqlDialect;
+use sqlparser::tokenizer::{Token, Tokenizer};
+use std::net::SocketAddr;
+
+/// What a statement asks of the server.
+#[derive(Clone, Debug, PartialEq)]
+pub enum Command {
+    /// Opens a transaction.
+    Begin,
+    /// Ends a transaction for good.
+    Commit,
+    /// Ends a transaction without effect.
+    Rollback,
+    /// Sets a setting of the session.
+    Set(String, String),
+    /// Returns a setting of the session.
+    Show(String),
+    /// Takes the session back to its start.
+    Discard,
+    /// Returns the server's status.
+    Status,
+    /// Tells the server a new term.
+    Fence(Term),
+    /// Makes the server the primary.
+    Promote(Term),
+    /// Makes the server a replica.
+    Follow(Term, SocketAddr),
+    /// Returns entries of the log after a place.
+    Log(Watermark),
+    /// Anything else, for the database.
+    Sql,
+}
+
+impl Command {
+    /// Reads one statement.
+    pub fn parse(sql: &str) -> Self {
+        let words = words(sql);
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        match words.as_slice() {
+            ["begin", ..] | ["start", "transaction", ..] => Self::Begin,
+            ["commit" | "end", ..] => Self::Commit,
+            ["rollback" | "abort"] | ["rollback", "transaction" | "work"] => Self::Rollback,
+            ["set", name, "=" | "to", value] => Self::Set((*name).to_owned(), (*value).to_owned()),
+            ["show", name] => Self::Show((*name).to_owned()),
+            ["deallocate" | "discard" | "reset", ..] => Self::Discard,
+            ["select", function, "(", arguments @ .., ")"] => {
+                Self::call(function, arguments).unwrap_or(Self::Sql)
+            }
+            _ => Self::Sql,
+        }
+    }
+
+    fn call(function: &str, arguments: &[&str]) -> Option<Self> {
+        match (function, arguments) {
+            ("agateport_status", []) => Some(Self::Status),
+            ("agateport_fence", [term]) => Some(Self::Fence(term.parse().ok()?)),
+            ("agateport_promote", [term]) => Some(Self::Promote(term.parse().ok()?)),
+            ("agateport_follow", [term, ",", primary]) => {
+                Some(Self::Follow(term.parse().ok()?, primary.parse().ok()?))
+            }
+            ("agateport_log", [place]) => Some(Self::Log(place.parse().ok()?)),
+            _ => None,
+        }
+    }
+
+    /// Tells whether the command is for control, and costs no slot.
+    pub fn is_control(&self) -> bool {
+        matches!(
+            self,
+            Self::Fence(_) | Self::Follow(..) | Self::Log(_) | Self::Promote(_) | Self::Status
+        )
+    }
+}
+
+/// Splits a text into its statements.
+pub fn split(sql: &str) -> Vec<String> {
+    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
+        return vec![sql.to_owned()];
+    };
+    let statements = tokens.split(|token| *token == Token::SemiColon);
+    let texts = statements.map(|tokens| {
+        let text: String = tokens.iter().map(ToString::to_string).collect();
+        text.trim().to_owned()
+    });
+    texts.filter(|text| !text.is_empty()).collect()
+}
+
+/// Returns the words and signs of a statement, words in lower case.
+fn words(sql: &str) -> Vec<String> {
+    let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql)
+        .tokenize()
+        .unwrap_or_default();
+    let mut words: Vec<String> = Vec::new();
+    let mut is_joined = false;
+    for token in tokens {
+        let word = match token {
+            Token::Whitespace(_) | Token::SemiColon => continue,
+            Token::Word(word) => word.value.to_lowercase(),
+            Token::SingleQuotedString(text) => text,
+            other => other.to_string(),
+        };
+        // A dot joins the parts of a name.
+        match words.last_mut() {
+            Some(last) if is_joined || word == "." => last.push_str(&word),
+            _ => words.push(word.clone()),
+        }
+        is_joined = word == ".";
+    }
+    words
+}
--- /dev/null
+++ b/crates/agateport-standin/src/group/log.rs
@@ -0,0 +1,118 @@
+//! The log of committed transactions.
+
+use super::value::Value;
+use agateport_domain::id::{Position, Term};
+use agateport_domain::session::Watermark;
+use serde::{Deserialize, Serialize};
+use std::time::SystemTime;
+
+/// One statement with its parameters.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Statement {
+    /// Text of the statement.
+    pub sql: String,
+    /// Its parameters.
+    pub parameters: Vec<Value>,
+}
+
+/// One committed transaction.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+pub struct Entry {
+    /// Term of the primary that committed it.
+    pub term: Term,
+    /// When it was committed.
+    pub committed: SystemTime,
+    /// What it changed.
+    pub statements: Vec<Statement>,
+}
+
+/// The last position of each term in a log, the lowest term first.
+pub type Terms = Vec<Watermark>;
+
+/// The log of committed transactions; positions start at one.
+#[derive(Debug, Default)]
+pub struct Log {
+    entries: Vec<Entry>,
+}
+
+impl Log {
+    /// Returns the place of the last entry.
+    pub fn last(&self) -> Watermark {
+        Watermark {
+            term: self.entries.last().map_or(0, |entry| entry.term),
+            position: position(self.entries.len()),
+        }
+    }
+
+    /// Appends an entry.
+    pub fn push(&mut self, entry: Entry) {
+        self.entries.push(entry);
+    }
+
+    /// Tells whether the log holds the entry at `place`, and so all before it.
+    pub fn holds(&self, place: Watermark) -> bool {
+        match place.position.checked_sub(1) {
+            None => true,
+            Some(index) => self
+                .entries
+                .get(length(index))
+                .is_some_and(|entry| entry.term == place.term),
+        }
+    }
+
+    /// Returns at most `limit` entries after `position`.
+    pub fn after(&self, position: Position, limit: usize) -> &[Entry] {
+        let rest = self.entries.get(length(position)..).unwrap_or_default();
+        &rest[..rest.len().min(limit)]
+    }
+
+    /// Returns the last position of each term.
+    pub fn terms(&self) -> Terms {
+        let mut terms = Terms::new();
+        for (index, entry) in self.entries.iter().enumerate() {
+            let place = Watermark {
+                term: entry.term,
+                position: position(index + 1),
+            };
+            match terms.last_mut() {
+                Some(last) if last.term == entry.term => *last = place,
+                _ => terms.push(place),
+            }
+        }
+        terms
+    }
+
+    /// Returns the last position that this log shares with one of `theirs`.
+    pub fn common(&self, theirs: &Terms) -> Position {
+        let ours = self.terms();
+        let mut common = 0;
+        for (our, their) in ours.iter().zip(theirs) {
+            if our.term != their.term {
+                break;
+            }
+            common = our.position.min(their.position);
+            if our.position != their.position {
+                break;
+            }
+        }
+        common
+    }
+
+    /// Drops all entries after `position`.
+    pub fn truncate(&mut self, position: Position) {
+        self.entries.truncate(length(position));
+    }
+
+    /// Returns all entries.
+    pub fn entries(&self) -> &[Entry] {
+        &self.entries
+    }
+}
+
+fn position(length: usize) -> Position {
+    Position::try_from(length).unwrap_or(Position::MAX)
+}
+
+fn length(position: Position) -> usize {
+    usize::try_from(position).unwrap_or(usize::MAX)
+}
--- /dev/null
+++ b/crates/agateport-standin/src/group/session.rs
@@ -0,0 +1,194 @@
+//! Callers' connections over the PostgreSQL protocol.
+
+mod execute;
+mod extended;
+
+use super::server::Server;
+use crate::error::Error;
+use agateport_domain::session::Watermark;
+use agateport_wire::postgres::{self, Backend, Frontend, LOG_POSITION, Phase, control};
+use execute::Execution;
+use extended::Extended;
+use futures::{SinkExt, StreamExt};
+use pgwire::messages::SslNegotiationMetaMessage;
+use pgwire::messages::response::SslResponse;
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
+use std::sync::Arc;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+use tokio_util::codec::Framed;
+
+type Socket = Framed<TcpStream, postgres::Server>;
+
+/// Takes connections until the process is ended.
+///
+/// # Errors
+///
+/// [`Error`] if no connection can be taken any more.
+pub async fn serve(listener: TcpListener, server: Arc<Server>) -> Result<(), Error> {
+    // Connections end with the server.
+    let mut sessions = JoinSet::new();
+    loop {
+        let (stream, _) = listener.accept().await?;
+        while sessions.try_join_next().is_some() {}
+        let server = Arc::clone(&server);
+        sessions.spawn(async move {
+            if let Err(error) = Session::run(stream, server).await {
+                tracing::debug!(%error, "a connection ended");
+            }
+        });
+    }
+}
+
+struct Session {
+    socket: Socket,
+    server: Arc<Server>,
+    is_control: bool,
+    reported: Option<Watermark>,
+    extended: Extended,
+    execution: Execution,
+}
+
+impl Session {
+    async fn run(stream: TcpStream, server: Arc<Server>) -> Result<(), agateport_wire::Error> {
+        stream.set_nodelay(true)?;
+        let mut socket = Framed::new(stream, postgres::Server::default());
+        server.wait_while_hung().await;
+        let Some(user) = negotiate(&mut socket).await? else {
+            return Ok(());
+        };
+        let is_control = user == control::USER;
+        let connections = Arc::clone(server.connections());
+        let permit = connections.try_acquire_owned().ok();
+        if permit.is_none() && !is_control {
+            let text = "sorry, too many clients already".to_owned();
+            return socket.send(postgres::error("FATAL", "53300", text)).await;
+        }
+        // Control connections take from the reserve, not from the limit.
+        let _permit = permit.filter(|_| !is_control);
+        if !is_control {
+            sleep(server.config().connect_cost).await;
+        }
+        let execution = Execution::new(Arc::clone(&server))
+            .map_err(|error| agateport_wire::Error::Postgres(error.to_string()))?;
+        let mut session = Self {
+            socket,
+            server,
+            is_control,
+            reported: None,
+            extended: Extended::default(),
+            execution,
+        };
+        session.greet().await?;
+        session.serve().await
+    }
+
+    async fn greet(&mut self) -> Result<(), agateport_wire::Error> {
+        self.socket
+            .feed(Backend::Authentication(Authentication::Ok))
+            .await?;
+        let parameters = [
+            ("server_version", "16.0"),
+            ("server_encoding", "UTF8"),
+            ("client_encoding", "UTF8"),
+            ("DateStyle", "ISO, MDY"),
+            ("integer_datetimes", "on"),
+            ("standard_conforming_strings", "on"),
+        ];
+        for (name, value) in parameters {
+            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+            self.socket.feed(Backend::ParameterStatus(status)).await?;
+        }
+        let key = BackendKeyData::new(1, SecretKey::I32(0));
+        self.socket.feed(Backend::BackendKeyData(key)).await?;
+        self.ready().await
+    }
+
+    async fn serve(&mut self) -> Result<(), agateport_wire::Error> {
+        while let Some(message) = self.socket.next().await {
+            self.server.wait_while_hung().await;
+            if self.is_control && self.server.fault().isolated {
+                return Ok(());
+            }
+            match message? {
+                Frontend::Terminate(_) => return Ok(()),
+                Frontend::Query(query) => {
+                    self.simple(&query.query).await?;
+                    self.ready().await?;
+                }
+                Frontend::Sync(_) => {
+                    self.extended.recover();
+                    self.ready().await?;
+                }
+                Frontend::Flush(_) => SinkExt::<Backend>::flush(&mut self.socket).await?,
+                message => {
+                    let answers = self.extended.handle(message, &mut self.execution).await;
+                    for answer in answers {
+                        self.socket.feed(answer).await?;
+                    }
+                }
+            }
+        }
+        Ok(())
+    }
+
+    async fn simple(&mut self, sql: &str) -> Result<(), agateport_wire::Error> {
+        let statements = super::command::split(sql);
+        if statements.is_empty() {
+            let empty = pgwire::messages::response::EmptyQueryResponse::new();
+            self.socket.feed(Backend::EmptyQueryResponse(empty)).await?;
+        }
+        for statement in statements {
+            match self.execution.run(&statement, Vec::new()).await {
+                Ok(result) => {
+                    for answer in result.messages(None) {
+                        self.socket.feed(answer).await?;
+                    }
+                }
+                Err(failure) => {
+                    self.socket.feed(failure.message()).await?;
+                    break;
+                }
+            }
+        }
+        Ok(())
+    }
+
+    /// Reports the log's position if it has changed, and ends the answer.
+    async fn ready(&mut self) -> Result<(), agateport_wire::Error> {
+        // An answer that a hung server has worked out stays with it.
+        self.server.wait_while_hung().await;
+        let place = self.execution.take_place();
+        if self.reported != Some(place) {
+            let status = ParameterStatus::new(LOG_POSITION.to_owned(), place.to_string());
+            self.socket.feed(Backend::ParameterStatus(status)).await?;
+            self.reported = Some(place);
+        }
+        let ready = postgres::ready(self.execution.transaction());
+        self.socket.send(ready).await
+    }
+}
+
+/// Goes through the first messages; none if the caller only asked to cancel.
+async fn negotiate(socket: &mut Socket) -> Result<Option<String>, agateport_wire::Error> {
+    while let Some(message) = socket.next().await {
+        match message? {
+            Frontend::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                socket.codec_mut().set_phase(Phase::Startup);
+            }
+            Frontend::SslNegotiation(_) => {
+                socket
+                    .send(Backend::SslResponse(SslResponse::Refuse))
+                    .await?;
+            }
+            Frontend::Startup(startup) => {
+                socket.codec_mut().set_phase(Phase::Ready);
+                let user = startup.parameters.get("user").cloned();
+                return Ok(Some(user.unwrap_or_default()));
+            }
+            _ => return Ok(None),
+        }
+    }
+    Ok(None)
+}
