node: a statement from a caller through two nodes to an upstream and back

The thin path, end to end: frontend, QUIC link, owner with a queue of slots, upstream pool, and the answer held back until its write is acknowledged.

--- /dev/null
+++ b/crates/agateport-ctl/src/error.rs
@@ -0,0 +1,71 @@
+//! What can end the program.
+
+use miette::Diagnostic;
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+use thiserror::Error;
+
+/// A failure that ends the process.
+#[derive(Debug, Diagnostic, Error)]
+pub enum Error {
+    /// The command line is wrong.
+    #[error("the command line is wrong")]
+    #[diagnostic(help("agatectl --help lists the commands"))]
+    CommandLine(#[from] lexopt::Error),
+    /// A needed argument is missing.
+    #[error("{0} is missing")]
+    #[diagnostic(help("agatectl --help lists the commands"))]
+    Missing(&'static str),
+    /// An argument is unknown or one too many.
+    #[error("the argument {0:?} is not expected")]
+    #[diagnostic(help("agatectl --help lists the commands"))]
+    Surplus(String),
+    /// An argument isn't an address.
+    #[error("{0:?} is not an address of the form IP:PORT")]
+    Address(String),
+    /// A file can't be read or written.
+    #[error("the file {path} can't be read or written")]
+    File {
+        /// Path of the file.
+        path: PathBuf,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// A file doesn't hold what it should.
+    #[error("the file {path} is not {expected}")]
+    Content {
+        /// Path of the file.
+        path: PathBuf,
+        /// What it should hold.
+        expected: &'static str,
+    },
+    /// A bundle is wrong.
+    #[error("the bundle is wrong")]
+    Bundle(#[from] agateport_domain::bundle::Error),
+    /// A certificate can't be made.
+    #[error("the certificate can't be made")]
+    Certificate(#[from] rcgen::Error),
+    /// Another bundle is in force.
+    #[error("version {0} is in force already")]
+    #[diagnostic(help("give the bundle a higher version, or look at `agatectl status`"))]
+    NotHigher(u64),
+    /// The platform didn't do what it was asked.
+    #[error("the platform can't be used")]
+    Platform(#[from] agateport_wire::platform::Error),
+    /// A node gave no answer.
+    #[error("the node at {address} gives no answer")]
+    Node {
+        /// Admin address of the node.
+        address: SocketAddr,
+        /// What the HTTP library said.
+        source: reqwest::Error,
+    },
+}
+
+impl Error {
+    /// Returns a function that names the file in an error of input or output.
+    pub fn file(path: &Path) -> impl FnOnce(std::io::Error) -> Self + use<> {
+        let path = path.to_owned();
+        move |source| Self::File { path, source }
+    }
+}
--- /dev/null
+++ b/crates/agateport-ctl/src/exit_codes.rs
@@ -0,0 +1,48 @@
+//! The exit codes.
+
+use crate::error::Error;
+
+/// How the process ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitCode {
+    /// All went well.
+    Success,
+    /// A file or certificate can't be used.
+    Failure,
+    /// The command line is wrong.
+    Usage,
+    /// The bundle is wrong.
+    Bundle,
+    /// Another bundle is in force.
+    NotHigher,
+    /// The platform or a node gave no answer.
+    Unreachable,
+}
+
+impl From<&Error> for ExitCode {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::Address(_) | Error::CommandLine(_) | Error::Missing(_) | Error::Surplus(_) => {
+                Self::Usage
+            }
+            Error::Certificate(_) | Error::Content { .. } | Error::File { .. } => Self::Failure,
+            Error::Bundle(_) => Self::Bundle,
+            Error::NotHigher(_) => Self::NotHigher,
+            Error::Node { .. } | Error::Platform(_) => Self::Unreachable,
+        }
+    }
+}
+
+impl From<ExitCode> for std::process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        match code {
+            ExitCode::Success => 0,
+            ExitCode::Failure => 1,
+            ExitCode::Usage => 2,
+            ExitCode::Bundle => 3,
+            ExitCode::NotHigher => 4,
+            ExitCode::Unreachable => 5,
+        }
+        .into()
+    }
+}
--- /dev/null
+++ b/crates/agateport-ctl/src/main.rs
@@ -0,0 +1,56 @@
+//! The operators' program.
+
+mod cli;
+mod error;
+mod exit_codes;
+mod keygen;
+mod roll;
+mod show;
+mod sign;
+mod status;
+
+use cli::Command;
+use error::Error;
+use exit_codes::ExitCode;
+use mimalloc::MiMalloc;
+use std::process;
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+#[tokio::main(flavor = "current_thread")]
+async fn main() -> process::ExitCode {
+    let result = match cli::parse(lexopt::Parser::from_env()) {
+        Ok(command) => run(command).await,
+        Err(error) => Err(error),
+    };
+    match result {
+        Ok(()) => ExitCode::Success.into(),
+        Err(error) => {
+            let code = ExitCode::from(&error);
+            eprintln!("{:?}", miette::Report::new(error));
+            code.into()
+        }
+    }
+}
+
+async fn run(command: Command) -> Result<(), Error> {
+    match command {
+        Command::Help => {
+            print!("{}", cli::HELP);
+            Ok(())
+        }
+        Command::Check { bundle } => show::check(&bundle),
+        Command::Servers { bundle } => show::servers(&bundle),
+        Command::KeygenAuthority { directory } => keygen::authority(&directory),
+        Command::KeygenNode { directory, name } => keygen::node(&directory, &name),
+        Command::KeygenOperator { directory, name } => keygen::operator(&directory, &name),
+        Command::Sign {
+            bundle,
+            key,
+            output,
+        } => sign::sign(&bundle, &key, &output),
+        Command::Roll { signed, platform } => roll::roll(&signed, platform).await,
+        Command::Status { admins, json } => status::status(&admins, json).await,
+    }
+}
--- /dev/null
+++ b/crates/agateport-load/src/exit_codes.rs
@@ -0,0 +1,38 @@
+//! The exit codes.
+
+use crate::error::Error;
+
+/// How the process ends.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum ExitCode {
+    /// All went well.
+    Success,
+    /// A promise was broken.
+    Broken,
+    /// The command line is wrong.
+    Usage,
+    /// A node can't be used.
+    Unreachable,
+}
+
+impl From<&Error> for ExitCode {
+    fn from(error: &Error) -> Self {
+        match error {
+            Error::CommandLine(_) | Error::Missing(_) => Self::Usage,
+            Error::Node { .. } => Self::Unreachable,
+            Error::Broken(_) => Self::Broken,
+        }
+    }
+}
+
+impl From<ExitCode> for std::process::ExitCode {
+    fn from(code: ExitCode) -> Self {
+        match code {
+            ExitCode::Success => 0,
+            ExitCode::Broken => 1,
+            ExitCode::Usage => 2,
+            ExitCode::Unreachable => 3,
+        }
+        .into()
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/src/config.rs
@@ -0,0 +1,120 @@
+//! The settings of a node.
+
+use crate::error::Error;
+use agateport_domain::prelude::*;
+use ed25519_dalek::VerifyingKey;
+use serde::{Deserialize, Serialize};
+use std::fmt::{self, Display, Formatter};
+use std::net::SocketAddr;
+use std::path::{Path, PathBuf};
+
+/// How servers are shared among the nodes.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Sharing {
+    /// Every node connects to every server, with its even part.
+    Even,
+    /// One owner for each server.
+    #[default]
+    Rendezvous,
+}
+
+/// Files of a node's identity towards its peers.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Tls {
+    /// Certificate of the authority that signs all nodes' certificates.
+    pub authority: PathBuf,
+    /// Certificate of this node; it must name the node.
+    pub certificate: PathBuf,
+    /// Private key of this node.
+    pub key: PathBuf,
+}
+
+/// The settings of a node.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Config {
+    /// Name of the node.
+    pub name: NodeId,
+    /// Availability zone of its VM.
+    pub zone: Zone,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for peers.
+    pub peers: SocketAddr,
+    /// Address for status and readiness.
+    pub admin: SocketAddr,
+    /// Address of the platform.
+    pub platform: SocketAddr,
+    /// Address that metrics go to, as statsd; none sends none.
+    pub statsd: Option<SocketAddr>,
+    /// Files with the public keys of the operators, in hexadecimal.
+    pub operators: Vec<PathBuf>,
+    /// How servers are shared among the nodes.
+    #[serde(default)]
+    pub sharing: Sharing,
+    /// Time that requests get to finish when the node stops.
+    #[serde(default = "default_drain", with = "humantime_serde")]
+    pub drain: Duration,
+    /// Files of the node's identity.
+    pub tls: Tls,
+}
+
+/// Time that requests get to finish when the settings don't say.
+const DEFAULT_DRAIN: Duration = Duration::from_secs(10);
+
+fn default_drain() -> Duration {
+    DEFAULT_DRAIN
+}
+
+impl Config {
+    /// Reads and checks a settings file.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if it can't be read, or a setting is unknown or wrong.
+    pub fn load(path: &Path) -> Result<Self, Error> {
+        let text = std::fs::read_to_string(path).map_err(|source| Error::SettingsFile {
+            path: path.to_owned(),
+            source,
+        })?;
+        let config: Self =
+            toml::from_str(&text).map_err(|error| Error::settings(path, &text, &error))?;
+        config.operator_keys()?;
+        Ok(config)
+    }
+
+    /// Returns the operators' public keys.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if a file can't be read or isn't a key.
+    pub fn operator_keys(&self) -> Result<Vec<VerifyingKey>, Error> {
+        let keys = self.operators.iter().map(|path| {
+            let wrong = || Error::OperatorKey(path.clone());
+            let text = std::fs::read_to_string(path).map_err(|_| wrong())?;
+            let bytes = decode_hex(text.trim()).ok_or_else(wrong)?;
+            VerifyingKey::from_bytes(&bytes).map_err(|_| wrong())
+        });
+        keys.collect()
+    }
+}
+
+impl Display for Config {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let text = toml::to_string_pretty(self).map_err(|_| fmt::Error)?;
+        formatter.write_str(&text)
+    }
+}
+
+fn decode_hex(text: &str) -> Option<[u8; 32]> {
+    if text.len() != 64 || !text.is_ascii() {
+        return None;
+    }
+    let mut bytes = [0; 32];
+    for (index, byte) in bytes.iter_mut().enumerate() {
+        *byte = u8::from_str_radix(&text[2 * index..2 * index + 2], 16).ok()?;
+    }
+    Some(bytes)
+}
--- /dev/null
+++ b/crates/agateport-node/src/control/membership.rs
@@ -0,0 +1,54 @@
+//! Keeps the view of the other nodes.
+
+use crate::node::Node;
+use agateport_domain::membership::{Member, State};
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_wire::platform::Vm;
+use std::sync::PoisonError;
+use tokio::time::sleep;
+
+/// Interval between two looks at the platform's list.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Reads the platform's list of VMs until the node ends.
+pub async fn run<P>(node: Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let own = Member {
+        name: node.config.name.clone(),
+        zone: node.config.zone.clone(),
+        address: node.config.peers,
+        state: State::Live,
+    };
+    seed(&node, [own]);
+    while !node.stopping.is_cancelled() {
+        match node.platform.vms().await {
+            Ok(vms) => seed(&node, vms.into_iter().map(member)),
+            Err(error) => tracing::debug!(%error, "the list of VMs can't be read"),
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
+fn seed<P>(node: &Node<P>, members: impl IntoIterator<Item = Member>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+    view.seed(members);
+}
+
+fn member(vm: Vm) -> Member {
+    Member {
+        name: vm.name.into(),
+        zone: vm.zone.into(),
+        address: vm.address,
+        state: if vm.is_leaving {
+            State::Leaving
+        } else {
+            State::Live
+        },
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -0,0 +1,31 @@
+//! The frontend's side: takes callers and routes their requests to owners.
+
+mod caller;
+mod pipeline;
+mod route;
+mod startup;
+
+use crate::node::Node;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use tokio::net::TcpListener;
+
+/// Takes callers until the node leaves.
+pub async fn listen<P>(node: Arc<Node<P>>, listener: TcpListener)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        let accepted = tokio::select! {
+            accepted = listener.accept() => accepted,
+            () = node.leaving.cancelled() => return,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let caller = caller::serve(Arc::clone(&node), stream);
+                node.callers.spawn(caller);
+            }
+            Err(error) => tracing::warn!(%error, "a caller could not be taken"),
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -0,0 +1,132 @@
+//! The first messages of a caller's connection.
+
+use crate::node::Node;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_wire::Error;
+use agateport_wire::postgres::{self, Backend, Frontend, Phase, Server};
+use futures::{SinkExt, StreamExt};
+use pgwire::messages::SslNegotiationMetaMessage;
+use pgwire::messages::response::SslResponse;
+use pgwire::messages::startup::{
+    Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
+};
+use tokio::net::TcpStream;
+use tokio_util::codec::Framed;
+
+/// A caller's connection.
+pub type Socket = Framed<TcpStream, Server>;
+
+/// Startup option that hands a watermark over.
+const WATERMARK_OPTION: &str = "agateport.watermark";
+
+/// What a caller asks for when it connects.
+#[derive(Debug)]
+pub struct Login {
+    /// Group that it wants to talk to.
+    pub group: GroupId,
+    /// What it has seen of the group through other connections.
+    pub watermark: Option<Watermark>,
+}
+
+/// Goes through the first messages; none if the caller asks for nothing more.
+///
+/// # Errors
+///
+/// [`Error`] if the connection broke or a message can't be read.
+pub async fn negotiate<P>(node: &Node<P>, socket: &mut Socket) -> Result<Option<Login>, Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    while let Some(message) = socket.next().await {
+        match message? {
+            Frontend::SslNegotiation(SslNegotiationMetaMessage::None) => {
+                socket.codec_mut().set_phase(Phase::Startup);
+            }
+            Frontend::SslNegotiation(_) => {
+                let refuse = Backend::SslResponse(SslResponse::Refuse);
+                socket.send(refuse).await?;
+            }
+            Frontend::Startup(startup) => {
+                socket.codec_mut().set_phase(Phase::Ready);
+                return log_in(node, socket, &startup).await;
+            }
+            _ => return Ok(None),
+        }
+    }
+    Ok(None)
+}
+
+async fn log_in<P>(
+    node: &Node<P>,
+    socket: &mut Socket,
+    startup: &Startup,
+) -> Result<Option<Login>, Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let login = match check(node, startup) {
+        Ok(login) => login,
+        Err(refusal) => {
+            socket.send(refusal).await?;
+            return Ok(None);
+        }
+    };
+    greet(socket).await?;
+    Ok(Some(login))
+}
+
+fn check<P>(node: &Node<P>, startup: &Startup) -> Result<Login, Backend>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let Some(bundle) = node.bundle() else {
+        let text = "not run: no bundle is in force yet".to_owned();
+        return Err(postgres::error("FATAL", "57P03", text));
+    };
+    let name = startup.parameters.get("database").map(String::as_str);
+    let Some(group) = bundle.group(name.unwrap_or_default()) else {
+        let text = format!(
+            "database {:?} is no group of the bundle",
+            name.unwrap_or("")
+        );
+        return Err(postgres::error("FATAL", "3D000", text));
+    };
+    let watermark = match startup.parameters.get(WATERMARK_OPTION) {
+        None => None,
+        Some(text) => {
+            let parsed = text
+                .parse()
+                .map_err(|error: agateport_domain::session::Error| {
+                    postgres::error("FATAL", "22023", error.to_string())
+                });
+            Some(parsed?)
+        }
+    };
+    Ok(Login {
+        group: group.name.clone(),
+        watermark,
+    })
+}
+
+async fn greet(socket: &mut Socket) -> Result<(), Error> {
+    socket
+        .feed(Backend::Authentication(Authentication::Ok))
+        .await?;
+    let parameters = [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    for (name, value) in parameters {
+        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+        socket.feed(Backend::ParameterStatus(status)).await?;
+    }
+    let key = BackendKeyData::new(1, SecretKey::I32(0));
+    socket.feed(Backend::BackendKeyData(key)).await?;
+    let ready = postgres::ready(agateport_domain::session::Transaction::Idle);
+    socket.send(ready).await
+}
--- /dev/null
+++ b/crates/agateport-node/src/metrics.rs
@@ -0,0 +1,59 @@
+//! Counters, kept for `agatectl status` and sent as statsd.
+
+use crate::error::Error;
+use agateport_domain::prelude::*;
+use cadence::{Counted, NopMetricSink, QueuingMetricSink, StatsdClient, UdpMetricSink};
+use std::net::{Ipv4Addr, SocketAddr, UdpSocket};
+
+/// Prefix of every metric.
+const PREFIX: &str = "agateport";
+
+/// Counters of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    counts: Sharded<String, u64>,
+    client: StatsdClient,
+}
+
+impl Metrics {
+    /// Creates counters that are also sent to `statsd`, if it is given.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if no socket can be opened.
+    pub fn new(statsd: Option<SocketAddr>) -> Result<Self, Error> {
+        let client = match statsd {
+            None => StatsdClient::from_sink(PREFIX, NopMetricSink),
+            Some(address) => {
+                let socket = UdpSocket::bind((Ipv4Addr::UNSPECIFIED, 0))?;
+                socket.set_nonblocking(true)?;
+                let sink = UdpMetricSink::from(address, socket).map_err(std::io::Error::other)?;
+                StatsdClient::from_sink(PREFIX, QueuingMetricSink::from(sink))
+            }
+        };
+        Ok(Self {
+            counts: Sharded::new(),
+            client,
+        })
+    }
+
+    /// Counts one event; `name` is made of a kind and a reason.
+    pub fn count(&self, kind: &str, reason: &str) {
+        let name = format!("{kind}.{reason}");
+        // A metric that can't be sent is lost; the count here stands.
+        let _ = self.client.count(&name, 1);
+        self.counts.with(&name, |counts| {
+            *counts.entry(name.clone()).or_insert(0) += 1;
+        });
+    }
+
+    /// Returns all counts by name.
+    #[must_use]
+    pub fn counts(&self) -> BTreeMap<String, u64> {
+        let mut all = BTreeMap::new();
+        self.counts.for_each(|name, count| {
+            all.insert(name.clone(), *count);
+        });
+        all
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/src/node.rs
@@ -0,0 +1,171 @@
+//! One node: the state that its tasks share, its start and its end.
+
+use crate::config::Config;
+use crate::control;
+use crate::error::Error;
+use crate::frontend;
+use crate::metrics::Metrics;
+use crate::owner::server;
+use crate::peers::{self, Peers};
+use agateport_domain::bundle::Bundle;
+use agateport_domain::group::Group;
+use agateport_domain::membership::View;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::session::Session;
+use agateport_wire::peer::Endpoint;
+use agateport_wire::platform::Platform;
+use agateport_wire::tls::Identity;
+use std::net::SocketAddr;
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicU64, Ordering};
+use tokio::net::TcpListener;
+use tokio::signal::unix::{SignalKind, signal};
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// The state that a node's tasks share.
+#[derive(Debug)]
+pub struct Node<P> {
+    /// Settings of the node.
+    pub config: Config,
+    /// How servers are shared among the nodes.
+    pub policy: P,
+    /// Client of the platform.
+    pub platform: Platform,
+    /// Connections to peers.
+    pub peers: Peers,
+    /// Bundle in force; none until the first is known.
+    pub bundle: watch::Sender<Option<Arc<Bundle>>>,
+    /// What is known of the other nodes.
+    pub view: Mutex<View>,
+    /// What is known of the groups.
+    pub groups: Sharded<GroupId, Group>,
+    /// Notified when a status of the group came in.
+    pub reports: watch::Sender<u64>,
+    /// Servers that this node keeps connections of.
+    pub servers: Sharded<ServerId, server::State>,
+    /// Callers' sessions.
+    pub sessions: Sharded<SessionId, Session>,
+    /// Counters.
+    pub metrics: Metrics,
+    /// Cancelled when the node takes no new work.
+    pub leaving: CancellationToken,
+    /// Cancelled when the node ends.
+    pub stopping: CancellationToken,
+    /// Callers' tasks.
+    pub callers: TaskTracker,
+    next_id: AtomicU64,
+}
+
+impl<P: Policy + Send + Sync + 'static> Node<P> {
+    /// Opens the node's sockets and starts its tasks.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if an address is taken or a certificate can't be used.
+    pub async fn start(config: Config, policy: P) -> Result<Running<P>, Error> {
+        let tls = &config.tls;
+        let identity =
+            Identity::load(&tls.authority, &tls.certificate, &tls.key).map_err(Error::Identity)?;
+        let endpoint = Endpoint::bind(config.peers, identity).map_err(Error::Peers)?;
+        let callers = bind(config.callers).await?;
+        let admin = bind(config.admin).await?;
+        let addresses = Addresses {
+            callers: callers.local_addr()?,
+            peers: endpoint.address().map_err(Error::Peers)?,
+            admin: admin.local_addr()?,
+        };
+        let node = Arc::new(Self {
+            policy,
+            platform: Platform::new(config.platform)?,
+            peers: Peers::new(endpoint),
+            bundle: watch::Sender::new(None),
+            view: Mutex::default(),
+            groups: Sharded::new(),
+            reports: watch::Sender::new(0),
+            servers: Sharded::new(),
+            sessions: Sharded::new(),
+            metrics: Metrics::new(config.statsd)?,
+            leaving: CancellationToken::new(),
+            stopping: CancellationToken::new(),
+            callers: TaskTracker::new(),
+            next_id: AtomicU64::new(1),
+            config,
+        });
+        control::start(&node, admin);
+        tokio::spawn(peers::accept(Arc::clone(&node)));
+        tokio::spawn(frontend::listen(Arc::clone(&node), callers));
+        tracing::info!(node = %node.config.name, "the node has started");
+        Ok(Running { node, addresses })
+    }
+
+    /// Returns a number that no other request or session of this node has.
+    pub fn next_id(&self) -> u64 {
+        self.next_id.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Returns the bundle in force.
+    pub fn bundle(&self) -> Option<Arc<Bundle>> {
+        self.bundle.borrow().clone()
+    }
+}
+
+/// A node that has started.
+#[derive(Debug)]
+pub struct Running<P> {
+    node: Arc<Node<P>>,
+    addresses: Addresses,
+}
+
+/// The addresses that a node got, where its settings left the port open.
+#[derive(Clone, Copy, Debug)]
+pub struct Addresses {
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for peers.
+    pub peers: SocketAddr,
+    /// Address for status and readiness.
+    pub admin: SocketAddr,
+}
+
+impl<P: Policy + Send + Sync + 'static> Running<P> {
+    /// Returns the addresses that the node got.
+    #[must_use]
+    pub fn addresses(&self) -> Addresses {
+        self.addresses
+    }
+
+    /// Runs until a signal, then lets requests finish.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if signals can't be received.
+    pub async fn run(self) -> Result<(), Error> {
+        let mut terminate = signal(SignalKind::terminate())?;
+        let mut interrupt = signal(SignalKind::interrupt())?;
+        tokio::select! {
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        tracing::info!("leaving");
+        self.node.leaving.cancel();
+        self.node.callers.close();
+        tokio::select! {
+            () = self.node.callers.wait() => {}
+            () = tokio::time::sleep(self.node.config.drain) => {}
+            _ = terminate.recv() => {}
+            _ = interrupt.recv() => {}
+        }
+        self.node.stopping.cancel();
+        self.node.peers.close();
+        Ok(())
+    }
+}
+
+async fn bind(address: SocketAddr) -> Result<TcpListener, Error> {
+    TcpListener::bind(address)
+        .await
+        .map_err(|source| Error::Bind { address, source })
+}
--- /dev/null
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -0,0 +1,199 @@
+//! A small deployment in one process: platform, one group, and nodes.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a deployment that can't start fails the test"
+)]
+
+use agateport_domain::bundle::Signed;
+use agateport_domain::owner::Rendezvous;
+use agateport_node::config::Config;
+use agateport_node::node::{Addresses, Node};
+use agateport_standin::{group, platform};
+use agateport_wire::platform::{Operation, Platform};
+use ed25519_dalek::SigningKey;
+use rcgen::{BasicConstraints, CertificateParams, IsCa, Issuer, KeyPair};
+use std::fs;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::path::Path;
+use std::time::Duration;
+use tempfile::TempDir;
+use tokio_postgres::{Client, NoTls};
+
+/// Zones of the nodes and servers, in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+/// A small deployment.
+pub struct Deployment {
+    pub platform: platform::Running,
+    _servers: Vec<group::Running>,
+    pub nodes: Vec<Addresses>,
+    directory: TempDir,
+}
+
+fn hex(bytes: &[u8]) -> String {
+    let digits = bytes.iter().map(|byte| format!("{byte:02x}"));
+    digits.collect::<Vec<_>>().concat()
+}
+
+fn anywhere() -> SocketAddr {
+    (Ipv4Addr::LOCALHOST, 0).into()
+}
+
+impl Deployment {
+    /// Starts `nodes` nodes before one group of three servers.
+    pub async fn start(nodes: usize, lag: Duration) -> Self {
+        let directory = TempDir::new().unwrap();
+        let operator = SigningKey::from_bytes(&[7; 32]);
+        let public = hex(&operator.verifying_key().to_bytes());
+        fs::write(directory.path().join("operator.public"), public).unwrap();
+        write_certificates(directory.path(), nodes);
+        let platform = platform::Running::start(platform::Config {
+            address: anywhere(),
+            admin: anywhere(),
+        });
+        let platform = platform.await.unwrap();
+        let servers = start_servers(lag).await;
+        roll(&platform, &servers, &operator).await;
+        let mut deployment = Self {
+            platform,
+            _servers: servers,
+            nodes: Vec::new(),
+            directory,
+        };
+        deployment.start_nodes(nodes).await;
+        deployment
+    }
+
+    async fn start_nodes(&mut self, count: usize) {
+        let mut vms = Vec::new();
+        for index in 0..count {
+            let config = self.config(index);
+            let zone = config.zone.clone();
+            let running = Node::start(config, Rendezvous).await.unwrap();
+            let addresses = running.addresses();
+            vms.push(serde_json::json!({
+                "name": format!("node-{index}"), "zone": &*zone, "address": addresses.peers,
+            }));
+            self.nodes.push(addresses);
+            tokio::spawn(running.run());
+        }
+        let url = format!("http://{}/vms", self.platform.admin);
+        let client = reqwest::Client::new();
+        client.put(url).json(&vms).send().await.unwrap();
+        for node in &self.nodes {
+            wait_until_ready(&client, node.admin, count).await;
+        }
+    }
+
+    fn config(&self, index: usize) -> Config {
+        let directory = self.directory.path().display();
+        let text = format!(
+            r#"
+            name = "node-{index}"
+            zone = "{zone}"
+            callers = "127.0.0.1:0"
+            peers = "127.0.0.1:0"
+            admin = "127.0.0.1:0"
+            platform = "{platform}"
+            operators = ["{directory}/operator.public"]
+            [tls]
+            authority = "{directory}/authority.pem"
+            certificate = "{directory}/node-{index}.pem"
+            key = "{directory}/node-{index}.key"
+            "#,
+            zone = ZONES[index % ZONES.len()],
+            platform = self.platform.address,
+        );
+        toml::from_str(&text).unwrap()
+    }
+
+    /// Connects a caller to a node.
+    pub async fn connect(&self, node: usize) -> Client {
+        let address = self.nodes[node].callers;
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user("test")
+            .dbname("ledger");
+        let (client, connection) = config.connect(NoTls).await.unwrap();
+        tokio::spawn(connection);
+        client
+    }
+}
+
+async fn start_servers(lag: Duration) -> Vec<group::Running> {
+    let mut servers: Vec<group::Running> = Vec::new();
+    for index in 0..3 {
+        let config = group::Config {
+            name: format!("ledger-{index}"),
+            follow: servers.first().map(|primary| primary.address),
+            connect_cost: Duration::ZERO,
+            statement_time: Duration::ZERO,
+            lag,
+            ..group::Config::default()
+        };
+        servers.push(group::Running::start(config).await.unwrap());
+    }
+    servers
+}
+
+async fn roll(platform: &platform::Running, servers: &[group::Running], key: &SigningKey) {
+    let mut text = String::from(
+        "version = 1\ndefault_priority = \"counter\"\n\
+         [[priority]]\nname = \"counter\"\ntarget = \"5s\"\nworth = 1\n\
+         [[read]]\ntable = \"stock\"\nmaximum_staleness = \"10s\"\n\
+         [[group]]\nname = \"ledger\"\n",
+    );
+    for (index, server) in servers.iter().enumerate() {
+        let server = format!(
+            "[[group.server]]\nname = \"ledger-{index}\"\nzone = \"{}\"\naddress = \"{}\"\n\
+             slots = 3\nconnections = 20\n",
+            ZONES[index], server.address
+        );
+        text.push_str(&server);
+    }
+    let signed = Signed::new(text, key);
+    let client = Platform::new(platform.address).unwrap();
+    let object = format!("bundle/{}", signed.digest());
+    let bytes = serde_json::to_vec(&signed).unwrap();
+    client.put_object(&object, bytes).await.unwrap();
+    let operation = Operation {
+        key: "bundle".to_owned(),
+        expected: 0,
+        value: signed.digest(),
+    };
+    client.commit(&[operation]).await.unwrap();
+}
+
+/// Waits until the node knows all nodes, the bundle and the group's primary.
+async fn wait_until_ready(client: &reqwest::Client, admin: SocketAddr, nodes: usize) {
+    let url = format!("http://{admin}/status");
+    loop {
+        let response = client.get(&url).send().await.unwrap();
+        let status: serde_json::Value = response.json().await.unwrap();
+        let members = status["members"].as_array().map_or(0, Vec::len);
+        if members == nodes && status["primaries"]["ledger"].is_string() {
+            return;
+        }
+        tokio::time::sleep(Duration::from_millis(10)).await;
+    }
+}
+
+fn write_certificates(directory: &Path, nodes: usize) {
+    let mut params = CertificateParams::new(Vec::new()).unwrap();
+    params.is_ca = IsCa::Ca(BasicConstraints::Unconstrained);
+    let key = KeyPair::generate().unwrap();
+    let authority = params.self_signed(&key).unwrap();
+    fs::write(directory.join("authority.pem"), authority.pem()).unwrap();
+    let issuer = Issuer::new(params, key);
+    for index in 0..nodes {
+        let name = format!("node-{index}");
+        let key = KeyPair::generate().unwrap();
+        let params = CertificateParams::new(vec![name.clone()]).unwrap();
+        let certificate = params.signed_by(&key, &issuer).unwrap();
+        fs::write(directory.join(format!("{name}.pem")), certificate.pem()).unwrap();
+        fs::write(directory.join(format!("{name}.key")), key.serialize_pem()).unwrap();
+    }
+}
