node: hand a stream to whom its first frame is for

Routing is split into candidates and forwarding, and a peer's stream is dispatched by its first frame, so that control messages have a place.

--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -8,6 +8,9 @@
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_wire::Error;
+use agateport_wire::frame::Frame;
+use agateport_wire::link::Exchange;
 use tokio::net::TcpListener;
 
 /// Starts the control tasks; they end when the node does.
@@ -20,3 +23,18 @@
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
 }
+
+/// Answers a stream of a peer whose first frame is for control.
+///
+/// # Errors
+///
+/// [`Error`] if the peer is gone or sent what isn't due.
+pub async fn answer<P, E>(node: &Arc<Node<P>>, mut exchange: E, first: Frame) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    // No frame for control is known yet, so the peer is of another version.
+    tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
+    exchange.send(Frame::Unsupported).await
+}
--- /dev/null
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -0,0 +1,52 @@
+//! Opens a link to a server's owner and sends it a batch.
+
+use super::pipeline::Work;
+use super::route::{Attempt, Begun};
+use crate::node::Node;
+use crate::peers;
+use agateport_domain::bundle;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Command, Reason};
+use agateport_wire::frame::Frame;
+use agateport_wire::link::Exchange;
+
+/// Sends a batch to the first of the server's owners that can be reached.
+pub async fn attempt<P>(
+    node: &Arc<Node<P>>,
+    server: &bundle::Server,
+    command: Command,
+    work: &Work,
+) -> Attempt
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let owners = {
+        let view = node
+            .view
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        node.policy
+            .owners(&node.config.name, &server.name, &server.zone, &view)
+    };
+    for owner in owners.into_iter().take(2) {
+        let Ok(mut link) = peers::link(node, &owner).await else {
+            node.metrics.count("retried", "owner_unreachable");
+            continue;
+        };
+        if link.send(Frame::Open(command.clone())).await.is_err() {
+            node.metrics.count("retried", "owner_unreachable");
+            continue;
+        }
+        // From here on the owner may have the batch.
+        if link.send(Frame::Batch(work.batch.clone())).await.is_err() {
+            return Attempt::Unknown;
+        }
+        return match link.receive().await {
+            Ok(Frame::Refused(refusal)) => Attempt::Refused(refusal),
+            Ok(Frame::Unknown) | Err(_) => Attempt::Unknown,
+            Ok(first) => Attempt::Begun(Begun { link, first }),
+        };
+    }
+    Attempt::Refused(Reason::OwnerUnreachable.into())
+}
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -1,6 +1,8 @@
 //! The frontend's side: takes callers and routes their requests to owners.
 
 mod caller;
+mod candidate;
+mod forward;
 mod pipeline;
 mod route;
 mod startup;
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -13,24 +13,19 @@
 use agateport_wire::link::Exchange;
 
 /// Serves one stream until its request or transaction has ended.
-pub async fn serve<P, E>(node: Arc<Node<P>>, mut exchange: E)
-where
-    P: Policy + Send + Sync + 'static,
-    E: Exchange,
-{
-    if let Err(error) = converse(&node, &mut exchange).await {
-        tracing::debug!(%error, "a stream ended early");
-    }
-}
-
-async fn converse<P, E>(node: &Arc<Node<P>>, exchange: &mut E) -> Result<(), Error>
+///
+/// # Errors
+///
+/// [`Error`] if the frontend is gone or sent what isn't due.
+pub async fn serve<P, E>(
+    node: &Arc<Node<P>>,
+    mut exchange: E,
+    command: Command,
+) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    let Frame::Open(command) = exchange.receive().await? else {
-        return Err(Error::Ended);
-    };
     let Frame::Batch(first) = exchange.receive().await? else {
         return Err(Error::Ended);
     };
@@ -41,7 +36,7 @@
             return exchange.send(Frame::Refused(refusal)).await;
         }
     };
-    run(node, exchange, &command, lease, first).await
+    run(node, &mut exchange, &command, lease, first).await
 }
 
 async fn admit<P>(node: &Arc<Node<P>>, command: &Command) -> Result<Lease<P>, Refusal>
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -1,12 +1,14 @@
 //! Connections to peers, and the streams that come from them.
 
+use crate::control;
 use crate::node::Node;
 use crate::owner;
 use agateport_domain::membership::Member;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_wire::Error;
-use agateport_wire::link::{Link, Local};
+use agateport_wire::frame::Frame;
+use agateport_wire::link::{Exchange, Link, Local};
 use agateport_wire::peer::{Connection, Endpoint};
 
 /// Connections to peers, one each.
@@ -60,7 +62,7 @@
 {
     if *name == node.config.name {
         let (near, far) = Local::pair();
-        tokio::spawn(owner::serve(Arc::clone(node), far));
+        tokio::spawn(dispatch(Arc::clone(node), far));
         return Ok(Link::Local(near));
     }
     let member = {
@@ -99,6 +101,22 @@
     P: Policy + Send + Sync + 'static,
 {
     while let Ok(stream) = connection.accept().await {
-        tokio::spawn(owner::serve(Arc::clone(&node), stream));
+        tokio::spawn(dispatch(Arc::clone(&node), stream));
+    }
+}
+
+/// Hands a stream to whom its first frame is for.
+async fn dispatch<P, E>(node: Arc<Node<P>>, mut exchange: E)
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let result = match exchange.receive().await {
+        Ok(Frame::Open(command)) => owner::serve(&node, exchange, command).await,
+        Ok(frame) => control::answer(&node, exchange, frame).await,
+        Err(error) => Err(error),
+    };
+    if let Err(error) = result {
+        tracing::debug!(%error, "a stream ended early");
     }
 }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -45,6 +45,8 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+    /// The first frame of a stream isn't one that this version serves.
+    Unsupported,
 }
 
 /// Encodes frames: a length, then the frame in postcard.
