group: promote a new primary when the primary fails

Change: promotion as a state machine (claim, fence, promote, point, record) with terms that no two promoters share; the owners of a group's servers watch it, confirm a silence with other nodes, and promote in order. A promoted stand-in opens its term with an entry; a replica applies and cuts only for the primary and term that it follows at that moment.

--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -1,8 +1,16 @@
 //! One database group: its servers, its primary, and what it has acknowledged.
 
+mod ballot;
+mod damper;
 mod error;
+mod health;
+pub mod promotion;
 
+pub use ballot::{Ballot, PromoterId};
+pub use damper::Damper;
 pub use error::Error;
+pub use health::Cause;
+pub use promotion::Promotion;
 
 use crate::id::{ServerId, Term};
 use crate::session::Watermark;
@@ -51,6 +59,8 @@
 struct Report {
     status: Status,
     heard: Instant,
+    /// Whether the last try to reach the server was refused.
+    is_refused: bool,
 }
 
 /// One database group, as one node knows it.
@@ -58,6 +68,10 @@
 pub struct Group {
     acknowledge: Acknowledge,
     reports: BTreeMap<ServerId, Option<Report>>,
+    /// Primary that served last, for a node that asks no server itself.
+    hint: Option<ServerId>,
+    /// What is wrong, and since when.
+    trouble: Option<(Cause, Instant)>,
 }
 
 impl Group {
@@ -77,19 +91,49 @@
         Ok(Self {
             acknowledge,
             reports,
+            hint: None,
+            trouble: None,
         })
     }
 
     /// Records what a server said of itself at `now`.
     pub fn report(&mut self, server: &ServerId, status: Status, now: Instant) {
         if let Some(report) = self.reports.get_mut(server) {
-            *report = Some(Report { status, heard: now });
+            *report = Some(Report {
+                status,
+                heard: now,
+                is_refused: false,
+            });
         }
     }
 
-    /// Returns the primary of the highest term heard of.
+    /// Records that a server refused a connection, or broke one off.
+    pub fn refuse(&mut self, server: &ServerId) {
+        if let Some(Some(report)) = self.reports.get_mut(server) {
+            report.is_refused = true;
+        }
+    }
+
+    /// Records that `server` served as the primary.
+    pub fn set_hint(&mut self, server: &ServerId) {
+        if self.reports.contains_key(server) {
+            self.hint = Some(server.clone());
+        }
+    }
+
+    /// Returns the primary of the highest term heard of, else the one that
+    /// served last.
     #[must_use]
     pub fn primary(&self) -> Option<&ServerId> {
+        self.reported_primary().or(self.hint.as_ref())
+    }
+
+    /// Returns the servers.
+    pub fn servers(&self) -> impl Iterator<Item = &ServerId> {
+        self.reports.keys()
+    }
+
+    fn reported_primary(&self) -> Option<&ServerId> {
         let primaries = self.reports.iter().filter_map(|(server, report)| {
             let status = report.as_ref()?.status;
             (status.role == Role::Primary).then_some((status.term, server))
@@ -108,10 +152,11 @@
     ///
     /// With [`Acknowledge::Majority`], a majority of the servers must be at the
     /// write's own term and hold its position. A superseded primary can't
-    /// gather that majority, so no clock is needed.
+    /// gather that majority, so no clock is needed. A new primary opens its term
+    /// with an entry of its own, so what it reports is never of an older term.
     #[must_use]
     pub fn is_acknowledged(&self, written: Watermark) -> bool {
-        if self.acknowledge == Acknowledge::Primary {
+        if self.acknowledge == Acknowledge::Primary || written.position == 0 {
             return true;
         }
         let holders = self.reports.values().flatten().filter(|report| {
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -2,8 +2,12 @@
 
 mod admin;
 mod bundle;
+mod claim;
 mod membership;
-mod status;
+mod promotion;
+pub mod status;
+mod suspicion;
+mod watcher;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
@@ -21,6 +25,7 @@
     tokio::spawn(membership::run(Arc::clone(node)));
     tokio::spawn(bundle::run(Arc::clone(node)));
     tokio::spawn(status::run(Arc::clone(node)));
+    tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
 }
 
@@ -34,7 +39,11 @@
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    // No frame for control is known yet, so the peer is of another version.
+    if let Frame::Suspect(group, server) = &first {
+        let verdict = suspicion::judge(node, group, server).await;
+        return exchange.send(Frame::Verdict(verdict)).await;
+    }
+    // The peer is of another version.
     tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
     exchange.send(Frame::Unsupported).await
 }
--- /dev/null
+++ b/crates/agateport-node/src/control/watcher.rs
@@ -0,0 +1,56 @@
+//! Which nodes watch a group, and in what order they promote.
+
+use crate::node::Node;
+use agateport_domain::bundle::{self, Bundle};
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use std::sync::PoisonError;
+
+/// Returns the nodes that watch a group, in the order in which they promote:
+/// the owners of its servers.
+pub fn watchers<P>(node: &Node<P>, group: &bundle::Group) -> Vec<NodeId>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+    let mut watchers: Vec<NodeId> = Vec::new();
+    for server in &group.servers {
+        let owners = node
+            .policy
+            .owners(&node.config.name, &server.name, &server.zone, &view);
+        if let Some(owner) = owners.into_iter().next()
+            && !watchers.contains(&owner)
+        {
+            watchers.push(owner);
+        }
+    }
+    watchers
+}
+
+/// Returns nodes to ask before a promotion: the other watchers, then any live
+/// node, at most `count`.
+pub fn witnesses<P>(node: &Node<P>, group: &bundle::Group, count: usize) -> Vec<NodeId>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut names = watchers(node, group);
+    let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+    let live = view.live().map(|member| member.name.clone());
+    for name in live {
+        if !names.contains(&name) {
+            names.push(name);
+        }
+    }
+    names.retain(|name| *name != node.config.name);
+    names.truncate(count);
+    names
+}
+
+/// Returns this node's place among the watchers; none if it isn't one.
+pub fn rank<P>(node: &Node<P>, bundle: &Bundle, group: &GroupId) -> Option<usize>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let watchers = watchers(node, bundle.group(group)?);
+    watchers.iter().position(|name| *name == node.config.name)
+}
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -7,7 +7,7 @@
 use agateport_domain::bundle;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
-use agateport_domain::request::{Command, Reason};
+use agateport_domain::request::{Command, Need, Reason};
 use agateport_wire::frame::Frame;
 use agateport_wire::link::Exchange;
 
@@ -45,7 +45,13 @@
         return match link.receive().await {
             Ok(Frame::Refused(refusal)) => Attempt::Refused(refusal),
             Ok(Frame::Unknown) | Err(_) => Attempt::Unknown,
-            Ok(first) => Attempt::Begun(Begun { link, first }),
+            Ok(first) => {
+                if command.need == Need::Primary {
+                    node.groups
+                        .update(&command.group, |group| group.set_hint(&command.server));
+                }
+                Attempt::Begun(Begun { link, first })
+            }
         };
     }
     Attempt::Refused(Reason::OwnerUnreachable.into())
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -2,13 +2,14 @@
 
 use crate::config::Config;
 use crate::control;
+use crate::control::status::Interest;
 use crate::error::Error;
 use crate::frontend;
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
 use agateport_domain::bundle::Bundle;
-use agateport_domain::group::Group;
+use agateport_domain::group::{Group, PromoterId};
 use agateport_domain::membership::View;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -44,6 +45,10 @@
     pub groups: Sharded<GroupId, Group>,
     /// Notified when a status of the group came in.
     pub reports: watch::Sender<u64>,
+    /// Who waits for the groups' positions.
+    pub interest: Interest,
+    /// This process's number in the terms that it opens.
+    pub promoter: PromoterId,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
@@ -85,6 +90,8 @@
             view: Mutex::default(),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
+            interest: Interest::default(),
+            promoter: rand::random(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
             metrics: Metrics::new(config.statsd)?,
--- a/crates/agateport-node/src/owner/acknowledge.rs
+++ b/crates/agateport-node/src/owner/acknowledge.rs
@@ -18,6 +18,10 @@
             .update(group, |group| group.is_acknowledged(written));
         acknowledged.unwrap_or(false)
     };
+    if is_acknowledged() {
+        return true;
+    }
+    let _interest = node.interest.raise(group);
     let waiting = async {
         while !is_acknowledged() {
             // The sender lives as long as the node.
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -3,6 +3,7 @@
 use super::acknowledge;
 use super::answer::{self, Tail};
 use super::lease::Lease;
+use crate::control::status;
 use crate::node::Node;
 use agateport_domain::group::Role;
 use agateport_domain::owner::Policy;
@@ -43,6 +44,7 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+    status::ensure(node, &command.group, &command.server).await;
     check_need(node, command)?;
     let lease = Lease::take(Arc::clone(node), command).await?;
     // The wait may have been long.
--- /dev/null
+++ b/crates/agateport-node/tests/end_to_end/failover.rs
@@ -0,0 +1,100 @@
+//! A server that ends under load, through three nodes.
+
+use crate::support::Deployment;
+use std::collections::{BTreeMap, BTreeSet};
+use std::time::Duration;
+use tokio::time::{sleep, timeout};
+use tokio_postgres::Client;
+use tokio_util::sync::CancellationToken;
+
+/// SQLSTATE for a statement whose outcome isn't known.
+const UNKNOWN: &str = "08007";
+
+/// Acknowledged writes after the failure that each caller waits for.
+const AFTERWARDS: usize = 50;
+
+/// Longest time that a caller goes on, for a failover that never ends.
+const PATIENCE: Duration = Duration::from_mins(1);
+
+/// Writes rows until enough were acknowledged after the failure; returns what
+/// the caller was told of each.
+async fn write(
+    client: Client,
+    first: i64,
+    failed: CancellationToken,
+) -> BTreeMap<i64, &'static str> {
+    let mut told = BTreeMap::new();
+    let mut afterwards = 0;
+    let mut row = first;
+    while afterwards < AFTERWARDS {
+        let has_failed = failed.is_cancelled();
+        let sql = format!("INSERT INTO stock VALUES ({row}, 'Mombasa')");
+        let outcome = outcome(client.batch_execute(&sql).await);
+        told.insert(row, outcome);
+        if has_failed && outcome == "done" {
+            afterwards += 1;
+        }
+        row += 1;
+        sleep(Duration::from_millis(5)).await;
+    }
+    told
+}
+
+fn outcome(result: Result<(), tokio_postgres::Error>) -> &'static str {
+    let Err(error) = result else {
+        return "done";
+    };
+    match error.as_db_error() {
+        None => "broken",
+        Some(report) if report.code().code() == UNKNOWN => "unknown",
+        Some(report) if report.message().contains("not run") => "not run",
+        Some(_) => "failed",
+    }
+}
+
+async fn held(client: &Client) -> Vec<i64> {
+    // A locking read is never served by a replica.
+    let rows = client.query("SELECT id FROM stock FOR UPDATE", &[]).await;
+    let rows = rows.expect("the new primary answers");
+    rows.iter().map(|row| row.get(0)).collect()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn killed_primary_loses_and_doubles_nothing() {
+    let mut deployment = Deployment::start(3, Duration::from_millis(10)).await;
+    let client = deployment.connect(0).await;
+    let create = "CREATE TABLE stock (id BIGINT, holder TEXT)";
+    client.batch_execute(create).await.unwrap();
+    let failed = CancellationToken::new();
+    let mut callers = Vec::new();
+    for number in 0..3u8 {
+        let caller = deployment.connect(number.into()).await;
+        let writing = write(caller, i64::from(number) << 32, failed.clone());
+        callers.push(tokio::spawn(timeout(PATIENCE, writing)));
+    }
+    sleep(Duration::from_millis(500)).await;
+    drop(deployment.servers.remove(0));
+    failed.cancel();
+    let mut told = BTreeMap::new();
+    for caller in callers {
+        told.extend(caller.await.unwrap().expect("the failover comes to an end"));
+    }
+    let rows = held(&client).await;
+    let distinct: BTreeSet<i64> = rows.iter().copied().collect();
+    let count = |what: &str, is_held: bool| {
+        let rows = told
+            .iter()
+            .filter(|(row, outcome)| **outcome == what && distinct.contains(row) == is_held);
+        rows.count()
+    };
+    insta::assert_debug_snapshot!(BTreeMap::from([
+        ("acknowledged and lost", count("done", false)),
+        ("doubled", rows.len() - distinct.len()),
+        ("said not to run, but run", count("not run", true)),
+        (
+            "connections broken",
+            count("broken", true) + count("broken", false)
+        ),
+        ("failed", count("failed", true) + count("failed", false)),
+    ]));
+}
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -26,7 +26,7 @@
 /// A small deployment.
 pub struct Deployment {
     pub platform: platform::Running,
-    _servers: Vec<group::Running>,
+    pub servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
     directory: TempDir,
 }
@@ -57,7 +57,7 @@
         roll(&platform, &servers, &operator).await;
         let mut deployment = Self {
             platform,
-            _servers: servers,
+            servers,
             nodes: Vec::new(),
             directory,
         };
--- a/crates/agateport-standin/src/group/replication.rs
+++ b/crates/agateport-standin/src/group/replication.rs
@@ -1,12 +1,11 @@
 //! A replica's side of asynchronous replication.
 
 use super::log::{Entry, Terms};
-use super::server::{Server, Writer};
+use super::server::{Followed, Server, Writer};
 use agateport_wire::Error;
 use agateport_wire::postgres::{Upstream, control};
 use rusqlite::Connection;
 use serde::{Deserialize, Serialize};
-use std::net::SocketAddr;
 use std::sync::Arc;
 use std::time::{Duration, Instant, SystemTime};
 use tokio::time::sleep;
@@ -37,10 +36,10 @@
 pub async fn follow(server: Arc<Server>) -> Result<(), crate::error::Error> {
     let mut connection = server.connect()?;
     loop {
-        if let Some(primary) = server.followed() {
-            match follow_primary(&server, &mut connection, primary).await {
+        if let Some(source) = server.followed() {
+            match follow_primary(&server, &mut connection, source).await {
                 Ok(()) => {}
-                Err(error) => tracing::debug!(%primary, %error, "replication stopped"),
+                Err(error) => tracing::debug!(?source, %error, "replication stopped"),
             }
         }
         sleep(RETRY_PAUSE).await;
@@ -50,10 +49,10 @@
 async fn follow_primary(
     server: &Server,
     connection: &mut Connection,
-    primary: SocketAddr,
+    source: Followed,
 ) -> Result<(), Error> {
-    let mut upstream = Upstream::connect(primary, control::USER, control::DATABASE).await?;
-    while server.followed() == Some(primary) && !server.fault().isolated {
+    let mut upstream = Upstream::connect(source.primary, control::USER, control::DATABASE).await?;
+    while server.followed() == Some(source) && !server.fault().isolated {
         server.wait_while_hung().await;
         let asked = Instant::now();
         let place = server.status().last;
@@ -64,10 +63,10 @@
         let answer =
             serde_json::from_str(row).map_err(|error| Error::Postgres(error.to_string()))?;
         match answer {
-            Answer::Entries(entries) => apply(server, connection, entries, asked).await?,
+            Answer::Entries(entries) => apply(server, connection, entries, asked, source).await?,
             Answer::Diverged(theirs) => {
                 let writer = server.writer().await;
-                let cut = server.cut(connection, &theirs, &writer);
+                let cut = server.cut(connection, &theirs, source, &writer);
                 cut.map_err(|error| Error::Postgres(error.to_string()))?;
             }
         }
@@ -80,6 +79,7 @@
     connection: &mut Connection,
     entries: Vec<Entry>,
     asked: Instant,
+    source: Followed,
 ) -> Result<(), Error> {
     let lag = server.fault().lag;
     let is_level = entries.len() < BATCH;
@@ -89,14 +89,14 @@
             sleep(wait).await;
         }
         let writer: Writer = server.writer().await;
-        let applied = server.apply(connection, entry, &writer);
+        let applied = server.apply(connection, entry, source, &writer);
         if !applied.map_err(|error| Error::Postgres(error.to_string()))? {
             return Ok(());
         }
     }
     if is_level {
         // Younger entries may exist that the lag still holds back.
-        server.set_level(asked.checked_sub(lag).unwrap_or(asked));
+        server.set_level(asked.checked_sub(lag).unwrap_or(asked), source);
     }
     Ok(())
 }
--- a/crates/agateport-standin/src/group/server.rs
+++ b/crates/agateport-standin/src/group/server.rs
@@ -49,6 +49,15 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Forbidden;
 
+/// Whom a replica follows, in which term.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Followed {
+    /// Address of the primary.
+    pub primary: SocketAddr,
+    /// Its term.
+    pub term: Term,
+}
+
 #[derive(Debug)]
 struct State {
     term: Term,
@@ -58,6 +67,18 @@
     level: Option<Instant>,
 }
 
+impl State {
+    fn followed(&self) -> Option<Followed> {
+        match self.role {
+            Role::Replica => self.follow.map(|primary| Followed {
+                primary,
+                term: self.term,
+            }),
+            Role::Primary | Role::Fenced => None,
+        }
+    }
+}
+
 /// One server of a database group.
 #[derive(Debug)]
 pub struct Server {
@@ -190,12 +211,26 @@
     }
 
     /// Becomes the primary of the term that the server is fenced at.
+    ///
+    /// An empty entry opens the term, so that the log's last entry tells whose
+    /// reign it ends in.
     pub fn promote(&self, term: Term) -> Result<(), Forbidden> {
         let mut state = self.state();
         if term != state.term || state.role == Role::Replica {
             return Err(Forbidden);
         }
+        if state.role == Role::Primary {
+            return Ok(());
+        }
         state.role = Role::Primary;
+        state.log.push(Entry {
+            term,
+            committed: SystemTime::now(),
+            statements: Vec::new(),
+        });
+        let last = state.log.last();
+        drop(state);
+        self.appended.send_replace(last.position);
         Ok(())
     }
 
@@ -206,20 +241,19 @@
         if term < state.term || is_own_term {
             return Err(Forbidden);
         }
-        state.term = term;
-        state.role = Role::Replica;
-        state.follow = Some(primary);
-        state.level = None;
+        let source = Followed { primary, term };
+        if state.followed() != Some(source) {
+            state.term = term;
+            state.role = Role::Replica;
+            state.follow = Some(primary);
+            state.level = None;
+        }
         Ok(())
     }
 
     /// Returns whom a replica follows.
-    pub fn followed(&self) -> Option<SocketAddr> {
-        let state = self.state();
-        match state.role {
-            Role::Replica => state.follow,
-            Role::Primary | Role::Fenced => None,
-        }
+    pub fn followed(&self) -> Option<Followed> {
+        self.state().followed()
     }
 
     /// Commits a transaction and appends it to the log.
@@ -272,15 +306,16 @@
     ///
     /// # Errors
     ///
-    /// An error of SQLite, or false if the server follows nobody any more.
+    /// An error of SQLite, or false if the server no longer follows `source`.
     pub fn apply(
         &self,
         connection: &Connection,
         entry: Entry,
+        source: Followed,
         _writer: &Writer,
     ) -> rusqlite::Result<bool> {
         let mut state = self.state();
-        if state.role != Role::Replica {
+        if state.followed() != Some(source) {
             return Ok(false);
         }
         connection.execute_batch("BEGIN IMMEDIATE")?;
@@ -295,9 +330,12 @@
         Ok(true)
     }
 
-    /// Records that a replica was level with its primary at `moment`.
-    pub fn set_level(&self, moment: Instant) {
-        self.state().level = Some(moment);
+    /// Records that a replica was level with `source` at `moment`.
+    pub fn set_level(&self, moment: Instant, source: Followed) {
+        let mut state = self.state();
+        if state.followed() == Some(source) {
+            state.level = Some(moment);
+        }
     }
 
     /// Cuts the log back to what it shares with a primary's, and builds the
@@ -310,9 +348,14 @@
         &self,
         connection: &Connection,
         theirs: &Terms,
+        source: Followed,
         _writer: &Writer,
     ) -> rusqlite::Result<()> {
         let mut state = self.state();
+        // What a promoter was told of this log must stay true.
+        if state.followed() != Some(source) {
+            return Ok(());
+        }
         let common = state.log.common(theirs);
         state.log.truncate(common);
         connection.execute_batch("BEGIN IMMEDIATE")?;
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -1,6 +1,7 @@
 //! The messages between nodes.
 
 use crate::Error;
+use agateport_domain::id::{GroupId, ServerId};
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -45,6 +46,10 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+    /// Asks whether a server can't be reached from here either.
+    Suspect(GroupId, ServerId),
+    /// Whether the suspected server can't be reached.
+    Verdict(bool),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
