load: open-loop arrivals by a seeded plan, profiles and a full check

Cause: a slow answer held back a caller's later arrivals, so waiting was hidden; only lost rows and false "not run" were found.

Change: each priority has a plan of Poisson arrivals from a seed and a pool of sessions; a task starts for each arrival when it is due, and latency counts from then. Mixes, floods and moves between nodes come from TOML profiles. The check finds lost, doubled and half-done writes, broken read-your-writes and monotonic reads, and false "not run". Reports as table and JSON, compared side by side.

--- a/crates/agateport-load/src/cli.rs
+++ b/crates/agateport-load/src/cli.rs
@@ -1,53 +1,119 @@
 //! The command line.
 
+use crate::endpoints::Endpoints;
 use crate::error::Error;
+use crate::profile::Profile;
 use lexopt::{Arg, Parser, ValueExt};
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use std::time::Duration;
 
 /// Text of `--help`.
 pub const HELP: &str = "\
-Callers at a stated rate, and a check of what they were told.
+Callers with open-loop arrivals, and a check of what they were told.
 
 Usage:
+  agate-load --endpoints FILE --profile FILE [options]
   agate-load --node IP:PORT... --group NAME [options]
+  agate-load --compare A.json B.json
 
-Options:
+Where:
+  --endpoints FILE   endpoints.json of a deployment that scripts/up started
   --node IP:PORT     a node's address for callers; may be given several times
-  --group NAME       database group to use
-  --callers N        callers at once [default: 8]
-  --rate N           statements a second of all callers [default: 100]
-  --seconds N        time to run [default: 5]
+
+What:
+  --profile FILE     priorities, rates and mixes, in TOML
+  --group NAME       database group to use; several override the profile's
+  --callers N        sessions without a profile [default: 8]
+  --rate N           arrivals a second without a profile [default: 100]
+  --scale X          multiplies all rates [default: 1]
+  --seconds N        time to run [default: the profile's, or 5]
   --seed N           seed of all random choices [default: 1]
+
+Output:
   --json             print the report as JSON
+  --quiet            no progress on standard error
+  --compare A B      print two JSON reports side by side
 ";
 
+/// Time to run without a profile.
+const DEFAULT_TIME: Duration = Duration::from_secs(5);
+
+/// Sessions without a profile.
+const DEFAULT_CALLERS: usize = 8;
+
+/// Arrivals a second without a profile.
+const DEFAULT_RATE: f64 = 100.0;
+
 /// What the process is to do.
 #[derive(Debug)]
 pub enum Command {
     /// Print the help.
     Help,
+    /// Print two reports side by side.
+    Compare(Files),
     /// Run callers.
-    Run(Config),
+    Run(Box<Config>),
 }
 
-/// What the callers do.
+/// Two reports to compare.
+#[derive(Debug)]
+pub struct Files {
+    /// The report in the left column.
+    pub left: PathBuf,
+    /// The report in the right column.
+    pub right: PathBuf,
+}
+
+/// What the callers do, and where.
 #[derive(Clone, Debug)]
 pub struct Config {
     /// Addresses of nodes for callers.
     pub nodes: Vec<SocketAddr>,
-    /// Database group to use.
-    pub group: String,
-    /// Callers at once.
-    pub callers: u32,
-    /// Statements a second of all callers.
-    pub rate: u32,
-    /// Time to run.
-    pub time: Duration,
+    /// Addresses of nodes for status.
+    pub admins: Vec<SocketAddr>,
+    /// What the callers do.
+    pub profile: Profile,
     /// Seed of all random choices.
     pub seed: u64,
     /// Whether to print JSON.
     pub json: bool,
+    /// Whether to print no progress.
+    pub quiet: bool,
+}
+
+/// The options as they are given.
+#[derive(Debug)]
+struct Options {
+    nodes: Vec<SocketAddr>,
+    groups: Vec<String>,
+    endpoints: Option<PathBuf>,
+    profile: Option<PathBuf>,
+    callers: usize,
+    rate: f64,
+    scale: f64,
+    time: Option<Duration>,
+    seed: u64,
+    json: bool,
+    quiet: bool,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            nodes: Vec::new(),
+            groups: Vec::new(),
+            endpoints: None,
+            profile: None,
+            callers: DEFAULT_CALLERS,
+            rate: DEFAULT_RATE,
+            scale: 1.0,
+            time: None,
+            seed: 1,
+            json: false,
+            quiet: false,
+        }
+    }
 }
 
 /// Reads the command line.
@@ -56,32 +122,77 @@
 ///
 /// [`Error`] if an argument is unknown, wrong or missing.
 pub fn parse(mut parser: Parser) -> Result<Command, Error> {
-    let mut group = None;
-    let mut config = Config {
-        nodes: Vec::new(),
-        group: String::new(),
-        callers: 8,
-        rate: 100,
-        time: Duration::from_secs(5),
-        seed: 1,
-        json: false,
-    };
+    let mut options = Options::default();
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
-            Arg::Long("node") => config.nodes.push(parser.value()?.parse()?),
-            Arg::Long("group") => group = Some(parser.value()?.string()?),
-            Arg::Long("callers") => config.callers = parser.value()?.parse()?,
-            Arg::Long("rate") => config.rate = parser.value()?.parse()?,
-            Arg::Long("seconds") => config.time = Duration::from_secs(parser.value()?.parse()?),
-            Arg::Long("seed") => config.seed = parser.value()?.parse()?,
-            Arg::Long("json") => config.json = true,
+            Arg::Long("compare") => {
+                let left = parser.value()?.into();
+                let right = parser.value()?.into();
+                return Ok(Command::Compare(Files { left, right }));
+            }
+            Arg::Long("endpoints") => options.endpoints = Some(parser.value()?.into()),
+            Arg::Long("node") => options.nodes.push(parser.value()?.parse()?),
+            Arg::Long("profile") => options.profile = Some(parser.value()?.into()),
+            Arg::Long("group") => options.groups.push(parser.value()?.string()?),
+            Arg::Long("callers") => options.callers = parser.value()?.parse()?,
+            Arg::Long("rate") => options.rate = parser.value()?.parse()?,
+            Arg::Long("scale") => options.scale = parser.value()?.parse()?,
+            Arg::Long("seconds") => {
+                options.time = Some(Duration::from_secs(parser.value()?.parse()?));
+            }
+            Arg::Long("seed") => options.seed = parser.value()?.parse()?,
+            Arg::Long("json") => options.json = true,
+            Arg::Long("quiet") => options.quiet = true,
             other => return Err(other.unexpected().into()),
         }
     }
-    config.group = group.ok_or(Error::Missing("--group"))?;
-    if config.nodes.is_empty() {
-        return Err(Error::Missing("--node"));
+    Ok(Command::Run(Box::new(options.config()?)))
+}
+
+impl Options {
+    fn config(mut self) -> Result<Config, Error> {
+        let endpoints = match &self.endpoints {
+            Some(path) => Endpoints::load(path)?,
+            None => Endpoints::default(),
+        };
+        let profile = self.profile(&endpoints)?;
+        let named = endpoints.nodes.iter().map(|node| node.address);
+        self.nodes.extend(named);
+        if self.nodes.is_empty() {
+            return Err(Error::Missing("--node"));
+        }
+        Ok(Config {
+            nodes: self.nodes,
+            admins: endpoints
+                .nodes
+                .iter()
+                .filter_map(|node| node.admin)
+                .collect(),
+            profile,
+            seed: self.seed,
+            json: self.json,
+            quiet: self.quiet,
+        })
+    }
+
+    fn profile(&self, endpoints: &Endpoints) -> Result<Profile, Error> {
+        let mut profile = if let Some(path) = &self.profile {
+            Profile::load(path)?
+        } else {
+            let known = endpoints.groups.first().map(|group| group.name.clone());
+            let group = self.groups.first().cloned().or(known);
+            let group = group.ok_or(Error::Missing("--group"))?;
+            Profile::simple(group, self.rate, self.callers, DEFAULT_TIME)
+        };
+        if !self.groups.is_empty() {
+            profile.groups.clone_from(&self.groups);
+        }
+        if let Some(time) = self.time {
+            profile.time = time;
+        }
+        profile.scale(self.scale);
+        profile.check()?;
+        Ok(profile)
     }
-    Ok(Command::Run(config))
 }
--- /dev/null
+++ b/crates/agateport-load/src/compare.rs
@@ -0,0 +1,110 @@
+//! Two reports side by side.
+
+use crate::cli::Files;
+use crate::error::Error;
+use crate::report::{Report, Row};
+use std::collections::BTreeSet;
+use std::fmt::{self, Display, Formatter};
+use std::path::Path;
+
+/// Two reports side by side.
+#[derive(Debug)]
+pub struct Comparison {
+    /// The report in the left column.
+    pub left: Report,
+    /// The report in the right column.
+    pub right: Report,
+}
+
+/// Prints two reports side by side.
+///
+/// # Errors
+///
+/// [`Error`] if a file isn't a report.
+pub fn print(files: &Files) -> Result<(), Error> {
+    let comparison = Comparison {
+        left: load(&files.left)?,
+        right: load(&files.right)?,
+    };
+    print!("{comparison}");
+    Ok(())
+}
+
+fn load(path: &Path) -> Result<Report, Error> {
+    let text = std::fs::read_to_string(path).map_err(|source| Error::File {
+        path: path.to_owned(),
+        source,
+    })?;
+    serde_json::from_str(&text).map_err(|source| Error::Json {
+        path: path.to_owned(),
+        source,
+    })
+}
+
+impl Display for Comparison {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "{:<44} {:>12} {:>12}", "", "left", "right")?;
+        let names: BTreeSet<_> = self
+            .left
+            .rows
+            .keys()
+            .chain(self.right.rows.keys())
+            .collect();
+        for name in names {
+            let (left, right) = (self.left.rows.get(name), self.right.rows.get(name));
+            for (figure, read) in FIGURES {
+                let cells = [left.map(read), right.map(read)].map(cell);
+                let label = format!("{name}: {figure}");
+                writeln!(formatter, "{label:<44} {:>12} {:>12}", cells[0], cells[1])?;
+            }
+        }
+        self.write_gaps(formatter)?;
+        let shares = [&self.left, &self.right].map(|report| cell(report.replica_reads_percent));
+        let label = "reads served by replicas, %";
+        writeln!(formatter, "{label:<44} {:>12} {:>12}", shares[0], shares[1])?;
+        let (left, right) = (self.left.broken.len(), self.right.broken.len());
+        writeln!(
+            formatter,
+            "{:<44} {left:>12} {right:>12}",
+            "broken promises"
+        )
+    }
+}
+
+impl Comparison {
+    fn write_gaps(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        let (left, right) = (&self.left.gaps_milliseconds, &self.right.gaps_milliseconds);
+        let groups: BTreeSet<_> = left.keys().chain(right.keys()).collect();
+        for group in groups {
+            let cells = [left.get(group), right.get(group)]
+                .map(|gap| gap.map_or_else(|| "-".to_owned(), ToString::to_string));
+            let label = format!("longest gap in writes, {group}, ms");
+            writeln!(formatter, "{label:<44} {:>12} {:>12}", cells[0], cells[1])?;
+        }
+        Ok(())
+    }
+}
+
+/// Reads one figure of a row.
+type Read = fn(&Row) -> f64;
+
+/// The figures that are compared.
+const FIGURES: [(&str, Read); 5] = [
+    ("offered", |row| exact(row.offered)),
+    ("done", |row| exact(row.done)),
+    ("goodput, %", |row| row.goodput_percent),
+    ("p50, ms", |row| exact(row.p50_microseconds) / 1000.0),
+    ("p99, ms", |row| exact(row.p99_microseconds) / 1000.0),
+];
+
+fn cell(figure: Option<f64>) -> String {
+    figure.map_or_else(|| "-".to_owned(), |figure| format!("{figure:.1}"))
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "figures are printed with one decimal place"
+)]
+fn exact(count: u64) -> f64 {
+    count as f64
+}
--- a/crates/agateport-load/src/error.rs
+++ b/crates/agateport-load/src/error.rs
@@ -2,6 +2,7 @@
 
 use miette::Diagnostic;
 use std::net::SocketAddr;
+use std::path::PathBuf;
 use thiserror::Error;
 
 /// A failure that ends the process.
@@ -15,6 +16,33 @@
     #[error("the option {0} is missing")]
     #[diagnostic(help("agate-load --help lists the options"))]
     Missing(&'static str),
+    /// A file can't be read.
+    #[error("{path} can't be read")]
+    File {
+        /// The file.
+        path: PathBuf,
+        /// What the operating system said.
+        source: std::io::Error,
+    },
+    /// A profile can't be read.
+    #[error("{path} is no profile")]
+    Profile {
+        /// The file.
+        path: PathBuf,
+        /// Where and why.
+        source: toml::de::Error,
+    },
+    /// A JSON file can't be read.
+    #[error("{path} can't be read as JSON")]
+    Json {
+        /// The file.
+        path: PathBuf,
+        /// Where and why.
+        source: serde_json::Error,
+    },
+    /// A profile leaves nothing to do.
+    #[error("the profile's {0} leave nothing to do")]
+    Empty(&'static str),
     /// The load can't be prepared or checked.
     #[error("the node at {address} can't be used")]
     Node {
--- a/crates/agateport-load/src/exit_codes.rs
+++ b/crates/agateport-load/src/exit_codes.rs
@@ -9,7 +9,7 @@
     Success,
     /// A promise was broken.
     Broken,
-    /// The command line is wrong.
+    /// The command line or a file that it names is wrong.
     Usage,
     /// A node can't be used.
     Unreachable,
@@ -18,9 +18,9 @@
 impl From<&Error> for ExitCode {
     fn from(error: &Error) -> Self {
         match error {
-            Error::CommandLine(_) | Error::Missing(_) => Self::Usage,
             Error::Node { .. } => Self::Unreachable,
             Error::Broken(_) => Self::Broken,
+            _ => Self::Usage,
         }
     }
 }
--- a/crates/agateport-load/src/main.rs
+++ b/crates/agateport-load/src/main.rs
@@ -1,16 +1,8 @@
-//! Callers at a stated rate, and a check of what they were told.
+//! Callers with open-loop arrivals, and a check of what they were told.
 
-mod caller;
-mod check;
-mod cli;
-mod error;
-mod exit_codes;
-mod outcome;
-mod report;
-mod run;
-
-use cli::Command;
-use exit_codes::ExitCode;
+use agateport_load::cli::{self, Command};
+use agateport_load::exit_codes::ExitCode;
+use agateport_load::{compare, run};
 use mimalloc::MiMalloc;
 use std::process;
 
@@ -24,7 +16,8 @@
             print!("{}", cli::HELP);
             Ok(())
         }
-        Ok(Command::Run(config)) => run::run(config).await,
+        Ok(Command::Compare(files)) => compare::print(&files),
+        Ok(Command::Run(config)) => run::run(*config).await,
         Err(error) => Err(error),
     };
     match result {
--- /dev/null
+++ b/crates/agateport-load/src/plan.rs
@@ -0,0 +1,157 @@
+//! The seeded plan of one priority's arrivals.
+
+use crate::profile::{Mix, Priority};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Rate below which a priority has no arrivals, a second.
+const MINIMUM_RATE: f64 = 1e-6;
+
+/// Time after which a rate of zero is looked at again.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// A kind of work.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[serde(rename_all = "snake_case")]
+pub enum Kind {
+    /// A read of a table without a read rule.
+    Read,
+    /// A read of a table with a maximum staleness.
+    BoundedRead,
+    /// A write without a key.
+    Write,
+    /// A write with a key.
+    KeyedWrite,
+    /// A transaction of two writes.
+    Transaction,
+}
+
+impl Kind {
+    /// Returns the name used in reports.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Read => "read",
+            Self::BoundedRead => "bounded read",
+            Self::Write => "write",
+            Self::KeyedWrite => "keyed write",
+            Self::Transaction => "transaction",
+        }
+    }
+
+    /// Tells whether the work changes data.
+    #[must_use]
+    pub fn is_write(self) -> bool {
+        !matches!(self, Self::Read | Self::BoundedRead)
+    }
+}
+
+/// A move to another node.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Move {
+    /// With the watermark handed over.
+    Handover,
+    /// Without a watermark.
+    Bare,
+}
+
+/// One arrival.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct Arrival {
+    /// When it is due, from the start of the run.
+    pub due: Duration,
+    /// What is to be done.
+    pub kind: Kind,
+    /// Whether the session moves to another node first.
+    pub roams: Option<Move>,
+    /// Chooses what is read.
+    pub choice: u64,
+}
+
+/// The seeded plan of one priority's arrivals, in the order of their times.
+#[derive(Clone, Debug)]
+pub struct Plan {
+    priority: Priority,
+    random: Pcg64Mcg,
+    at: Duration,
+    end: Duration,
+}
+
+impl Plan {
+    /// Creates the plan up to `end`; the same seed gives the same plan.
+    #[must_use]
+    pub fn new(priority: Priority, seed: u64, end: Duration) -> Self {
+        Self {
+            priority,
+            random: Pcg64Mcg::seed_from_u64(seed),
+            at: Duration::ZERO,
+            end,
+        }
+    }
+
+    fn roams(&mut self) -> Option<Move> {
+        if !self.random.random_bool(self.priority.roam.clamp(0.0, 1.0)) {
+            return None;
+        }
+        let hands_over = self
+            .random
+            .random_bool(self.priority.handover.clamp(0.0, 1.0));
+        Some(if hands_over {
+            Move::Handover
+        } else {
+            Move::Bare
+        })
+    }
+}
+
+impl Iterator for Plan {
+    type Item = Arrival;
+
+    fn next(&mut self) -> Option<Arrival> {
+        loop {
+            if self.at >= self.end {
+                return None;
+            }
+            let rate = self.priority.rate_at(self.at);
+            if rate >= MINIMUM_RATE {
+                // Intervals of a Poisson process are exponential.
+                let share: f64 = self.random.random();
+                let interval = -(1.0 - share).ln() / rate;
+                self.at += Duration::from_secs_f64(interval);
+                break;
+            }
+            self.at += PAUSE;
+        }
+        if self.at >= self.end {
+            return None;
+        }
+        let point = self.random.random::<f64>() * self.priority.mix.total();
+        Some(Arrival {
+            due: self.at,
+            kind: choose(&self.priority.mix, point),
+            roams: self.roams(),
+            choice: self.random.random(),
+        })
+    }
+}
+
+fn choose(mix: &Mix, mut point: f64) -> Kind {
+    let shares = [
+        (mix.read, Kind::Read),
+        (mix.bounded_read, Kind::BoundedRead),
+        (mix.write, Kind::Write),
+        (mix.keyed_write, Kind::KeyedWrite),
+        (mix.transaction, Kind::Transaction),
+    ];
+    for (share, kind) in shares {
+        if point < share {
+            return kind;
+        }
+        point -= share;
+    }
+    // Only rounding leads here.
+    let mut possible = shares.into_iter().filter(|(share, _)| *share > 0.0);
+    possible.next_back().map_or(Kind::Read, |(_, kind)| kind)
+}
--- a/crates/agateport-load/src/report.rs
+++ b/crates/agateport-load/src/report.rs
@@ -1,119 +1,189 @@
 //! The report of a run.
 
+use crate::endpoints::Reads;
 use crate::outcome::Outcome;
-use hdrhistogram::Histogram;
-use serde::Serialize;
+use crate::tally::Tally;
+use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
+use std::fmt::{self, Display, Formatter};
 use std::time::Duration;
 
-/// Percentiles that are reported.
-const PERCENTILES: [f64; 3] = [50.0, 95.0, 99.0];
+/// Broken promises that a table names.
+const NAMED: usize = 20;
 
-/// Significant digits of the latencies kept.
-const DIGITS: u8 = 3;
+/// The figures of one class of work.
+#[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
+pub struct Row {
+    /// Arrivals.
+    pub offered: u64,
+    /// Arrivals that were done.
+    pub done: u64,
+    /// Arrivals that were certainly not run.
+    pub not_run: u64,
+    /// Arrivals that may have run.
+    pub unknown: u64,
+    /// Arrivals whose connection broke.
+    pub broken: u64,
+    /// Arrivals that failed at the upstream.
+    pub failed: u64,
+    /// Arrivals that were never sent.
+    pub unreachable: u64,
+    /// Share of the arrivals that were done within the target, in percent.
+    pub goodput_percent: f64,
+    /// Median latency, in microseconds.
+    pub p50_microseconds: u64,
+    /// 95th percentile of the latency, in microseconds.
+    pub p95_microseconds: u64,
+    /// 99th percentile of the latency, in microseconds.
+    pub p99_microseconds: u64,
+    /// Longest latency, in microseconds.
+    pub longest_microseconds: u64,
+}
 
-/// What happened in a run.
-#[derive(Debug)]
-pub struct Report {
-    counts: BTreeMap<(&'static str, Outcome), u64>,
-    latencies: BTreeMap<&'static str, Histogram<u64>>,
-    broken: Vec<String>,
+impl From<&Tally> for Row {
+    fn from(tally: &Tally) -> Self {
+        let microseconds = |percentile| {
+            let latency = tally.percentile(percentile).as_micros();
+            u64::try_from(latency).unwrap_or(u64::MAX)
+        };
+        Self {
+            offered: tally.ended(),
+            done: tally.count(Outcome::Done),
+            not_run: tally.count(Outcome::NotRun),
+            unknown: tally.count(Outcome::Unknown),
+            broken: tally.count(Outcome::Broken),
+            failed: tally.count(Outcome::Failed),
+            unreachable: tally.count(Outcome::Unreachable),
+            goodput_percent: percent(tally.within(), tally.ended()),
+            p50_microseconds: microseconds(50.0),
+            p95_microseconds: microseconds(95.0),
+            p99_microseconds: microseconds(99.0),
+            longest_microseconds: microseconds(100.0),
+        }
+    }
 }
 
-/// The report as it is printed.
-#[derive(Debug, Serialize)]
-struct Printed {
-    outcomes: BTreeMap<String, u64>,
-    microseconds: BTreeMap<String, u64>,
-    broken: Vec<String>,
+/// The report of a run.
+#[derive(Clone, Debug, Default, Deserialize, PartialEq, Serialize)]
+pub struct Report {
+    /// Seed of all random choices.
+    pub seed: u64,
+    /// Time that arrivals were planned for, in seconds.
+    pub seconds: f64,
+    /// Figures by priority, part of the run and kind.
+    pub rows: BTreeMap<String, Row>,
+    /// Messages of refusals and failures.
+    pub reasons: BTreeMap<String, u64>,
+    /// Longest time without an acknowledged write by group, in milliseconds.
+    pub gaps_milliseconds: BTreeMap<String, u64>,
+    /// Share of the reads with a rule that replicas served, in percent.
+    pub replica_reads_percent: Option<f64>,
+    /// Broken promises.
+    pub broken: Vec<String>,
 }
 
 impl Report {
-    /// Creates an empty report.
-    pub fn new() -> Self {
-        Self {
-            counts: BTreeMap::new(),
-            latencies: BTreeMap::new(),
-            broken: Vec::new(),
-        }
+    /// Adds the figures of a class of work.
+    pub fn add(&mut self, name: String, tally: &Tally) {
+        self.rows.insert(name, tally.into());
     }
 
-    /// Records one statement; `latency` counts from when it was due.
-    pub fn record(&mut self, kind: &'static str, outcome: Outcome, latency: Duration) {
-        *self.counts.entry((kind, outcome)).or_insert(0) += 1;
-        if outcome != Outcome::Done {
-            return;
-        }
-        let histogram = self.latencies.entry(kind).or_insert_with(|| {
-            Histogram::new(DIGITS).expect("the number of digits is one that the library takes")
-        });
-        let microseconds = u64::try_from(latency.as_micros()).unwrap_or(u64::MAX);
-        histogram
-            .record(microseconds)
-            .expect("the histogram grows with its values");
+    /// Adds a group's longest time without an acknowledged write.
+    pub fn add_gap(&mut self, group: String, gap: Duration) {
+        let milliseconds = u64::try_from(gap.as_millis()).unwrap_or(u64::MAX);
+        self.gaps_milliseconds.insert(group, milliseconds);
     }
 
-    /// Records a broken promise.
-    pub fn break_promise(&mut self, what: String) {
-        self.broken.push(what);
+    /// Sets what the nodes counted of reads with a rule.
+    pub fn set_reads(&mut self, reads: Reads) {
+        let all = reads.replica + reads.primary;
+        self.replica_reads_percent = (all > 0).then(|| percent(reads.replica, all));
     }
 
-    /// Returns the number of broken promises.
-    pub fn broken(&self) -> usize {
-        self.broken.len()
+    /// Prints the report.
+    pub fn print(&self, json: bool) {
+        if json {
+            println!("{}", serde_json::to_string(self).unwrap_or_default());
+        } else {
+            print!("{self}");
+        }
     }
 
-    /// Takes in another report.
-    pub fn add(&mut self, other: Self) {
-        for (key, count) in other.counts {
-            *self.counts.entry(key).or_insert(0) += count;
-        }
-        for (kind, histogram) in other.latencies {
-            match self.latencies.get_mut(kind) {
-                Some(known) => known
-                    .add(&histogram)
-                    .expect("both histograms have the same digits"),
-                None => drop(self.latencies.insert(kind, histogram)),
-            }
+    fn write_rows(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(
+            formatter,
+            "{:<28} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>8} {:>9} {:>9} {:>9}",
+            "",
+            "offered",
+            "done",
+            "not run",
+            "unknown",
+            "broken",
+            "failed",
+            "goodput",
+            "p50 ms",
+            "p99 ms",
+            "max ms",
+        )?;
+        for (name, row) in &self.rows {
+            writeln!(
+                formatter,
+                "{name:<28} {:>8} {:>8} {:>7} {:>7} {:>7} {:>7} {:>7.1}% {:>9.1} {:>9.1} {:>9.1}",
+                row.offered,
+                row.done,
+                row.not_run,
+                row.unknown,
+                row.broken + row.unreachable,
+                row.failed,
+                row.goodput_percent,
+                milliseconds(row.p50_microseconds),
+                milliseconds(row.p99_microseconds),
+                milliseconds(row.longest_microseconds),
+            )?;
         }
-        self.broken.extend(other.broken);
+        Ok(())
     }
+}
 
-    /// Prints the report.
-    pub fn print(&self, json: bool) {
-        let printed = self.printed();
-        if json {
-            println!("{}", serde_json::to_string(&printed).unwrap_or_default());
-            return;
+impl Display for Report {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        writeln!(formatter, "seed {}, {} s", self.seed, self.seconds)?;
+        self.write_rows(formatter)?;
+        for (reason, count) in &self.reasons {
+            writeln!(formatter, "{count:>9} times: {reason}")?;
         }
-        for (name, count) in &printed.outcomes {
-            println!("{name:<24} {count:>9}");
+        for (group, gap) in &self.gaps_milliseconds {
+            writeln!(
+                formatter,
+                "longest gap in acknowledged writes, {group}: {gap} ms"
+            )?;
         }
-        for (name, microseconds) in &printed.microseconds {
-            println!("{name:<24} {microseconds:>9} us");
+        if let Some(share) = self.replica_reads_percent {
+            writeln!(formatter, "reads served by replicas: {share:.1}%")?;
         }
-        println!("{:<24} {:>9}", "broken promises", printed.broken.len());
-        for what in &printed.broken {
-            println!("  {what}");
+        writeln!(formatter, "broken promises: {}", self.broken.len())?;
+        for what in self.broken.iter().take(NAMED) {
+            writeln!(formatter, "  {what}")?;
         }
+        Ok(())
     }
+}
 
-    fn printed(&self) -> Printed {
-        let outcomes = self.counts.iter().map(|((kind, outcome), count)| {
-            let name = format!("{kind} {outcome:?}").to_lowercase();
-            (name, *count)
-        });
-        let mut microseconds = BTreeMap::new();
-        for (kind, histogram) in &self.latencies {
-            for percentile in PERCENTILES {
-                let value = histogram.value_at_percentile(percentile);
-                microseconds.insert(format!("{kind} p{percentile}"), value);
-            }
-        }
-        Printed {
-            outcomes: outcomes.collect(),
-            microseconds,
-            broken: self.broken.clone(),
-        }
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "counts are far below the precision of the share"
+)]
+fn percent(part: u64, whole: u64) -> f64 {
+    if whole == 0 {
+        return 0.0;
     }
+    100.0 * part as f64 / whole as f64
+}
+
+#[expect(
+    clippy::cast_precision_loss,
+    reason = "latencies are printed with one decimal place"
+)]
+fn milliseconds(microseconds: u64) -> f64 {
+    microseconds as f64 / 1000.0
 }
--- a/crates/agateport-node/src/frontend/route.rs
+++ b/crates/agateport-node/src/frontend/route.rs
@@ -4,9 +4,11 @@
 use super::forward;
 use super::pipeline::Work;
 use crate::node::Node;
+use agateport_domain::bundle::Bundle;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
-use agateport_domain::request::{Command, Reason, Refusal};
+use agateport_domain::request::statement::Kind;
+use agateport_domain::request::{Command, Need, Reason, Refusal};
 use agateport_wire::frame::Frame;
 use agateport_wire::link::Link;
 
@@ -61,8 +63,27 @@
                 node.metrics.count("rerouted", next.reason.name());
                 refusal = next;
             }
-            attempt => return attempt,
+            attempt => {
+                count_read(node, &bundle, work, need);
+                return attempt;
+            }
         }
     }
     Attempt::Refused(refusal)
 }
+
+/// Counts who serves a read with a rule.
+fn count_read<P>(node: &Node<P>, bundle: &Bundle, work: &Work, need: Need)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let has_rule = bundle.maximum_staleness(&work.tables).is_some();
+    if work.kind != Kind::Read || !has_rule {
+        return;
+    }
+    let server = match need {
+        Need::Primary => "primary",
+        Need::Replica { .. } => "replica",
+    };
+    node.metrics.count("read", server);
+}
