--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -16,7 +16,7 @@
   agatectl keygen node DIRECTORY NAME
   agatectl keygen operator DIRECTORY NAME
   agatectl sign BUNDLE --key FILE --output FILE
-  agatectl roll SIGNED --platform IP:PORT
+  agatectl roll SIGNED --platform IP:PORT [--operator FILE]... [--threshold N]
   agatectl status [--json] IP:PORT...
 
 Commands:
@@ -77,6 +77,10 @@
         signed: PathBuf,
         /// Address of the platform.
         platform: SocketAddr,
+        /// Files of the public keys that signatures are checked by.
+        operators: Vec<PathBuf>,
+        /// Signatures that are needed.
+        threshold: usize,
     },
     /// Show what nodes say of themselves.
     Status {
@@ -120,11 +124,15 @@
     let mut key = None;
     let mut output = None;
     let mut platform = None;
+    let mut operators = Vec::new();
+    let mut threshold = 1;
     while let Some(arg) = parser.next()? {
         match arg {
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("json") => json = true,
             Arg::Long("key") => key = Some(parser.value()?.parse()?),
+            Arg::Long("operator") => operators.push(parser.value()?.parse()?),
+            Arg::Long("threshold") => threshold = parser.value()?.parse()?,
             Arg::Long("output") => output = Some(parser.value()?.parse()?),
             Arg::Long("platform") => platform = Some(parser.value()?.parse()?),
             Arg::Value(value) => words.push(value.string()?),
@@ -150,6 +158,8 @@
         "roll" => Command::Roll {
             signed: words.path("SIGNED")?,
             platform: platform.ok_or(Error::Missing("--platform"))?,
+            operators,
+            threshold,
         },
         "status" => Command::Status {
             admins: addresses(&mut words)?,
--- a/crates/agateport-ctl/src/error.rs
+++ b/crates/agateport-ctl/src/error.rs
@@ -39,9 +39,13 @@
         /// What it should hold.
         expected: &'static str,
     },
-    /// A bundle is wrong.
-    #[error("the bundle is wrong")]
+    /// A bundle is wrong, or can't be put in force.
+    #[error(transparent)]
+    #[diagnostic(transparent)]
     Bundle(#[from] agateport_domain::bundle::Error),
+    /// Bytes can't be encoded or decoded.
+    #[error("the bytes can't be encoded or decoded")]
+    Wire(#[from] agateport_wire::Error),
     /// A certificate can't be made.
     #[error("the certificate can't be made")]
     Certificate(#[from] rcgen::Error),
@@ -49,6 +53,13 @@
     #[error("version {0} is in force already")]
     #[diagnostic(help("give the bundle a higher version, or look at `agatectl status`"))]
     NotHigher(u64),
+    /// The platform doesn't tell what is in force.
+    #[error("the platform doesn't tell what is in force; nothing was changed")]
+    Unread,
+    /// It can't be found out whether the bundle is in force.
+    #[error("the platform doesn't tell whether the bundle is in force")]
+    #[diagnostic(help("roll it again when the platform answers: that changes nothing twice"))]
+    Unsettled,
     /// The platform didn't do what it was asked.
     #[error("the platform can't be used")]
     Platform(#[from] agateport_wire::platform::Error),
--- a/crates/agateport-ctl/src/exit_codes.rs
+++ b/crates/agateport-ctl/src/exit_codes.rs
@@ -15,8 +15,10 @@
     Bundle,
     /// Another bundle is in force.
     NotHigher,
-    /// The platform or a node gave no answer.
+    /// The platform or a node gave no answer; nothing was changed.
     Unreachable,
+    /// The platform gave no answer; the bundle may be in force or not.
+    Unsettled,
 }
 
 impl From<&Error> for ExitCode {
@@ -25,10 +27,13 @@
             Error::Address(_) | Error::CommandLine(_) | Error::Missing(_) | Error::Surplus(_) => {
                 Self::Usage
             }
-            Error::Certificate(_) | Error::Content { .. } | Error::File { .. } => Self::Failure,
+            Error::Certificate(_) | Error::Content { .. } | Error::File { .. } | Error::Wire(_) => {
+                Self::Failure
+            }
+            Error::Unsettled => Self::Unsettled,
             Error::Bundle(_) => Self::Bundle,
             Error::NotHigher(_) => Self::NotHigher,
-            Error::Node { .. } | Error::Platform(_) => Self::Unreachable,
+            Error::Node { .. } | Error::Platform(_) | Error::Unread => Self::Unreachable,
         }
     }
 }
@@ -42,6 +47,7 @@
             ExitCode::Bundle => 3,
             ExitCode::NotHigher => 4,
             ExitCode::Unreachable => 5,
+            ExitCode::Unsettled => 6,
         }
         .into()
     }
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -50,7 +50,12 @@
             key,
             output,
         } => sign::sign(&bundle, &key, &output),
-        Command::Roll { signed, platform } => roll::roll(&signed, platform).await,
+        Command::Roll {
+            signed,
+            platform,
+            operators,
+            threshold,
+        } => roll::roll(&signed, platform, &operators, threshold).await,
         Command::Status { admins, json } => status::status(&admins, json).await,
     }
 }
--- a/crates/agateport-ctl/src/roll.rs
+++ b/crates/agateport-ctl/src/roll.rs
@@ -1,59 +1,112 @@
 //! Puts signed bundles in force.
 
 use crate::error::Error;
-use agateport_domain::bundle::{Bundle, Signed};
-use agateport_wire::platform::{Operation, Platform};
-use std::fs;
+use crate::sign;
+use agateport_domain::bundle::roll::{Answer, End, RowVersion, Step};
+use agateport_domain::bundle::{Revision, Roll, Signed, Trust};
+use agateport_wire::platform::{self, IN_FORCE, Operation, Platform, Row, bundle_object};
+use agateport_wire::signed;
 use std::net::SocketAddr;
-use std::path::Path;
+use std::path::{Path, PathBuf};
+use std::time::Duration;
+use tokio::time::sleep;
 
-/// Key of the row that tells the bundle in force.
-const ROW: &str = "bundle";
+/// Time before the row is read again.
+const READ_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Stores a signed bundle and puts it in force.
 ///
+/// The bundle must be signed by `threshold` of the operators whose public keys
+/// are in `operators`; with no keys given, the signatures aren't checked here.
+///
 /// # Errors
 ///
-/// [`Error`] if the file can't be read, the platform doesn't answer, or a
-/// bundle of the same or a higher version is in force.
-pub async fn roll(path: &Path, platform: SocketAddr) -> Result<(), Error> {
-    let bytes = fs::read(path).map_err(Error::file(path))?;
-    let signed: Signed = serde_json::from_slice(&bytes).map_err(|_| Error::Content {
-        path: path.to_owned(),
-        expected: "a signed bundle",
-    })?;
-    let bundle = Bundle::parse(&signed.text)?;
+/// [`Error`] if the file can't be read, too few operators signed, the platform
+/// doesn't answer, or another bundle of the same or a higher version is in
+/// force.
+pub async fn roll(
+    path: &Path,
+    platform: SocketAddr,
+    operators: &[PathBuf],
+    threshold: usize,
+) -> Result<(), Error> {
+    let signed = sign::load(path)?;
+    let revision = if operators.is_empty() {
+        sign::revision(&signed)?
+    } else {
+        let operators = sign::read_operators(operators)?;
+        let trust = Trust::new(operators, &[], threshold)?;
+        signed.open(&trust)?.0
+    };
     let platform = Platform::new(platform)?;
-    let row = platform.row(ROW).await?;
-    let version = match &row {
-        None => 0,
-        Some(row) => {
-            let in_force = read(&platform, &row.value).await?;
-            if in_force >= bundle.version {
-                return Err(Error::NotHigher(in_force));
+    match carry_out(&platform, signed, &revision).await? {
+        End::InForce => println!("version {} is in force", revision.version),
+        End::Repeated => println!("version {} was in force already", revision.version),
+        End::Superseded(other) => return Err(Error::NotHigher(other.version)),
+        End::Unread => return Err(Error::Unread),
+        End::Unsettled => return Err(Error::Unsettled),
+    }
+    Ok(())
+}
+
+async fn carry_out(platform: &Platform, signed: Signed, revision: &Revision) -> Result<End, Error> {
+    let mut roll = Roll::new(revision.clone());
+    let mut step = read(platform, &mut roll).await?;
+    if matches!(step, Step::Commit(_) | Step::End(End::Repeated)) {
+        // Before the row names it, the bundle must be there. One that is in
+        // force already may have got another signature.
+        store(platform, signed, revision).await?;
+    }
+    loop {
+        step = match step {
+            Step::Commit(expected) => roll.answer(commit(platform, revision, expected).await),
+            Step::End(end) => return Ok(end),
+            Step::Read => {
+                sleep(READ_INTERVAL).await;
+                read(platform, &mut roll).await?
             }
-            row.version
-        }
-    };
-    let digest = signed.digest();
-    platform
-        .put_object(&format!("bundle/{digest}"), bytes)
-        .await?;
+        };
+    }
+}
+
+async fn read(platform: &Platform, roll: &mut Roll) -> Result<Step, Error> {
+    match in_force(platform).await {
+        Ok(row) => Ok(roll.read(row.map(|(row, revision)| (row.version, revision)))),
+        Err(Error::Platform(_)) => Ok(roll.unread()),
+        Err(error) => Err(error),
+    }
+}
+
+async fn commit(platform: &Platform, revision: &Revision, expected: RowVersion) -> Answer {
     let operation = Operation {
-        key: ROW.to_owned(),
-        expected: version,
-        value: digest,
+        key: IN_FORCE.to_owned(),
+        expected,
+        value: revision.to_string(),
     };
-    platform.commit(&[operation]).await?;
-    println!("version {} is in force", bundle.version);
-    Ok(())
+    match platform.commit(&[operation]).await {
+        Ok(()) => Answer::Applied,
+        Err(platform::Error::Conflict) => Answer::Changed,
+        Err(_) => Answer::Lost,
+    }
 }
 
-async fn read(platform: &Platform, digest: &str) -> Result<u64, Error> {
-    let object = platform.object(&format!("bundle/{digest}")).await?;
-    let signed = object.and_then(|bytes| serde_json::from_slice::<Signed>(&bytes).ok());
-    match signed {
-        Some(signed) => Ok(Bundle::parse(&signed.text)?.version),
-        None => Ok(0),
+/// Returns the row of the bundle in force with its revision.
+pub async fn in_force(platform: &Platform) -> Result<Option<(Row, Revision)>, Error> {
+    let Some(row) = platform.row(IN_FORCE).await? else {
+        return Ok(None);
+    };
+    let revision = row.value.parse()?;
+    Ok(Some((row, revision)))
+}
+
+/// Stores the bundle, with the signatures that the store has of it already.
+async fn store(platform: &Platform, mut signed: Signed, revision: &Revision) -> Result<(), Error> {
+    let key = bundle_object(revision);
+    if let Some(bytes) = platform.object(&key).await?
+        && let Ok(stored) = signed::decode(&bytes)
+    {
+        signed.merge(&stored);
     }
+    platform.put_object(&key, signed::encode(&signed)?).await?;
+    Ok(())
 }
--- a/crates/agateport-ctl/src/sign.rs
+++ b/crates/agateport-ctl/src/sign.rs
@@ -1,41 +1,107 @@
 //! Signs bundles.
 
 use crate::error::Error;
-use agateport_domain::bundle::{Bundle, Signed};
-use ed25519_dalek::SigningKey;
+use agateport_domain::bundle::{Bundle, Operator, Revision, Signed};
+use agateport_wire::signed;
+use ed25519_dalek::{SigningKey, VerifyingKey};
 use std::fs;
-use std::path::Path;
+use std::path::{Path, PathBuf};
 
-/// Checks a bundle, signs it and writes it with the signature.
+/// Checks a bundle, signs it and writes it with the signature. A file that is
+/// signed already gets another signature.
 ///
 /// # Errors
 ///
 /// [`Error`] if a file can't be read or written, or the bundle is wrong.
 pub fn sign(bundle: &Path, key: &Path, output: &Path) -> Result<(), Error> {
-    let text = fs::read_to_string(bundle).map_err(Error::file(bundle))?;
-    Bundle::parse(&text)?;
-    let signed = Signed::new(text, &read_key(key)?);
-    let bytes = serde_json::to_vec(&signed).map_err(|_| Error::Content {
-        path: output.to_owned(),
+    let bytes = fs::read(bundle).map_err(Error::file(bundle))?;
+    let key = read_key(key)?;
+    let signed = if let Ok(mut signed) = signed::decode(&bytes) {
+        signed.sign(&key);
+        signed
+    } else {
+        let text = String::from_utf8(bytes).map_err(|_| Error::Content {
+            path: bundle.to_owned(),
+            expected: "a bundle",
+        })?;
+        Signed::new(text, &key)
+    };
+    Bundle::parse(&signed.text)?;
+    fs::write(output, signed::encode(&signed)?).map_err(Error::file(output))
+}
+
+/// Reads a signed bundle.
+///
+/// # Errors
+///
+/// [`Error`] if the file can't be read or isn't a signed bundle.
+pub fn load(path: &Path) -> Result<Signed, Error> {
+    let bytes = fs::read(path).map_err(Error::file(path))?;
+    signed::decode(&bytes).map_err(|_| Error::Content {
+        path: path.to_owned(),
         expected: "a signed bundle",
-    })?;
-    fs::write(output, bytes).map_err(Error::file(output))
+    })
 }
 
-fn read_key(path: &Path) -> Result<SigningKey, Error> {
-    let wrong = || Error::Content {
+/// Returns the revision of a signed bundle.
+///
+/// # Errors
+///
+/// [`Error`] if its text isn't a bundle.
+pub fn revision(signed: &Signed) -> Result<Revision, Error> {
+    Ok(Revision {
+        version: Bundle::parse(&signed.text)?.version,
+        digest: signed.digest(),
+    })
+}
+
+/// Reads operators' public keys; a file's name is the operator's.
+///
+/// # Errors
+///
+/// [`Error`] if a file can't be read or isn't a key.
+pub fn read_operators(paths: &[PathBuf]) -> Result<Vec<Operator>, Error> {
+    let operators = paths.iter().map(|path| {
+        let wrong = || Error::Content {
+            path: path.clone(),
+            expected: "an operator's public key of 64 hexadecimal digits",
+        };
+        let bytes = read_hex(path)?.ok_or_else(wrong)?;
+        let name = path.file_stem().unwrap_or_default();
+        Ok(Operator {
+            name: name.to_string_lossy().into_owned(),
+            key: VerifyingKey::from_bytes(&bytes).map_err(|_| wrong())?,
+        })
+    });
+    operators.collect()
+}
+
+/// Reads an operator's private key.
+///
+/// # Errors
+///
+/// [`Error`] if the file can't be read or isn't a key.
+pub fn read_key(path: &Path) -> Result<SigningKey, Error> {
+    let bytes = read_hex(path)?.ok_or_else(|| Error::Content {
         path: path.to_owned(),
         expected: "an operator's private key of 64 hexadecimal digits",
-    };
+    })?;
+    Ok(SigningKey::from_bytes(&bytes))
+}
+
+fn read_hex(path: &Path) -> Result<Option<[u8; 32]>, Error> {
     let text = fs::read_to_string(path).map_err(Error::file(path))?;
     let text = text.trim();
     if text.len() != 64 || !text.is_ascii() {
-        return Err(wrong());
+        return Ok(None);
     }
     let mut bytes = [0; 32];
     for (index, byte) in bytes.iter_mut().enumerate() {
         let digits = &text[2 * index..2 * index + 2];
-        *byte = u8::from_str_radix(digits, 16).map_err(|_| wrong())?;
+        match u8::from_str_radix(digits, 16) {
+            Ok(value) => *byte = value,
+            Err(_) => return Ok(None),
+        }
     }
-    Ok(SigningKey::from_bytes(&bytes))
+    Ok(Some(bytes))
 }
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/fault.rs
@@ -0,0 +1,33 @@
+//! One thing that is wrong with a bundle's text.
+
+use miette::{Diagnostic, SourceSpan};
+use std::ops::Range;
+use thiserror::Error;
+
+/// One thing that is wrong with a bundle's text, and where.
+#[derive(Clone, Debug, Diagnostic, Eq, Error, PartialEq)]
+#[error("{message}")]
+pub struct Fault {
+    /// What is wrong.
+    pub message: String,
+    /// Bytes of the text that are wrong.
+    #[label("here")]
+    pub place: SourceSpan,
+}
+
+impl Fault {
+    /// Creates a fault at the bytes `place` of the text.
+    #[must_use]
+    pub fn new(message: impl Into<String>, place: Range<usize>) -> Self {
+        Self {
+            message: message.into(),
+            place: place.into(),
+        }
+    }
+
+    /// Creates the fault of a text that can't be read.
+    #[must_use]
+    pub fn unreadable(error: &toml::de::Error) -> Self {
+        Self::new(error.message(), error.span().unwrap_or_default())
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/force.rs
@@ -0,0 +1,124 @@
+//! Which bundle is in force on a node.
+
+use super::{Bundle, Error, Revision, Signed, Trust};
+use std::cmp::Ordering;
+use std::sync::Arc;
+
+/// A bundle that a node has put in force.
+#[derive(Clone, Debug)]
+pub struct Accepted {
+    /// Version and digest.
+    pub revision: Revision,
+    /// Text and signatures as they came.
+    pub signed: Arc<Signed>,
+    /// The bundle proper.
+    pub bundle: Arc<Bundle>,
+}
+
+/// What a node does with a revision that it hears of.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Verdict {
+    /// It is higher: take it.
+    Raise,
+    /// It is in force already.
+    Keep,
+    /// It is lower than what is in force.
+    Outdated,
+    /// It has the version in force but another digest.
+    Conflict,
+}
+
+/// The bundle in force on a node; its version only ever goes up.
+#[derive(Debug, Default)]
+pub struct Force {
+    accepted: Option<Accepted>,
+    rejected: Option<(Option<Revision>, String)>,
+}
+
+impl Force {
+    /// Returns the bundle in force.
+    #[must_use]
+    pub fn accepted(&self) -> Option<&Accepted> {
+        self.accepted.as_ref()
+    }
+
+    /// Returns the revision in force.
+    #[must_use]
+    pub fn revision(&self) -> Option<&Revision> {
+        self.accepted.as_ref().map(|accepted| &accepted.revision)
+    }
+
+    /// Returns why the last bundle that could not be taken was rejected; none
+    /// once a later one was taken.
+    #[must_use]
+    pub fn rejected(&self) -> Option<&(Option<Revision>, String)> {
+        self.rejected.as_ref()
+    }
+
+    /// Decides about a revision.
+    #[must_use]
+    pub fn judge(&self, offered: &Revision) -> Verdict {
+        judge(self.revision(), offered)
+    }
+
+    /// Takes a bundle over if it is signed and higher than the one in force.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if too few operators signed it, it isn't a bundle, or it
+    /// contradicts the one in force. What is in force stays, and the reason is
+    /// kept for [`Self::rejected`].
+    pub fn offer(&mut self, signed: Signed, trust: &Trust) -> Result<Verdict, Error> {
+        match self.take(signed, trust) {
+            Ok(verdict) => Ok(verdict),
+            Err((revision, error)) => {
+                self.reject(revision, &error);
+                Err(error)
+            }
+        }
+    }
+
+    /// Keeps the reason why a bundle could not be taken.
+    pub fn reject(&mut self, revision: Option<Revision>, error: &Error) {
+        self.rejected = Some((revision, error.to_string()));
+    }
+
+    fn take(
+        &mut self,
+        signed: Signed,
+        trust: &Trust,
+    ) -> Result<Verdict, (Option<Revision>, Error)> {
+        let (revision, bundle) = signed.open(trust).map_err(|error| (None, error))?;
+        let verdict = self.judge(&revision);
+        if let (Verdict::Conflict, Some(in_force)) = (verdict, self.revision()) {
+            let error = Error::Conflict {
+                in_force: in_force.clone(),
+                offered: revision.clone(),
+            };
+            return Err((Some(revision), error));
+        }
+        if verdict == Verdict::Raise {
+            self.rejected = None;
+            self.accepted = Some(Accepted {
+                revision,
+                signed: Arc::new(signed),
+                bundle: Arc::new(bundle),
+            });
+        }
+        Ok(verdict)
+    }
+}
+
+/// Decides about a revision, given the one in force.
+#[must_use]
+pub fn judge(in_force: Option<&Revision>, offered: &Revision) -> Verdict {
+    let Some(in_force) = in_force else {
+        return Verdict::Raise;
+    };
+    match offered.version.cmp(&in_force.version) {
+        Ordering::Greater => Verdict::Raise,
+        Ordering::Less => Verdict::Outdated,
+        Ordering::Equal if offered.digest == in_force.digest => Verdict::Keep,
+        Ordering::Equal => Verdict::Conflict,
+    }
+}
--- a/crates/agateport-domain/src/bundle/mod.rs
+++ b/crates/agateport-domain/src/bundle/mod.rs
@@ -1,10 +1,30 @@
 //! The versioned bundle that operators sign and roll out.
 
+pub mod change;
+mod check;
 mod error;
+mod fault;
+pub mod force;
+pub mod order;
+mod place;
+mod revision;
+pub mod roll;
 mod signed;
+pub mod spread;
+mod trust;
+mod user;
 
+pub use change::Change;
 pub use error::Error;
+pub use fault::Fault;
+pub use force::{Accepted, Force, Verdict};
+pub use order::Order;
+pub use revision::Revision;
+pub use roll::Roll;
 pub use signed::{Signature, Signed};
+pub use spread::Spread;
+pub use trust::{Operator, Trust};
+pub use user::{User, Verifier};
 
 use crate::group::Acknowledge;
 use crate::id::{BundleVersion, GroupId, PriorityId, ServerId, Zone};
@@ -32,6 +52,9 @@
     /// Tables with rules for their writes.
     #[serde(default, rename = "write")]
     pub writes: Vec<Write>,
+    /// Callers that may log in; with none, any caller may, without a password.
+    #[serde(default, rename = "user")]
+    pub users: Vec<User>,
     /// Limits of queues.
     #[serde(default)]
     pub limits: Limits,
@@ -129,11 +152,20 @@
     ///
     /// # Errors
     ///
-    /// [`Error`] if the text isn't a bundle, or contradicts itself.
+    /// [`Error::Faults`] with all faults if the text isn't a bundle, or
+    /// contradicts itself.
     pub fn parse(text: &str) -> Result<Self, Error> {
-        let bundle: Self = toml::from_str(text)?;
-        bundle.check()?;
-        Ok(bundle)
+        let faults = match toml::from_str::<Self>(text) {
+            Ok(bundle) => match check::rules(&bundle, text) {
+                faults if faults.is_empty() => return Ok(bundle),
+                faults => faults,
+            },
+            Err(error) => check::schema(text, &error),
+        };
+        Err(Error::Faults {
+            text: text.to_owned(),
+            faults,
+        })
     }
 
     /// Returns the group named `name`.
@@ -172,14 +204,4 @@
         });
         limits.collect::<Option<Vec<_>>>()?.into_iter().min()
     }
-
-    fn check(&self) -> Result<(), Error> {
-        if self.priority(&self.default_priority).is_none() {
-            return Err(Error::UnknownPriority(self.default_priority.clone()));
-        }
-        if let Some(group) = self.groups.iter().find(|group| group.servers.is_empty()) {
-            return Err(Error::NoServer(group.name.clone()));
-        }
-        Ok(())
-    }
 }
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/place.rs
@@ -0,0 +1,40 @@
+//! Finds where in its text a bundle says something.
+
+use std::ops::Range;
+use toml::Spanned;
+use toml::de::{DeTable, DeValue};
+
+/// One step from a table or array to a part of it.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Step<'a> {
+    /// The element with this index.
+    Index(usize),
+    /// The value at this key.
+    Key(&'a str),
+}
+
+/// Returns the bytes of the text at the end of `steps`, or of the last part on
+/// the way there that exists.
+#[must_use]
+pub fn find(table: &Spanned<DeTable<'_>>, steps: &[Step<'_>]) -> Range<usize> {
+    let Some((Step::Key(first), rest)) = steps.split_first() else {
+        return table.span();
+    };
+    let Some(mut value) = table.get_ref().get(*first) else {
+        return table.span().start..table.span().start;
+    };
+    for step in rest {
+        match part(value.get_ref(), *step) {
+            Some(next) => value = next,
+            None => break,
+        }
+    }
+    value.span()
+}
+
+fn part<'a, 'i>(value: &'a DeValue<'i>, step: Step<'_>) -> Option<&'a Spanned<DeValue<'i>>> {
+    match step {
+        Step::Index(index) => value.as_array()?.get(index),
+        Step::Key(key) => value.as_table()?.get(key),
+    }
+}
--- a/crates/agateport-domain/src/bundle/signed.rs
+++ b/crates/agateport-domain/src/bundle/signed.rs
@@ -1,9 +1,10 @@
 //! A bundle's bytes with the operators' signatures.
 
-use super::{Bundle, Error};
-use ed25519_dalek::{Signer, SigningKey, Verifier, VerifyingKey};
+use super::{Bundle, Error, Revision, Trust};
+use ed25519_dalek::{Signer, SigningKey};
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
+use std::collections::BTreeSet;
 use std::fmt::Write;
 
 /// One operator's signature.
@@ -28,13 +29,33 @@
     /// Signs a text.
     #[must_use]
     pub fn new(text: String, key: &SigningKey) -> Self {
-        let signature = Signature {
-            key: key.verifying_key().to_bytes(),
-            signature: key.sign(text.as_bytes()).to_vec(),
-        };
-        Self {
+        let mut signed = Self {
             text,
-            signatures: vec![signature],
+            signatures: Vec::new(),
+        };
+        signed.sign(key);
+        signed
+    }
+
+    /// Adds a signature; one by the same key is replaced.
+    pub fn sign(&mut self, key: &SigningKey) {
+        let public = key.verifying_key().to_bytes();
+        self.signatures.retain(|signature| signature.key != public);
+        self.signatures.push(Signature {
+            key: public,
+            signature: key.sign(self.text.as_bytes()).to_vec(),
+        });
+    }
+
+    /// Takes over the signatures of the same text that this one lacks.
+    pub fn merge(&mut self, other: &Self) {
+        if other.text != self.text {
+            return;
+        }
+        for signature in &other.signatures {
+            if !self.signatures.contains(signature) {
+                self.signatures.push(signature.clone());
+            }
         }
     }
 
@@ -43,29 +64,44 @@
     pub fn digest(&self) -> String {
         let digest = Sha256::digest(self.text.as_bytes());
         digest.iter().fold(String::new(), |mut hex, byte| {
+            // Writing to a string can't fail.
             let _ = write!(hex, "{byte:02x}");
             hex
         })
     }
 
+    /// Returns the names of the operators whose signatures are valid.
+    #[must_use]
+    pub fn signers(&self, trust: &Trust) -> BTreeSet<String> {
+        let signers = self.signatures.iter().filter_map(|one| {
+            let signer = trust.signer(&one.key, self.text.as_bytes(), &one.signature)?;
+            Some(signer.name.clone())
+        });
+        signers.collect()
+    }
+
     /// Checks the signatures and reads the bundle.
     ///
     /// # Errors
     ///
-    /// [`Error`] if no operator of `operators` signed the text, or it isn't a
-    /// bundle.
-    pub fn open(&self, operators: &[VerifyingKey]) -> Result<Bundle, Error> {
-        let is_signed = self.signatures.iter().any(|signature| {
-            let operator = operators.iter().find(|key| key.to_bytes() == signature.key);
-            let proof = ed25519_dalek::Signature::from_slice(&signature.signature);
-            match (operator, proof) {
-                (Some(key), Ok(proof)) => key.verify(self.text.as_bytes(), &proof).is_ok(),
-                _ => false,
-            }
+    /// [`Error`] if too few operators signed the text, or it isn't a bundle.
+    pub fn open(&self, trust: &Trust) -> Result<(Revision, Bundle), Error> {
+        let keys = self.signatures.iter().filter_map(|one| {
+            trust.signer(&one.key, self.text.as_bytes(), &one.signature)?;
+            Some(one.key)
         });
-        if !is_signed {
-            return Err(Error::NotSigned);
+        let valid = keys.collect::<BTreeSet<_>>().len();
+        if valid < trust.threshold() {
+            return Err(Error::NotSigned {
+                valid,
+                threshold: trust.threshold(),
+            });
         }
-        Bundle::parse(&self.text)
+        let bundle = Bundle::parse(&self.text)?;
+        let revision = Revision {
+            version: bundle.version,
+            digest: self.digest(),
+        };
+        Ok((revision, bundle))
     }
 }
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/spread.rs
@@ -0,0 +1,109 @@
+//! How a bundle gets to all nodes.
+//!
+//! Two nodes of each availability zone read the platform. Each node exchanges
+//! revisions with one peer, chosen at random, in every period, and tells a few
+//! at once when it takes a bundle over. So neither the platform's load nor a
+//! node's grows with the number of nodes.
+
+use crate::id::{NodeId, Zone};
+use crate::membership::{Member, View};
+use rand::RngExt;
+use rand_pcg::Pcg64Mcg;
+use sha2::{Digest, Sha256};
+use std::time::{Duration, Instant};
+
+/// Interval between two exchanges with a peer.
+pub const PERIOD: Duration = Duration::from_millis(500);
+
+/// Peers that are told at once of a bundle that was just taken over.
+pub const FANOUT: usize = 4;
+
+/// Nodes of an availability zone that read the platform.
+const READERS: usize = 2;
+
+/// Silence of all peers after which a node reads the platform itself.
+const ISOLATION: Duration = Duration::from_secs(2);
+
+/// One node's part in spreading bundles.
+#[derive(Debug)]
+pub struct Spread {
+    own: NodeId,
+    zone: Zone,
+    seeds: Vec<Member>,
+    started: Instant,
+    heard: Option<Instant>,
+    random: Pcg64Mcg,
+}
+
+impl Spread {
+    /// Creates the part of the node `own`, which knows `seeds` by its settings.
+    #[must_use]
+    pub fn new(
+        own: NodeId,
+        zone: Zone,
+        seeds: Vec<Member>,
+        random: Pcg64Mcg,
+        now: Instant,
+    ) -> Self {
+        Self {
+            own,
+            zone,
+            seeds,
+            started: now,
+            heard: None,
+            random,
+        }
+    }
+
+    /// Records that a peer answered.
+    pub fn hear(&mut self, now: Instant) {
+        self.heard = self.heard.max(Some(now));
+    }
+
+    /// Tells whether this node reads the platform.
+    ///
+    /// A node that has just started hears a peer first, if there is one, so
+    /// that an outdated answer of the platform doesn't take it back.
+    #[must_use]
+    pub fn is_reader(&self, view: &View, now: Instant) -> bool {
+        let since = self.heard.unwrap_or(self.started);
+        if now.saturating_duration_since(since) >= ISOLATION {
+            return true;
+        }
+        let is_settled = self.heard.is_some() || self.candidates(view).is_empty();
+        is_settled && readers(view, &self.zone).contains(&self.own)
+    }
+
+    /// Returns up to `count` peers, chosen at random; those of the settings
+    /// serve while no others are known.
+    pub fn peers(&mut self, view: &View, count: usize) -> Vec<Member> {
+        let mut peers: Vec<Member> = self.candidates(view).into_iter().cloned().collect();
+        let mut chosen = Vec::new();
+        while chosen.len() < count && !peers.is_empty() {
+            let index = self.random.random_range(0..peers.len());
+            chosen.push(peers.swap_remove(index));
+        }
+        chosen
+    }
+
+    fn candidates<'a>(&'a self, view: &'a View) -> Vec<&'a Member> {
+        let is_other = |member: &&Member| member.name != self.own;
+        let members: Vec<_> = view.live().filter(is_other).collect();
+        if members.is_empty() {
+            return self.seeds.iter().filter(is_other).collect();
+        }
+        members
+    }
+}
+
+/// Returns the nodes of a zone that read the platform.
+#[must_use]
+pub fn readers(view: &View, zone: &Zone) -> Vec<NodeId> {
+    let members = view.live().filter(|member| member.zone == *zone);
+    let mut ranked: Vec<_> = members
+        .map(|member| (Sha256::digest(member.name.as_bytes()), &member.name))
+        .collect();
+    ranked.sort();
+    let first = ranked.into_iter().take(READERS);
+    first.map(|(_, name)| name.clone()).collect()
+}
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/trust.rs
@@ -0,0 +1,70 @@
+//! The operators whose signatures count.
+
+use super::Error;
+use ed25519_dalek::{Signature, Verifier, VerifyingKey};
+
+/// An operator with its public key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Operator {
+    /// Name of the operator.
+    pub name: String,
+    /// Public key of the operator.
+    pub key: VerifyingKey,
+}
+
+/// The operators whose signatures count, and how many are needed.
+#[derive(Clone, Debug)]
+pub struct Trust {
+    operators: Vec<Operator>,
+    threshold: usize,
+}
+
+impl Trust {
+    /// Creates a trust in `operators`, but for the `revoked` keys.
+    ///
+    /// # Errors
+    ///
+    /// [`Error::Threshold`] if the number of signatures needed is zero, or
+    /// higher than the number of operators left.
+    pub fn new(
+        operators: Vec<Operator>,
+        revoked: &[VerifyingKey],
+        threshold: usize,
+    ) -> Result<Self, Error> {
+        let mut kept: Vec<Operator> = Vec::new();
+        for operator in operators {
+            let is_known = kept.iter().any(|one| one.key == operator.key);
+            if !is_known && !revoked.contains(&operator.key) {
+                kept.push(operator);
+            }
+        }
+        if threshold == 0 || threshold > kept.len() {
+            return Err(Error::Threshold {
+                threshold,
+                operators: kept.len(),
+            });
+        }
+        Ok(Self {
+            operators: kept,
+            threshold,
+        })
+    }
+
+    /// Returns the number of signatures that a bundle needs.
+    #[must_use]
+    pub fn threshold(&self) -> usize {
+        self.threshold
+    }
+
+    /// Returns the operator who signed `bytes`; none if nobody known did.
+    #[must_use]
+    pub fn signer(&self, key: &[u8; 32], bytes: &[u8], signature: &[u8]) -> Option<&Operator> {
+        let operator = self
+            .operators
+            .iter()
+            .find(|operator| operator.key.as_bytes() == key)?;
+        let signature = Signature::from_slice(signature).ok()?;
+        operator.key.verify(bytes, &signature).ok()?;
+        Some(operator)
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/src/bundle/user.rs
@@ -0,0 +1,85 @@
+//! A caller's name with the proof of its password.
+
+use serde::{Deserialize, Serialize};
+use std::fmt::{self, Debug, Formatter};
+
+/// Name of the only mechanism.
+const MECHANISM: &str = "SCRAM-SHA-256";
+
+/// Fewest iterations that the standard allows.
+const MINIMUM_ITERATIONS: usize = 4096;
+
+/// A caller that may log in, with the verifier of its password.
+#[derive(Clone, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct User {
+    /// Name that it logs in with.
+    pub name: String,
+    /// Verifier as PostgreSQL keeps it:
+    /// `SCRAM-SHA-256$ITERATIONS:SALT$STORED-KEY:SERVER-KEY`, the last three in
+    /// base64.
+    pub verifier: String,
+}
+
+/// The parts of a verifier, still in base64.
+#[derive(Clone, Copy, Eq, PartialEq)]
+pub struct Verifier<'a> {
+    /// Rounds of the hash.
+    pub iterations: usize,
+    /// Salt of the password.
+    pub salt: &'a str,
+    /// Hash of the client's key.
+    pub stored_key: &'a str,
+    /// The server's key.
+    pub server_key: &'a str,
+}
+
+impl User {
+    /// Returns the parts of the verifier; none if it is malformed.
+    #[must_use]
+    pub fn verifier(&self) -> Option<Verifier<'_>> {
+        let (mechanism, rest) = self.verifier.split_once('$')?;
+        let (rounds, keys) = rest.split_once('$')?;
+        let (iterations, salt) = rounds.split_once(':')?;
+        let (stored_key, server_key) = keys.split_once(':')?;
+        let iterations = iterations.parse().ok()?;
+        let is_whole = mechanism == MECHANISM
+            && iterations >= MINIMUM_ITERATIONS
+            && [salt, stored_key, server_key]
+                .iter()
+                .all(|part| is_base64(part));
+        is_whole.then_some(Verifier {
+            iterations,
+            salt,
+            stored_key,
+            server_key,
+        })
+    }
+
+    /// Tells whether the verifier is well-formed.
+    #[must_use]
+    pub fn has_verifier(&self) -> bool {
+        self.verifier().is_some()
+    }
+}
+
+fn is_base64(text: &str) -> bool {
+    let is_digit = |byte: u8| byte.is_ascii_alphanumeric() || b"+/=".contains(&byte);
+    !text.is_empty() && text.len().is_multiple_of(4) && text.bytes().all(is_digit)
+}
+
+// The keys must not get into logs.
+impl Debug for User {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter
+            .debug_struct("User")
+            .field("name", &self.name)
+            .finish_non_exhaustive()
+    }
+}
+
+impl Debug for Verifier<'_> {
+    fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
+        formatter.debug_struct("Verifier").finish_non_exhaustive()
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/tests/bundle.rs
@@ -0,0 +1,262 @@
+//! Bundles: their faults, their signatures, and which one is in force.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a scenario that can't be read fails the test"
+)]
+
+mod script;
+
+use agateport_domain::bundle::order;
+use agateport_domain::bundle::roll::{Answer, End, RowVersion, Step};
+use agateport_domain::bundle::{
+    Bundle, Force, Operator, Order, Revision, Roll, Signed, Trust, change,
+};
+use agateport_domain::prelude::*;
+use ed25519_dalek::SigningKey;
+use miette::NarratableReportHandler;
+use test_case::test_case;
+
+fn text(version: BundleVersion, comment: &str) -> String {
+    let valid = include_str!("bundles/valid.toml");
+    let numbered = valid.replace("version = 3", &format!("version = {version}"));
+    format!("{numbered}# {comment}\n")
+}
+
+fn key(name: &str) -> SigningKey {
+    let mut bytes = [0; 32];
+    bytes[..name.len()].copy_from_slice(name.as_bytes());
+    SigningKey::from_bytes(&bytes)
+}
+
+fn operators(names: &[&str]) -> Vec<Operator> {
+    let operators = names.iter().map(|name| Operator {
+        name: (*name).to_owned(),
+        key: key(name).verifying_key(),
+    });
+    operators.collect()
+}
+
+#[test]
+fn faults() {
+    insta::glob!("bundles/*.toml", |path| {
+        let text = std::fs::read_to_string(path).unwrap();
+        let report = match Bundle::parse(&text) {
+            Ok(bundle) => format!("version {} without faults", bundle.version),
+            Err(error) => {
+                let mut report = String::new();
+                let handler = NarratableReportHandler::new().with_context_lines(0);
+                handler.render_report(&mut report, &error).unwrap();
+                report
+            }
+        };
+        insta::assert_snapshot!(report);
+    });
+}
+
+#[test]
+fn force() {
+    insta::glob!("scenarios/force/*.txt", |path| {
+        let scenario = std::fs::read_to_string(path).unwrap();
+        let mut node = Force::default();
+        let mut trust = Trust::new(operators(&["ann"]), &[], 1).unwrap();
+        let transcript = script::run(&scenario, |words| force_step(&mut node, &mut trust, words));
+        insta::assert_snapshot!(transcript);
+    });
+}
+
+fn force_step(node: &mut Force, trust: &mut Trust, words: &[&str]) -> Vec<String> {
+    match words {
+        ["trust", threshold, names @ ..] => {
+            let mut parts = names.split(|name| *name == "revoked");
+            let known = operators(parts.next().unwrap_or_default());
+            let revoked = operators(parts.next().unwrap_or_default());
+            let revoked: Vec<_> = revoked.into_iter().map(|one| one.key).collect();
+            match Trust::new(known, &revoked, threshold.parse().unwrap()) {
+                Ok(next) => *trust = next,
+                Err(error) => return vec![error.to_string()],
+            }
+            Vec::new()
+        }
+        ["offer", version, comment, signers @ ..] => {
+            let signed = sign(text(version.parse().unwrap(), comment), signers);
+            match node.offer(signed, trust) {
+                Ok(verdict) => vec![format!("{verdict:?}")],
+                Err(error) => vec![short(&error.to_string())],
+            }
+        }
+        ["restart"] => {
+            *node = Force::default();
+            Vec::new()
+        }
+        ["in-force"] => {
+            let revision = node.revision().map(ToString::to_string);
+            vec![short(&revision.unwrap_or_else(|| "none".to_owned()))]
+        }
+        ["rejected"] => {
+            let reason = node.rejected().map(|(_, reason)| short(reason));
+            vec![reason.unwrap_or_else(|| "none".to_owned())]
+        }
+        other => panic!("the command {other:?} is unknown"),
+    }
+}
+
+fn sign(text: String, signers: &[&str]) -> Signed {
+    let mut signed = Signed {
+        text,
+        signatures: Vec::new(),
+    };
+    for signer in signers {
+        match signer.split_once(':') {
+            None => signed.sign(&key(signer)),
+            Some((name, _)) => {
+                let mut forged = Signed::new("another text".to_owned(), &key(name));
+                signed.signatures.append(&mut forged.signatures);
+            }
+        }
+    }
+    signed
+}
+
+/// Cuts digests down to what a reader can compare.
+fn short(text: &str) -> String {
+    let words = text.split(' ').map(|word| match word.split_once(':') {
+        Some((version, digest)) => format!("{version}:{}", &digest[..digest.len().min(6)]),
+        None => word.to_owned(),
+    });
+    words.collect::<Vec<_>>().join(" ")
+}
+
+#[test]
+fn rolls() {
+    insta::glob!("scenarios/roll/*.txt", |path| {
+        let scenario = std::fs::read_to_string(path).unwrap();
+        let mut table = Table::default();
+        let transcript = script::run(&scenario, |words| table.step(words));
+        insta::assert_snapshot!(transcript);
+    });
+}
+
+#[derive(Default)]
+struct Table {
+    row: Option<(RowVersion, Revision)>,
+    rolls: BTreeMap<String, (Roll, Revision, RowVersion)>,
+}
+
+impl Table {
+    fn step(&mut self, words: &[&str]) -> Vec<String> {
+        match words {
+            ["roll", name, version, digest] => {
+                let revision = Revision {
+                    version: version.parse().unwrap(),
+                    digest: (*digest).to_owned(),
+                };
+                let roll = (Roll::new(revision.clone()), revision, 0);
+                self.rolls.insert((*name).to_owned(), roll);
+                Vec::new()
+            }
+            ["read", name] => {
+                let row = self.row.clone();
+                self.tell(name, |roll| roll.read(row))
+            }
+            ["unread", name] => self.tell(name, Roll::unread),
+            ["unread", name, times] => {
+                let times: usize = times.parse().unwrap();
+                let lines = (0..times).flat_map(|_| self.tell(name, Roll::unread));
+                lines.last().into_iter().collect()
+            }
+            ["commit", name, how @ ..] => self.commit(name, how),
+            ["row"] => vec![format!("{:?}", self.row)],
+            other => panic!("the command {other:?} is unknown"),
+        }
+    }
+
+    fn commit(&mut self, name: &str, how: &[&str]) -> Vec<String> {
+        let (_, revision, expected) = self.rolls[name].clone();
+        let version = self.row.as_ref().map_or(0, |(version, _)| *version);
+        let answer = match how {
+            ["dropped"] => Answer::Lost,
+            _ if version != expected => Answer::Changed,
+            _ => {
+                self.row = Some((version + 1, revision));
+                if how.is_empty() {
+                    Answer::Applied
+                } else {
+                    Answer::Lost
+                }
+            }
+        };
+        self.tell(name, |roll| roll.answer(answer))
+    }
+
+    fn tell(&mut self, name: &str, action: impl FnOnce(&mut Roll) -> Step) -> Vec<String> {
+        let (roll, _, expected) = self.rolls.get_mut(name).unwrap();
+        let step = action(roll);
+        if let Step::Commit(version) = step {
+            *expected = version;
+        }
+        vec![match step {
+            Step::End(End::Superseded(by)) => format!("Superseded by {by}"),
+            step => format!("{step:?}"),
+        }]
+    }
+}
+
+#[test]
+fn differences() {
+    let before = Bundle::parse(&text(1, "")).unwrap();
+    let after = text(2, "")
+        .replace("ledger-1", "ledger-2")
+        .replace("500ms", "1s");
+    let after = Bundle::parse(&after).unwrap();
+    let mut limits = before.clone();
+    limits.groups[0].servers[0].connections = 5;
+    let list = |before: Option<&Bundle>, after: &Bundle| {
+        let changes = change::changes(before, after);
+        let lines = changes.iter().map(ToString::to_string);
+        lines.collect::<Vec<_>>()
+    };
+    insta::assert_debug_snapshot!((
+        list(None, &before),
+        list(Some(&before), &after),
+        list(Some(&before), &limits),
+        list(Some(&before), &before),
+    ));
+}
+
+#[test_case("node-1", 0, "ann" => Ok("ann".to_owned()); "at once")]
+#[test_case("node-1", 61, "ann" => Err(order::Error::Untimely); "too late")]
+#[test_case("node-1", -61, "ann" => Err(order::Error::Untimely); "from the future")]
+#[test_case("node-1", 1000, "ann" => Err(order::Error::Untimely); "before the node started")]
+#[test_case("node-2", 0, "ann" => Err(order::Error::OtherNode("node-2".to_owned())); "for another node")]
+#[test_case("node-1", 0, "eve" => Err(order::Error::NotSigned); "by a stranger")]
+fn orders(node: &str, age: i64, signer: &str) -> Result<String, order::Error> {
+    let now = SystemTime::UNIX_EPOCH + Duration::from_hours(1);
+    let distance = Duration::from_secs(age.unsigned_abs());
+    let issued = if age < 0 {
+        now + distance
+    } else {
+        now - distance
+    };
+    let order = Order {
+        node: node.into(),
+        issued,
+    };
+    let trust = Trust::new(operators(&["ann"]), &[], 1).unwrap();
+    let started = now - Duration::from_mins(10);
+    Order::check(
+        &order.sign(&key(signer)),
+        &trust,
+        &"node-1".into(),
+        started,
+        now,
+    )
+}
+
+#[test]
+fn a_users_verifier_is_never_shown() {
+    let bundle = Bundle::parse(&text(1, "")).unwrap();
+    let shown = format!("{bundle:?} {:?}", bundle.users[0].verifier());
+    assert!(!shown.contains("c3RvcmVk"), "{shown}");
+    assert!(!shown.contains("c2VydmVy"), "{shown}");
+}
--- /dev/null
+++ b/crates/agateport-domain/tests/bundle_properties.rs
@@ -0,0 +1,249 @@
+//! What holds of bundles whatever is lost, cut off or restarted.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a model that can't go on fails the test"
+)]
+
+use agateport_domain::bundle::force::judge;
+use agateport_domain::bundle::roll::{Answer, End, RowVersion, Step};
+use agateport_domain::bundle::{Bundle, Order, Revision, Roll, Trust, Verdict};
+use agateport_domain::bundle::{Operator, Signed};
+use agateport_domain::prelude::*;
+use ed25519_dalek::SigningKey;
+use proptest::collection::vec;
+use proptest::prelude::*;
+
+const NODES: usize = 5;
+const OPERATORS: usize = 2;
+
+/// One thing that happens.
+#[derive(Clone, Copy, Debug)]
+enum Event {
+    /// An operator starts to roll a version.
+    Roll(usize, BundleVersion),
+    /// It reads the row, or gets no answer.
+    Read(usize, bool),
+    /// Its change arrives, or not; the answer arrives, or not.
+    Commit(usize, bool, bool),
+    /// A change sent earlier arrives only now.
+    Delayed(usize),
+    /// A node reads the row as it was that many changes ago.
+    Fetch(usize, usize),
+    /// Two nodes exchange bundles; the second part may be cut off.
+    Exchange(usize, usize, bool),
+    /// A node restarts and knows nothing.
+    Restart(usize),
+}
+
+impl From<u32> for Event {
+    /// Takes an event from the digits of a number.
+    fn from(number: u32) -> Self {
+        let mut rest = usize::try_from(number).unwrap();
+        let mut digit = |base: usize| {
+            let digit = rest % base;
+            rest /= base;
+            digit
+        };
+        match digit(7) {
+            0 => Self::Roll(digit(OPERATORS), 1 + digit(5) as BundleVersion),
+            1 => Self::Read(digit(OPERATORS), digit(2) == 0),
+            2 => Self::Commit(digit(OPERATORS), digit(2) == 0, digit(2) == 0),
+            3 => Self::Delayed(digit(OPERATORS)),
+            4 => Self::Fetch(digit(NODES), digit(3)),
+            5 => Self::Exchange(digit(NODES), digit(NODES), digit(2) == 0),
+            _ => Self::Restart(digit(NODES)),
+        }
+    }
+}
+
+#[derive(Default)]
+struct Operating {
+    roll: Option<(Roll, Revision)>,
+    due: Option<Step>,
+    /// A change that may still arrive.
+    late: Option<(RowVersion, Revision)>,
+    rolls: u64,
+}
+
+#[derive(Default)]
+struct World {
+    rows: Vec<Revision>,
+    nodes: [Option<Revision>; NODES],
+    operators: [Operating; OPERATORS],
+}
+
+impl World {
+    fn row(&self) -> Option<(RowVersion, Revision)> {
+        let version = RowVersion::try_from(self.rows.len()).unwrap();
+        Some((version, self.rows.last()?.clone()))
+    }
+
+    fn apply(&mut self, expected: RowVersion, revision: &Revision) -> bool {
+        if RowVersion::try_from(self.rows.len()).unwrap() != expected {
+            return false;
+        }
+        self.rows.push(revision.clone());
+        true
+    }
+
+    fn take(&mut self, node: usize, offered: Option<Revision>) {
+        let Some(offered) = offered else { return };
+        if judge(self.nodes[node].as_ref(), &offered) == Verdict::Raise {
+            self.nodes[node] = Some(offered);
+        }
+    }
+
+    fn happen(&mut self, event: Event) {
+        match event {
+            Event::Roll(one, version) => {
+                let operator = &mut self.operators[one];
+                operator.rolls += 1;
+                let digest = format!("{one}-{}", operator.rolls % 2);
+                let revision = Revision { version, digest };
+                operator.roll = Some((Roll::new(revision.clone()), revision));
+                operator.due = Some(Step::Read);
+            }
+            Event::Read(one, is_lost) => self.read(one, is_lost),
+            Event::Commit(one, arrives, answered) => self.commit(one, arrives, answered),
+            Event::Delayed(one) => {
+                if let Some((expected, revision)) = self.operators[one].late.take() {
+                    self.apply(expected, &revision);
+                }
+            }
+            Event::Fetch(node, ago) => {
+                let known = self.rows.len().checked_sub(ago + 1);
+                self.take(node, known.map(|index| self.rows[index].clone()));
+            }
+            Event::Exchange(one, other, is_cut) => {
+                let (mine, theirs) = (self.nodes[one].clone(), self.nodes[other].clone());
+                self.take(other, mine);
+                if !is_cut {
+                    self.take(one, theirs);
+                }
+            }
+            Event::Restart(node) => self.nodes[node] = None,
+        }
+    }
+
+    fn read(&mut self, one: usize, is_lost: bool) {
+        let row = self.row();
+        let operator = &mut self.operators[one];
+        if let (Some(Step::Read), Some((roll, _))) = (&operator.due, &mut operator.roll) {
+            let step = if is_lost {
+                roll.unread()
+            } else {
+                roll.read(row)
+            };
+            operator.due = Some(step);
+            self.check_end(one);
+        }
+    }
+
+    fn commit(&mut self, one: usize, arrives: bool, answered: bool) {
+        let operator = &self.operators[one];
+        let (Some(Step::Commit(expected)), Some((_, revision))) = (&operator.due, &operator.roll)
+        else {
+            return;
+        };
+        let (expected, revision) = (*expected, revision.clone());
+        let answer = match (
+            arrives && self.apply(expected, &revision),
+            arrives,
+            answered,
+        ) {
+            (true, _, true) => Answer::Applied,
+            (false, true, true) => Answer::Changed,
+            _ => Answer::Lost,
+        };
+        let operator = &mut self.operators[one];
+        if !arrives {
+            operator.late = Some((expected, revision));
+        }
+        if let Some((roll, _)) = &mut operator.roll {
+            operator.due = Some(roll.answer(answer));
+        }
+        self.check_end(one);
+    }
+
+    /// An operator is told the truth.
+    fn check_end(&self, one: usize) {
+        let operator = &self.operators[one];
+        let (Some(Step::End(end)), Some((_, revision))) = (&operator.due, &operator.roll) else {
+            return;
+        };
+        match end {
+            End::InForce | End::Repeated => assert!(self.rows.contains(revision)),
+            End::Superseded(other) => {
+                assert!(self.rows.contains(other));
+                assert!(other.version >= revision.version && other != revision);
+            }
+            End::Unread | End::Unsettled => {}
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 10_000,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn versions_never_go_down_and_every_accepted_one_spreads(numbers in vec(any::<u32>(), 1..60)) {
+        let mut world = World::default();
+        for event in numbers.into_iter().map(Event::from) {
+            let before = world.nodes.clone();
+            world.happen(event);
+            for (node, before) in before.iter().enumerate() {
+                let is_restart = matches!(event, Event::Restart(one) if one == node);
+                let version = |one: &Option<Revision>| one.as_ref().map(|one| one.version);
+                prop_assert!(is_restart || version(before) <= version(&world.nodes[node]));
+                let is_replaced = version(before) == version(&world.nodes[node])
+                    && *before != world.nodes[node];
+                prop_assert!(!is_replaced);
+            }
+            let versions = world.rows.iter().map(|row| row.version);
+            prop_assert!(versions.is_sorted_by(|one, next| one < next));
+        }
+        // One node reads the platform, and all exchange once around the ring.
+        world.happen(Event::Fetch(0, 0));
+        for node in 0..NODES {
+            world.happen(Event::Exchange(node, (node + 1) % NODES, false));
+        }
+        let in_force = world.rows.last();
+        for node in &world.nodes {
+            prop_assert_eq!(node.as_ref(), in_force);
+        }
+    }
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 256,
+        rng_seed: proptest::test_runner::RngSeed::Fixed(7),
+        failure_persistence: None,
+        ..ProptestConfig::default()
+    })]
+
+    #[test]
+    fn no_text_breaks_the_parser(text in "(version = 1\n|default_priority = \"a\"\n|\\[\\[group\\]\\]\n|\\[\\[priority\\]\\]\nname = \"a\"\n|name = \"a\"\n|server = \\[\\]\n|target = \"1s\"\n|worth = 1\n|\\[|\\]|=|\"|.){0,12}") {
+        let _ = Bundle::parse(&text);
+        let _ = text.parse::<Revision>();
+    }
+
+    #[test]
+    fn only_signed_texts_are_orders(text in "drain [a-c]{1,2}( [0-9]{1,20})?.{0,3}", key in any::<[u8; 32]>()) {
+        let ann = SigningKey::from_bytes(&[1; 32]);
+        let operator = Operator { name: "ann".to_owned(), key: ann.verifying_key() };
+        let trust = Trust::new(vec![operator], &[], 1).unwrap();
+        let now = SystemTime::now();
+        let signed = Signed::new(text.clone(), &SigningKey::from_bytes(&key));
+        let stranger = Order::check(&signed, &trust, &"a".into(), SystemTime::UNIX_EPOCH, now);
+        prop_assert!(stranger.is_err());
+        let signed = Signed::new(text, &ann);
+        let _ = Order::check(&signed, &trust, &"a".into(), SystemTime::UNIX_EPOCH, now);
+    }
+}
--- a/crates/agateport-node/src/config.rs
+++ b/crates/agateport-node/src/config.rs
@@ -1,6 +1,8 @@
 //! The settings of a node.
 
 use crate::error::Error;
+use agateport_domain::bundle::{Operator, Trust};
+use agateport_domain::membership::{Member, State};
 use agateport_domain::prelude::*;
 use ed25519_dalek::VerifyingKey;
 use serde::{Deserialize, Serialize};
@@ -31,6 +33,31 @@
     pub key: PathBuf,
 }
 
+/// A peer to ask while the platform's list can't be read.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Seed {
+    /// Name of the node.
+    pub name: NodeId,
+    /// Availability zone of its VM.
+    pub zone: Zone,
+    /// Address for peers.
+    pub address: SocketAddr,
+}
+
+impl Seed {
+    /// Returns the peer as a member that is thought to be live.
+    #[must_use]
+    pub fn member(&self) -> Member {
+        Member {
+            name: self.name.clone(),
+            zone: self.zone.clone(),
+            address: self.address,
+            state: State::Live,
+        }
+    }
+}
+
 /// The settings of a node.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -51,6 +78,15 @@
     pub statsd: Option<SocketAddr>,
     /// Files with the public keys of the operators, in hexadecimal.
     pub operators: Vec<PathBuf>,
+    /// Files with public keys whose signatures no longer count.
+    #[serde(default)]
+    pub revoked: Vec<PathBuf>,
+    /// Number of operators who must have signed a bundle.
+    #[serde(default = "default_threshold")]
+    pub threshold: usize,
+    /// Peers to ask while the platform's list can't be read.
+    #[serde(default, rename = "seed")]
+    pub seeds: Vec<Seed>,
     /// How servers are shared among the nodes.
     #[serde(default)]
     pub sharing: Sharing,
@@ -64,6 +100,13 @@
 /// Time that requests get to finish when the settings don't say.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(10);
 
+/// Number of signatures that a bundle needs when the settings don't say.
+const DEFAULT_THRESHOLD: usize = 1;
+
+fn default_threshold() -> usize {
+    DEFAULT_THRESHOLD
+}
+
 fn default_drain() -> Duration {
     DEFAULT_DRAIN
 }
@@ -81,26 +124,38 @@
         })?;
         let config: Self =
             toml::from_str(&text).map_err(|error| Error::settings(path, &text, &error))?;
-        config.operator_keys()?;
+        config.trust()?;
         Ok(config)
     }
 
-    /// Returns the operators' public keys.
+    /// Returns the operators whose signatures count.
     ///
     /// # Errors
     ///
-    /// [`Error`] if a file can't be read or isn't a key.
-    pub fn operator_keys(&self) -> Result<Vec<VerifyingKey>, Error> {
-        let keys = self.operators.iter().map(|path| {
-            let wrong = || Error::OperatorKey(path.clone());
-            let text = std::fs::read_to_string(path).map_err(|_| wrong())?;
-            let bytes = decode_hex(text.trim()).ok_or_else(wrong)?;
-            VerifyingKey::from_bytes(&bytes).map_err(|_| wrong())
+    /// [`Error`] if a file can't be read or isn't a key, or the threshold can't
+    /// be reached.
+    pub fn trust(&self) -> Result<Trust, Error> {
+        let operators = self.operators.iter().map(|path| {
+            let name = path.file_stem().unwrap_or_default();
+            Ok(Operator {
+                name: name.to_string_lossy().into_owned(),
+                key: read_key(path)?,
+            })
         });
-        keys.collect()
+        let operators = operators.collect::<Result<Vec<_>, Error>>()?;
+        let revoked = self.revoked.iter().map(|path| read_key(path));
+        let revoked = revoked.collect::<Result<Vec<_>, Error>>()?;
+        Trust::new(operators, &revoked, self.threshold).map_err(Error::Trust)
     }
 }
 
+fn read_key(path: &Path) -> Result<VerifyingKey, Error> {
+    let wrong = || Error::OperatorKey(path.to_owned());
+    let text = std::fs::read_to_string(path).map_err(|_| wrong())?;
+    let bytes = decode_hex(text.trim()).ok_or_else(wrong)?;
+    VerifyingKey::from_bytes(&bytes).map_err(|_| wrong())
+}
+
 impl Display for Config {
     fn fmt(&self, formatter: &mut Formatter<'_>) -> fmt::Result {
         let text = toml::to_string_pretty(self).map_err(|_| fmt::Error)?;
--- /dev/null
+++ b/crates/agateport-node/src/control/bundle/exchange.rs
@@ -0,0 +1,128 @@
+//! Exchanges the bundle in force with peers.
+
+use super::{accepted, force, offer, revision, view};
+use crate::node::Node;
+use agateport_domain::bundle::{Revision, Verdict, spread};
+use agateport_domain::membership::Member;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_wire::Error;
+use agateport_wire::frame::Frame;
+use agateport_wire::link::Exchange;
+use agateport_wire::signed;
+use bytes::Bytes;
+use std::sync::PoisonError;
+use tokio::task::JoinSet;
+use tokio::time::{sleep, timeout};
+
+/// Time after which an exchange with a peer is given up.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Exchanges revisions with one peer in each period.
+pub async fn run<P>(node: Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        for peer in peers(&node, 1) {
+            exchange(&node, &peer).await;
+        }
+        sleep(spread::PERIOD).await;
+    }
+}
+
+/// Tells a few peers at once of each bundle that was just taken over.
+pub async fn announce<P>(node: Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut bundles = node.accepted.subscribe();
+    while bundles.changed().await.is_ok() {
+        let mut exchanges = JoinSet::new();
+        for peer in peers(&node, spread::FANOUT) {
+            let node = Arc::clone(&node);
+            exchanges.spawn(async move { exchange(&node, &peer).await });
+        }
+        exchanges.join_all().await;
+    }
+}
+
+fn peers<P>(node: &Node<P>, count: usize) -> Vec<Member> {
+    let view = view(node);
+    let mut spread = node.spread.lock().unwrap_or_else(PoisonError::into_inner);
+    spread.peers(&view, count)
+}
+
+async fn exchange<P>(node: &Node<P>, peer: &Member)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let result = timeout(TIMEOUT, ask(node, peer)).await;
+    if let Ok(Ok(())) = result {
+        let mut spread = node.spread.lock().unwrap_or_else(PoisonError::into_inner);
+        spread.hear(Instant::now());
+        return;
+    }
+    node.metrics.count("bundle", "peer_unreachable");
+}
+
+async fn ask<P>(node: &Node<P>, peer: &Member) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let connection = node.peers.connection(peer).await?;
+    let mut stream = connection.open().await?;
+    stream.send(Frame::Revision(revision(node))).await?;
+    match stream.receive().await? {
+        Frame::Bundle(bytes) => offer(node, signed::decode(&bytes)?),
+        Frame::Revision(theirs) => {
+            if let Some(bytes) = newer_than(node, theirs.as_ref())? {
+                stream.send(Frame::Bundle(bytes)).await?;
+                stream.receive().await?;
+            }
+        }
+        _ => return Err(Error::Ended),
+    }
+    Ok(())
+}
+
+/// Answers a peer that told its revision.
+///
+/// # Errors
+///
+/// [`Error`] if the peer is gone or sent what isn't due.
+pub async fn answer<P, E>(
+    node: &Node<P>,
+    mut exchange: E,
+    theirs: Option<Revision>,
+) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    if let Some(bytes) = newer_than(node, theirs.as_ref())? {
+        return exchange.send(Frame::Bundle(bytes)).await;
+    }
+    exchange.send(Frame::Revision(revision(node))).await?;
+    let is_wanted = theirs.is_some_and(|theirs| force(node).judge(&theirs) == Verdict::Raise);
+    if !is_wanted {
+        return Ok(());
+    }
+    let Frame::Bundle(bytes) = exchange.receive().await? else {
+        return Err(Error::Ended);
+    };
+    offer(node, signed::decode(&bytes)?);
+    exchange.send(Frame::Revision(revision(node))).await
+}
+
+/// Returns the bundle in force, encoded, if it is newer than `theirs`.
+fn newer_than<P>(node: &Node<P>, theirs: Option<&Revision>) -> Result<Option<Bytes>, Error> {
+    let Some(accepted) = accepted(node) else {
+        return Ok(None);
+    };
+    let is_newer = theirs.is_none_or(|theirs| theirs.version < accepted.revision.version);
+    if !is_newer {
+        return Ok(None);
+    }
+    Ok(Some(signed::encode(&accepted.signed)?.into()))
+}
--- /dev/null
+++ b/crates/agateport-node/src/control/bundle/mod.rs
@@ -0,0 +1,83 @@
+//! Keeps the bundle in force: reads it from the platform, exchanges it with
+//! peers, and goes by it.
+
+mod apply;
+mod exchange;
+mod read;
+
+pub use exchange::answer;
+
+use crate::node::Node;
+use agateport_domain::bundle::{Accepted, Force, Revision, Signed, Verdict};
+use agateport_domain::membership::View;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use std::sync::{MutexGuard, PoisonError};
+
+/// Starts the tasks; they end when the node does.
+pub fn start<P>(node: &Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let stopping = &node.stopping;
+    let reading = read::run(Arc::clone(node));
+    tokio::spawn(stopping.clone().run_until_cancelled_owned(reading));
+    let gossiping = exchange::run(Arc::clone(node));
+    tokio::spawn(stopping.clone().run_until_cancelled_owned(gossiping));
+    let announcing = exchange::announce(Arc::clone(node));
+    tokio::spawn(stopping.clone().run_until_cancelled_owned(announcing));
+    let applying = apply::run(Arc::clone(node));
+    tokio::spawn(stopping.clone().run_until_cancelled_owned(applying));
+}
+
+/// Locks what is known of the bundle in force.
+pub fn force<P>(node: &Node<P>) -> MutexGuard<'_, Force> {
+    node.force.lock().unwrap_or_else(PoisonError::into_inner)
+}
+
+/// Returns a copy of the view, so that no two locks are held at once.
+fn view<P>(node: &Node<P>) -> View {
+    let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+    view.clone()
+}
+
+/// Returns the bundle in force with its signatures.
+fn accepted<P>(node: &Node<P>) -> Option<Accepted> {
+    force(node).accepted().cloned()
+}
+
+/// Returns the revision in force.
+fn revision<P>(node: &Node<P>) -> Option<Revision> {
+    force(node).revision().cloned()
+}
+
+/// Takes a bundle over if it is signed and higher than the one in force.
+fn offer<P>(node: &Node<P>, signed: Signed)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let (result, accepted) = {
+        let mut force = force(node);
+        let result = force.offer(signed, &node.trust);
+        (result, force.accepted().cloned())
+    };
+    match result {
+        Ok(Verdict::Raise) => {
+            node.metrics.count("bundle", "accepted");
+            // Two offers may get here in either order.
+            node.accepted.send_if_modified(|known| {
+                let is_higher = accepted.as_ref().map(|one| &one.revision)
+                    > known.as_ref().map(|one| &one.revision);
+                if is_higher {
+                    *known = accepted;
+                }
+                is_higher
+            });
+        }
+        Ok(_) => node.metrics.count("bundle", "known"),
+        Err(error) => {
+            node.metrics.count("bundle", "rejected");
+            tracing::warn!(%error, "a bundle is not taken over");
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/src/control/bundle/read.rs
@@ -0,0 +1,87 @@
+//! Reads the bundle in force from the platform, if that is this node's part.
+
+use super::{force, offer, view};
+use crate::node::Node;
+use agateport_domain::bundle::{Error, Revision, Verdict};
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_wire::platform::{self, IN_FORCE, bundle_object};
+use agateport_wire::signed;
+use std::sync::PoisonError;
+use tokio::time::sleep;
+
+/// Interval between two looks at the platform.
+const INTERVAL: Duration = Duration::from_millis(500);
+
+/// Reads the platform again and again while that is this node's part.
+pub async fn run<P>(node: Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        if is_reader(&node)
+            && let Err(error) = read(&node).await
+        {
+            node.metrics.count("bundle", "platform_unavailable");
+            tracing::debug!(%error, "the bundle can't be read");
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
+fn is_reader<P>(node: &Node<P>) -> bool
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let view = view(node);
+    let spread = node.spread.lock().unwrap_or_else(PoisonError::into_inner);
+    spread.is_reader(&view, Instant::now())
+}
+
+async fn read<P>(node: &Node<P>) -> Result<(), platform::Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    node.metrics.count("bundle", "platform_reads");
+    let Some(row) = node.platform.row(IN_FORCE).await? else {
+        return Ok(());
+    };
+    let revision = match row.value.parse::<Revision>() {
+        Ok(revision) => revision,
+        Err(error) => {
+            force(node).reject(None, &error);
+            return Ok(());
+        }
+    };
+    match judge(node, &revision) {
+        Verdict::Raise => {}
+        Verdict::Keep | Verdict::Conflict => return Ok(()),
+        Verdict::Outdated => {
+            node.metrics.count("bundle", "platform_outdated");
+            return Ok(());
+        }
+    }
+    let Some(bytes) = node.platform.object(&bundle_object(&revision)).await? else {
+        node.metrics.count("bundle", "object_missing");
+        return Ok(());
+    };
+    match signed::decode(&bytes) {
+        Ok(signed) => offer(node, signed),
+        Err(error) => tracing::warn!(%error, %revision, "the object is no signed bundle"),
+    }
+    Ok(())
+}
+
+/// Decides about a revision, and keeps a contradiction for the status.
+fn judge<P>(node: &Node<P>, offered: &Revision) -> Verdict {
+    let mut force = force(node);
+    let verdict = force.judge(offered);
+    if let (Verdict::Conflict, Some(in_force)) = (verdict, force.revision().cloned()) {
+        let error = Error::Conflict {
+            in_force,
+            offered: offered.clone(),
+        };
+        force.reject(Some(offered.clone()), &error);
+    }
+    verdict
+}
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -19,7 +19,7 @@
     P: Policy + Send + Sync + 'static,
 {
     tokio::spawn(membership::run(Arc::clone(node)));
-    tokio::spawn(bundle::run(Arc::clone(node)));
+    bundle::start(node);
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
 }
@@ -34,7 +34,12 @@
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    // No frame for control is known yet, so the peer is of another version.
-    tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
-    exchange.send(Frame::Unsupported).await
+    match first {
+        Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        first => {
+            // The peer is of another version.
+            tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
+            exchange.send(Frame::Unsupported).await
+        }
+    }
 }
--- a/crates/agateport-node/src/error.rs
+++ b/crates/agateport-node/src/error.rs
@@ -39,6 +39,9 @@
     /// An operator's key isn't one.
     #[error("the file {0} holds no public key of 64 hexadecimal digits")]
     OperatorKey(PathBuf),
+    /// The number of signatures can't be reached.
+    #[error("the threshold of signatures is wrong")]
+    Trust(#[source] agateport_domain::bundle::Error),
     /// An address is taken.
     #[error("the address {address} can't be used")]
     Bind {
--- a/crates/agateport-node/src/exit_codes.rs
+++ b/crates/agateport-node/src/exit_codes.rs
@@ -23,9 +23,10 @@
     fn from(error: &Error) -> Self {
         match error {
             Error::CommandLine(_) | Error::NoSettings => Self::Usage,
-            Error::OperatorKey(_) | Error::Settings { .. } | Error::SettingsFile { .. } => {
-                Self::Settings
-            }
+            Error::OperatorKey(_)
+            | Error::Settings { .. }
+            | Error::SettingsFile { .. }
+            | Error::Trust(_) => Self::Settings,
             Error::Bind { .. } | Error::Peers(_) => Self::Address,
             Error::Identity(_) => Self::Certificate,
             Error::Io(_) | Error::Platform(_) => Self::Failure,
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -1,13 +1,13 @@
 //! One node: the state that its tasks share, its start and its end.
 
-use crate::config::Config;
+use crate::config::{Config, Seed};
 use crate::control;
 use crate::error::Error;
 use crate::frontend;
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
-use agateport_domain::bundle::Bundle;
+use agateport_domain::bundle::{Accepted, Bundle, Force, Spread, Trust};
 use agateport_domain::group::Group;
 use agateport_domain::membership::View;
 use agateport_domain::owner::Policy;
@@ -16,6 +16,8 @@
 use agateport_wire::peer::Endpoint;
 use agateport_wire::platform::Platform;
 use agateport_wire::tls::Identity;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -36,7 +38,15 @@
     pub platform: Platform,
     /// Connections to peers.
     pub peers: Peers,
-    /// Bundle in force; none until the first is known.
+    /// Operators whose signatures count.
+    pub trust: Trust,
+    /// What is known of the bundle in force.
+    pub force: Mutex<Force>,
+    /// This node's part in spreading bundles.
+    pub spread: Mutex<Spread>,
+    /// Last bundle taken over; none until the first is known.
+    pub accepted: watch::Sender<Option<Accepted>>,
+    /// Bundle that the node goes by; none until the first is known.
     pub bundle: watch::Sender<Option<Arc<Bundle>>>,
     /// What is known of the other nodes.
     pub view: Mutex<View>,
@@ -77,10 +87,22 @@
             peers: endpoint.address().map_err(Error::Peers)?,
             admin: admin.local_addr()?,
         };
+        let seeds = config.seeds.iter().map(Seed::member).collect();
+        let spread = Spread::new(
+            config.name.clone(),
+            config.zone.clone(),
+            seeds,
+            Pcg64Mcg::from_rng(&mut rand::rng()),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
             peers: Peers::new(endpoint),
+            trust: config.trust()?,
+            force: Mutex::default(),
+            spread: Mutex::new(spread),
+            accepted: watch::Sender::new(None),
             bundle: watch::Sender::new(None),
             view: Mutex::default(),
             groups: Sharded::new(),
--- a/crates/agateport-wire/src/error.rs
+++ b/crates/agateport-wire/src/error.rs
@@ -39,6 +39,12 @@
     /// The other side closed the connection in the middle of an exchange.
     #[error("the connection ended in the middle of an exchange")]
     Ended,
+    /// Bytes hold no signed text, or one that is too long.
+    #[error("the bytes are no signed text")]
+    Signed,
+    /// A peer's certificate doesn't name it.
+    #[error("the certificate of the peer at {0} names no node")]
+    Unnamed(SocketAddr),
     /// Certificates or keys can't be used.
     #[error("the certificates can't be used")]
     Tls(#[from] rustls::Error),
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -1,6 +1,8 @@
 //! The messages between nodes.
 
 use crate::Error;
+use agateport_domain::bundle::Revision;
+use agateport_domain::id::NodeId;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -45,6 +47,12 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+    /// The revision of the bundle in force at the sender; none if it has none.
+    Revision(Option<Revision>),
+    /// A signed bundle, as `signed` encodes it.
+    Bundle(Bytes),
+    /// The sender takes no new work from now on.
+    Leaving(NodeId),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
--- a/crates/agateport-wire/src/platform.rs
+++ b/crates/agateport-wire/src/platform.rs
@@ -1,5 +1,6 @@
 //! The platform's table service, object store and list of VMs, over HTTP.
 
+use agateport_domain::bundle::Revision;
 use reqwest::{Client, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -8,6 +9,15 @@
 /// Time after which an answer of the platform is given up.
 const TIMEOUT: Duration = Duration::from_secs(2);
 
+/// Key of the row that tells the revision of the bundle in force.
+pub const IN_FORCE: &str = "bundle";
+
+/// Returns the key of the object that holds a signed bundle.
+#[must_use]
+pub fn bundle_object(revision: &Revision) -> String {
+    format!("bundle/{}", revision.digest)
+}
+
 /// Version of a row; zero stands for a row that isn't there.
 pub type RowVersion = u64;
 
