--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -23,7 +23,7 @@
     P: Policy + Send + Sync + 'static,
 {
     tokio::spawn(membership::run(Arc::clone(node)));
-    tokio::spawn(bundle::run(Arc::clone(node)));
+    bundle::start(node);
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
@@ -39,11 +39,16 @@
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    if let Frame::Suspect(group, server) = &first {
-        let verdict = suspicion::judge(node, group, server).await;
-        return exchange.send(Frame::Verdict(verdict)).await;
+    match first {
+        Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        Frame::Suspect(group, server) => {
+            let verdict = suspicion::judge(node, &group, &server).await;
+            exchange.send(Frame::Verdict(verdict)).await
+        }
+        first => {
+            // The peer is of another version.
+            tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
+            exchange.send(Frame::Unsupported).await
+        }
     }
-    // The peer is of another version.
-    tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
-    exchange.send(Frame::Unsupported).await
 }
