--- /dev/null
+++ b/crates/agateport-domain/src/admission/circuit.rs
@@ -0,0 +1,57 @@
+//! Keeps requests from an upstream server that doesn't answer.
+
+use std::time::{Duration, Instant};
+
+/// Failures in a row after which a server gets no more requests.
+const FAILURES: u32 = 3;
+
+/// Time until the first probe.
+const FIRST_DELAY: Duration = Duration::from_millis(250);
+
+/// Longest time until the next probe.
+const MAXIMUM_DELAY: Duration = Duration::from_secs(4);
+
+/// A circuit of one server: closed while it answers, open while it doesn't,
+/// with one probe now and then.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Circuit {
+    failures: u32,
+    probe_at: Option<Instant>,
+}
+
+impl Circuit {
+    /// Tells whether a request may go to the server.
+    ///
+    /// # Errors
+    ///
+    /// The time until the next probe if it may not.
+    pub fn allow(&mut self, now: Instant) -> Result<(), Duration> {
+        let Some(probe_at) = self.probe_at else {
+            return Ok(());
+        };
+        if now < probe_at {
+            return Err(probe_at - now);
+        }
+        // This request is the probe; others wait for what becomes of it.
+        self.probe_at = Some(now + self.delay());
+        Ok(())
+    }
+
+    /// Records that the server answered.
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records that the server didn't answer.
+    pub fn fail(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILURES {
+            self.probe_at = Some(now + self.delay());
+        }
+    }
+
+    fn delay(&self) -> Duration {
+        let doublings = self.failures.saturating_sub(FAILURES).min(4);
+        (FIRST_DELAY * 2u32.pow(doublings)).min(MAXIMUM_DELAY)
+    }
+}
--- a/crates/agateport-domain/src/admission/error.rs
+++ b/crates/agateport-domain/src/admission/error.rs
@@ -2,7 +2,13 @@
 
 use thiserror::Error;
 
-/// A queue without slots.
+/// Limits that no queue can keep.
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
-#[error("a queue needs at least one slot")]
-pub struct Error;
+pub enum Error {
+    /// Nothing could ever run.
+    #[error("a queue needs at least one slot and one connection")]
+    NoSlot,
+    /// More than the whole is promised.
+    #[error("the minimum shares add up to {0} percent")]
+    Shares(u32),
+}
--- a/crates/agateport-domain/src/admission/mod.rs
+++ b/crates/agateport-domain/src/admission/mod.rs
@@ -1,36 +1,54 @@
 //! The queue of one upstream server, at its owner.
+//!
+//! A free slot goes first to a transaction that is already open, then to a
+//! priority that has had less than its minimum share, then to the priority with
+//! the highest worth for each slot-second. Within a priority the callers take
+//! turns, and each caller's requests keep their order.
 
+mod circuit;
 mod error;
+mod estimate;
+mod gate;
+mod limit;
+mod queue;
+mod rank;
 
+pub use circuit::Circuit;
 pub use error::Error;
+pub use estimate::Estimate;
+pub use gate::Gate;
+pub use limit::Limit;
+pub use queue::Queue;
 
-use crate::id::RequestId;
-use crate::request::{Reason, Refusal};
-use std::cmp::Reverse;
-use std::collections::{BTreeMap, BTreeSet};
-use std::time::Instant;
-
-/// Worth of a rank of work; a higher one goes first.
-pub type Worth = u32;
+use crate::id::{CallerId, PriorityId, RequestId};
+use crate::request::Refusal;
+use std::time::{Duration, Instant};
 
 /// A request that asks for a slot.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Ticket {
     /// Number of the request at this owner.
     pub request: RequestId,
-    /// Worth of its rank.
-    pub worth: Worth,
+    /// Rank of the work.
+    pub priority: PriorityId,
+    /// Who asks.
+    pub caller: CallerId,
     /// When its answer is due.
     pub due: Instant,
 }
 
 /// What became of a request that asked for a slot.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Offer {
     /// It has its slot.
     Started,
-    /// It waits.
-    Queued,
+    /// It waits; another one was refused in its place, if any is named.
+    Queued {
+        /// When the target can no longer be met.
+        latest_start: Instant,
+        /// The request that made room.
+        evicted: Option<(RequestId, Refusal)>,
+    },
 }
 
 /// What the queue decides about a waiting request.
@@ -42,72 +60,14 @@
     Refuse(RequestId, Refusal),
 }
 
-/// The queue of one upstream server.
-#[derive(Debug)]
-pub struct Queue {
-    slots: usize,
-    capacity: usize,
-    running: BTreeSet<RequestId>,
-    waiting: BTreeMap<(Reverse<Worth>, Instant, RequestId), Ticket>,
+/// A part of an upstream server that one node may use.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Share {
+    /// Statements at once.
+    pub slots: usize,
+    /// Connections at once.
+    pub connections: usize,
 }
 
-impl Queue {
-    /// Creates an empty queue over `slots` slots that holds at most `capacity`
-    /// waiting requests.
-    ///
-    /// # Errors
-    ///
-    /// [`Error`] if there is no slot.
-    pub fn new(slots: usize, capacity: usize) -> Result<Self, Error> {
-        if slots == 0 {
-            return Err(Error);
-        }
-        Ok(Self {
-            slots,
-            capacity,
-            running: BTreeSet::new(),
-            waiting: BTreeMap::new(),
-        })
-    }
-
-    /// Takes a request in.
-    ///
-    /// # Errors
-    ///
-    /// A [`Refusal`] if the queue is full.
-    pub fn offer(&mut self, ticket: Ticket) -> Result<Offer, Refusal> {
-        if self.running.len() < self.slots {
-            self.running.insert(ticket.request);
-            return Ok(Offer::Started);
-        }
-        if self.waiting.len() >= self.capacity {
-            return Err(Reason::QueueFull.into());
-        }
-        let place = (Reverse(ticket.worth), ticket.due, ticket.request);
-        self.waiting.insert(place, ticket);
-        Ok(Offer::Queued)
-    }
-
-    /// Gives the slot of a finished request back, or forgets a waiting one.
-    pub fn finish(&mut self, request: RequestId) {
-        if !self.running.remove(&request) {
-            self.waiting.retain(|_, ticket| ticket.request != request);
-        }
-    }
-
-    /// Decides about the next waiting request, if there is anything to decide.
-    pub fn next(&mut self, now: Instant) -> Option<Decision> {
-        if self.running.len() >= self.slots {
-            return None;
-        }
-        let (_, ticket) = self.waiting.pop_first()?;
-        if ticket.due <= now {
-            return Some(Decision::Refuse(
-                ticket.request,
-                Reason::TargetMissed.into(),
-            ));
-        }
-        self.running.insert(ticket.request);
-        Some(Decision::Start(ticket.request))
-    }
-}
+/// Shortest time that a refused caller is told to wait.
+const MINIMUM_RETRY: Duration = Duration::from_millis(50);
--- /dev/null
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -0,0 +1,325 @@
+//! Who gets the next slot.
+
+use super::rank::Rank;
+use super::{Decision, Error, Limit, MINIMUM_RETRY, Offer, Share, Ticket};
+use crate::bundle::Priority;
+use crate::id::{PriorityId, RequestId};
+use crate::request::{Reason, Refusal};
+use std::collections::{BTreeMap, VecDeque};
+use std::time::{Duration, Instant};
+
+/// A request that holds a slot.
+#[derive(Debug)]
+struct Running {
+    priority: PriorityId,
+    since: Instant,
+    /// Slot-seconds that were charged when it started.
+    charged: f64,
+}
+
+/// The queue of one upstream server.
+#[derive(Debug)]
+pub struct Queue {
+    limit: Limit,
+    connections: usize,
+    capacity: usize,
+    ranks: BTreeMap<PriorityId, Rank>,
+    running: BTreeMap<RequestId, Running>,
+    /// Open transactions between two statements: a connection without a slot.
+    paused: BTreeMap<RequestId, PriorityId>,
+    /// Open transactions that wait for a slot again.
+    resuming: VecDeque<RequestId>,
+    granted: Instant,
+}
+
+impl Queue {
+    /// Creates an empty queue that holds at most `capacity` waiting requests of
+    /// each priority.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no slot or connection, or if the minimum shares
+    /// are more than the whole.
+    pub fn new(
+        share: Share,
+        capacity: usize,
+        priorities: &[Priority],
+        now: Instant,
+    ) -> Result<Self, Error> {
+        if share.slots == 0 || share.connections == 0 {
+            return Err(Error::NoSlot);
+        }
+        let total = priorities.iter().map(|one| one.minimum_share).sum();
+        if total > 100 {
+            return Err(Error::Shares(total));
+        }
+        let ranks = priorities
+            .iter()
+            .map(|priority| (priority.name.clone(), Rank::new(priority)));
+        Ok(Self {
+            limit: Limit::new(share.slots),
+            connections: share.connections,
+            capacity,
+            ranks: ranks.collect(),
+            running: BTreeMap::new(),
+            paused: BTreeMap::new(),
+            resuming: VecDeque::new(),
+            granted: now,
+        })
+    }
+
+    /// Takes a request in.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the target can't be met, the queue is full, or the
+    /// priority isn't known.
+    pub fn offer(&mut self, ticket: Ticket, now: Instant) -> Result<Offer, Refusal> {
+        self.grant(now);
+        let rank = self
+            .ranks
+            .get(&ticket.priority)
+            .ok_or(Reason::UnknownPriority)?;
+        let held = rank.held.high();
+        if self.is_idle() && self.has_room() {
+            if now + rank.held.mean() > ticket.due {
+                return Err(refuse(Reason::TargetMissed, held));
+            }
+            self.start(ticket.request, ticket.priority, now);
+            return Ok(Offer::Started);
+        }
+        let wait = self.wait(&ticket);
+        if now + wait + held > ticket.due {
+            return Err(refuse(Reason::TargetMissed, wait));
+        }
+        let latest_start = ticket.due.checked_sub(held).unwrap_or(now);
+        let capacity = self.capacity;
+        let rank = self
+            .ranks
+            .get_mut(&ticket.priority)
+            .ok_or(Reason::UnknownPriority)?;
+        let mut evicted = None;
+        if rank.len() >= capacity {
+            let full = refuse(Reason::QueueFull, wait);
+            let last = rank.evict_for(&ticket.caller).ok_or(full)?;
+            evicted = Some((last.request, full));
+        }
+        rank.push(ticket);
+        Ok(Offer::Queued {
+            latest_start,
+            evicted,
+        })
+    }
+
+    /// Gives the slot and the connection of a request back, or forgets a
+    /// waiting one.
+    pub fn finish(&mut self, request: RequestId, now: Instant) {
+        self.grant(now);
+        if self.release(request, now).is_some() || self.paused.remove(&request).is_some() {
+            self.resuming.retain(|one| *one != request);
+            return;
+        }
+        for rank in self.ranks.values_mut() {
+            if rank.remove(request) {
+                return;
+            }
+        }
+    }
+
+    /// Gives the slot of an open transaction back until its next statement.
+    pub fn pause(&mut self, request: RequestId, now: Instant) {
+        self.grant(now);
+        if let Some(priority) = self.release(request, now) {
+            self.paused.insert(request, priority);
+        }
+    }
+
+    /// Asks for a slot for the next statement of an open transaction; true if
+    /// it has it at once. It is never refused: it may hold locks.
+    pub fn resume(&mut self, request: RequestId, now: Instant) -> bool {
+        self.grant(now);
+        if self.running.len() < self.limit.slots() && self.resuming.is_empty() {
+            if let Some(priority) = self.paused.remove(&request) {
+                self.start(request, priority, now);
+            }
+            return true;
+        }
+        self.resuming.push_back(request);
+        false
+    }
+
+    /// Decides about the next waiting request, if there is anything to decide.
+    pub fn next(&mut self, now: Instant) -> Option<Decision> {
+        self.grant(now);
+        if self.running.len() >= self.limit.slots() {
+            return None;
+        }
+        while let Some(request) = self.resuming.pop_front() {
+            if let Some(priority) = self.paused.remove(&request) {
+                self.start(request, priority, now);
+                return Some(Decision::Start(request));
+            }
+        }
+        if !self.has_room() {
+            return None;
+        }
+        let priority = self.choose()?;
+        let rank = self.ranks.get_mut(&priority)?;
+        let ticket = rank.pop()?;
+        if now + rank.held.mean() > ticket.due || now >= ticket.due {
+            let refusal = refuse(Reason::TargetMissed, rank.held.high());
+            return Some(Decision::Refuse(ticket.request, refusal));
+        }
+        self.start(ticket.request, priority, now);
+        Some(Decision::Start(ticket.request))
+    }
+
+    /// Goes by another bundle; what runs and waits stays.
+    ///
+    /// # Errors
+    ///
+    /// As [`Queue::new`], which leaves the queue as it was.
+    pub fn apply(
+        &mut self,
+        share: Share,
+        capacity: usize,
+        priorities: &[Priority],
+        now: Instant,
+    ) -> Result<(), Error> {
+        let mut next = Self::new(share, capacity, priorities, now)?;
+        for (name, rank) in std::mem::take(&mut self.ranks) {
+            match next.ranks.get_mut(&name) {
+                Some(known) => known.take_over(rank),
+                // A priority that is gone serves what waits, without a share.
+                None => drop(next.ranks.insert(name, rank.retire())),
+            }
+        }
+        next.running = std::mem::take(&mut self.running);
+        next.paused = std::mem::take(&mut self.paused);
+        next.resuming = std::mem::take(&mut self.resuming);
+        *self = next;
+        Ok(())
+    }
+
+    /// Changes the connections that may be used; those in use stay.
+    pub fn set_connections(&mut self, connections: usize) {
+        self.connections = connections;
+    }
+
+    /// Returns the number of requests that hold a slot.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.running.len()
+    }
+
+    /// Returns the number of requests that hold a connection.
+    #[must_use]
+    pub fn held(&self) -> usize {
+        self.running.len() + self.paused.len()
+    }
+
+    /// Returns the number of waiting requests.
+    #[must_use]
+    pub fn waiting(&self) -> usize {
+        self.ranks.values().map(Rank::len).sum()
+    }
+
+    /// Returns the slots that the measured latency allows.
+    #[must_use]
+    pub fn slots(&self) -> usize {
+        self.limit.slots()
+    }
+
+    fn is_idle(&self) -> bool {
+        self.resuming.is_empty() && self.ranks.values().all(|rank| rank.len() == 0)
+    }
+
+    fn has_room(&self) -> bool {
+        self.running.len() < self.limit.slots() && self.held() < self.connections
+    }
+
+    fn start(&mut self, request: RequestId, priority: PriorityId, now: Instant) {
+        let slots = to_f64(self.limit.slots());
+        let mut charged = 0.0;
+        if let Some(rank) = self.ranks.get_mut(&priority) {
+            charged = rank.held.mean().as_secs_f64();
+            rank.charge(charged, slots);
+        }
+        let running = Running {
+            priority,
+            since: now,
+            charged,
+        };
+        self.running.insert(request, running);
+    }
+
+    fn release(&mut self, request: RequestId, now: Instant) -> Option<PriorityId> {
+        let running = self.running.remove(&request)?;
+        let held = now.saturating_duration_since(running.since);
+        self.limit.record(held);
+        let slots = to_f64(self.limit.slots());
+        if let Some(rank) = self.ranks.get_mut(&running.priority) {
+            rank.held.record(held);
+            rank.charge(held.as_secs_f64() - running.charged, slots);
+        }
+        Some(running.priority)
+    }
+
+    fn grant(&mut self, now: Instant) {
+        let elapsed = now.saturating_duration_since(self.granted);
+        if elapsed.is_zero() {
+            return;
+        }
+        let slots = to_f64(self.limit.slots());
+        for rank in self.ranks.values_mut() {
+            rank.grant(elapsed, slots);
+        }
+        self.granted = now;
+    }
+
+    /// Returns the priority whose turn it is.
+    fn choose(&self) -> Option<PriorityId> {
+        let waiting = self.ranks.iter().filter(|(_, rank)| rank.len() > 0);
+        let best = waiting.max_by(|(_, one), (_, other)| {
+            let owed = one.is_owed().cmp(&other.is_owed());
+            owed.then_with(|| one.density().total_cmp(&other.density()))
+        });
+        best.map(|(name, _)| name.clone())
+    }
+
+    /// Returns the shortest time that a new request has to wait, if all goes
+    /// well for it.
+    fn wait(&self, ticket: &Ticket) -> Duration {
+        let Some(rank) = self.ranks.get(&ticket.priority) else {
+            return Duration::ZERO;
+        };
+        let own = work(rank, rank.ahead(&ticket.caller));
+        let others = self
+            .ranks
+            .iter()
+            .filter(|(name, other)| **name != ticket.priority && other.density() > rank.density());
+        let before: Duration = others.map(|(_, other)| work(other, other.len())).sum();
+        let slots = to_f64(self.limit.slots());
+        let whole = (own + before).div_f64(slots);
+        if rank.share() == 0.0 {
+            return whole;
+        }
+        whole.min(own.div_f64(slots * rank.share()))
+    }
+}
+
+/// Returns how long `count` requests of a priority hold a slot.
+fn work(rank: &Rank, count: usize) -> Duration {
+    rank.held.mean() * u32::try_from(count).unwrap_or(u32::MAX)
+}
+
+fn refuse(reason: Reason, wait: Duration) -> Refusal {
+    Refusal {
+        reason,
+        retry_after: Some(wait.max(MINIMUM_RETRY)),
+    }
+}
+
+fn to_f64(count: usize) -> f64 {
+    f64::from(u32::try_from(count).unwrap_or(u32::MAX))
+}
--- a/crates/agateport-domain/src/bundle/error.rs
+++ b/crates/agateport-domain/src/bundle/error.rs
@@ -9,9 +9,12 @@
     /// The text isn't TOML of the bundle's schema.
     #[error("the bundle can't be read")]
     Syntax(#[from] toml::de::Error),
-    /// The default priority isn't declared.
-    #[error("the default priority {0} is not declared")]
+    /// A default or a rule names a priority that isn't declared.
+    #[error("the priority {0} is not declared")]
     UnknownPriority(PriorityId),
+    /// The minimum shares are more than the whole.
+    #[error("the minimum shares add up to {0} percent")]
+    Shares(u32),
     /// A group has no server.
     #[error("the group {0} has no server")]
     NoServer(GroupId),
--- a/crates/agateport-domain/src/bundle/mod.rs
+++ b/crates/agateport-domain/src/bundle/mod.rs
@@ -9,6 +9,7 @@
 use crate::group::Acknowledge;
 use crate::id::{BundleVersion, GroupId, PriorityId, ServerId, Zone};
 use serde::{Deserialize, Serialize};
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -32,11 +33,39 @@
     /// Tables with rules for their writes.
     #[serde(default, rename = "write")]
     pub writes: Vec<Write>,
+    /// Rules for the priority of callers that name none.
+    #[serde(default, rename = "rank")]
+    pub ranks: Vec<Rank>,
     /// Limits of queues.
     #[serde(default)]
     pub limits: Limits,
 }
 
+/// A rule that gives a priority to requests; what it doesn't state matches all.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct Rank {
+    /// User of the caller.
+    pub user: Option<String>,
+    /// Database, which is the group, that the caller is connected to.
+    pub database: Option<GroupId>,
+    /// A table that the request names, in lower case.
+    pub table: Option<String>,
+    /// Priority of the requests.
+    pub priority: PriorityId,
+}
+
+impl Rank {
+    /// Tells whether the rule is for such a request.
+    #[must_use]
+    pub fn matches(&self, user: &str, database: &str, tables: &BTreeSet<String>) -> bool {
+        let is_user = self.user.as_deref().is_none_or(|one| one == user);
+        let is_database = self.database.as_deref().is_none_or(|one| one == database);
+        let is_table = self.table.as_ref().is_none_or(|one| tables.contains(one));
+        is_user && is_database && is_table
+    }
+}
+
 /// One database group; callers name it as their database.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -160,6 +189,17 @@
             .find(|priority| &*priority.name == name)
     }
 
+    /// Returns the priority of a request that names none: by the first rule that
+    /// matches, else the default.
+    #[must_use]
+    pub fn rank(&self, user: &str, database: &str, tables: &BTreeSet<String>) -> &PriorityId {
+        let rule = self
+            .ranks
+            .iter()
+            .find(|rank| rank.matches(user, database, tables));
+        rule.map_or(&self.default_priority, |rank| &rank.priority)
+    }
+
     /// Returns how old the data of a read may be that names these tables; none
     /// when a table has no rule.
     pub fn maximum_staleness<'a>(
@@ -177,6 +217,14 @@
         if self.priority(&self.default_priority).is_none() {
             return Err(Error::UnknownPriority(self.default_priority.clone()));
         }
+        let ruled = self.ranks.iter().map(|rank| &rank.priority);
+        if let Some(unknown) = ruled.into_iter().find(|one| self.priority(one).is_none()) {
+            return Err(Error::UnknownPriority(unknown.clone()));
+        }
+        let shares = self.priorities.iter().map(|one| one.minimum_share).sum();
+        if shares > 100 {
+            return Err(Error::Shares(shares));
+        }
         if let Some(group) = self.groups.iter().find(|group| group.servers.is_empty()) {
             return Err(Error::NoServer(group.name.clone()));
         }
--- a/crates/agateport-domain/src/id.rs
+++ b/crates/agateport-domain/src/id.rs
@@ -4,6 +4,8 @@
 
 /// Version of a bundle; a node only ever goes up.
 pub type BundleVersion = u64;
+/// Name of a caller, as far as fairness goes: its user.
+pub type CallerId = Arc<str>;
 /// Name of a database group, unique in a bundle.
 pub type GroupId = Arc<str>;
 /// Name of an entry VM's node.
--- a/crates/agateport-domain/src/membership/mod.rs
+++ b/crates/agateport-domain/src/membership/mod.rs
@@ -1,68 +1,27 @@
-//! Which VMs are live, suspect or leaving.
+//! Which VMs are live, suspect, leaving or dead, in the manner of SWIM.
+//!
+//! Each node probes one other node a period, directly and then through others.
+//! What it learns rides along with the probes. The platform's list lags, so it
+//! only seeds the view. The cost of a node doesn't depend on their number.
 
 mod error;
+mod member;
+mod view;
 
 pub use error::Error;
+pub use member::{Gossip, Incarnation, Member, State};
+pub use view::View;
 
-use crate::id::{NodeId, Zone};
-use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
-use std::net::SocketAddr;
+use std::time::Duration;
 
-/// How a VM is thought to be.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-#[serde(rename_all = "snake_case")]
-pub enum State {
-    /// Answers.
-    Live,
-    /// Hasn't answered lately.
-    Suspect,
-    /// Gets no new work.
-    Leaving,
-}
+/// Interval between two probes by one node.
+pub const PERIOD: Duration = Duration::from_millis(200);
 
-/// One VM with its node.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Member {
-    /// Name of the node.
-    pub name: NodeId,
-    /// Availability zone of the VM.
-    pub zone: Zone,
-    /// Address for peers.
-    pub address: SocketAddr,
-    /// How it is thought to be.
-    pub state: State,
-}
+/// Time after which a probe counts as unanswered.
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
 
-/// What one node knows of the others.
-#[derive(Clone, Debug, Default)]
-pub struct View {
-    members: BTreeMap<NodeId, Member>,
-}
+/// Nodes that are asked to probe one that didn't answer.
+pub const RELAYS: usize = 3;
 
-impl View {
-    /// Takes in what the platform's list says.
-    pub fn seed(&mut self, members: impl IntoIterator<Item = Member>) {
-        for member in members {
-            self.members.insert(member.name.clone(), member);
-        }
-    }
-
-    /// Returns one member.
-    ///
-    /// # Errors
-    ///
-    /// [`Error`] if no such member is known.
-    pub fn member(&self, name: &NodeId) -> Result<&Member, Error> {
-        self.members
-            .get(name)
-            .ok_or_else(|| Error { name: name.clone() })
-    }
-
-    /// Returns the members that may get new work, by name.
-    pub fn live(&self) -> impl Iterator<Item = &Member> {
-        self.members
-            .values()
-            .filter(|member| member.state == State::Live)
-    }
-}
+/// Time that a suspect has to overrule the suspicion.
+pub const SUSPICION: Duration = Duration::from_secs(1);
--- /dev/null
+++ b/crates/agateport-domain/src/membership/view.rs
@@ -0,0 +1,307 @@
+//! What one node knows of the others.
+
+use super::{Error, Gossip, Member, RELAYS, SUSPICION, State};
+use crate::id::{NodeId, Zone};
+use rand::seq::SliceRandom;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::SocketAddr;
+use std::ops::Bound;
+use std::time::{Duration, Instant};
+
+/// Members that ride along with one message, so that its size is constant.
+const GOSSIP: usize = 8;
+
+/// Messages that a change rides along with, for each doubling of the members.
+const SPREAD: u32 = 3;
+
+/// One of so many probes goes to a dead member, so that nodes that were cut off
+/// find one another again.
+const REVIVAL: u32 = 4;
+
+/// Time after which a dead member that isn't on the platform's list is
+/// forgotten.
+const FORGET: Duration = Duration::from_mins(1);
+
+/// A member with what this node has done about it.
+#[derive(Clone, Debug)]
+struct Entry {
+    member: Member,
+    since: Instant,
+    /// Messages that the last change has yet to ride along with.
+    spread: u32,
+}
+
+/// What one node knows of the others.
+#[derive(Clone, Debug)]
+pub struct View {
+    own: NodeId,
+    entries: BTreeMap<NodeId, Entry>,
+    /// Names on the platform's list.
+    listed: BTreeSet<NodeId>,
+    /// Members to probe in this round, in random order.
+    round: Vec<NodeId>,
+    /// Last member that filled up a message.
+    filler: Option<NodeId>,
+    random: Pcg64Mcg,
+}
+
+impl View {
+    /// Creates a view of the node itself only.
+    #[must_use]
+    pub fn new(name: NodeId, zone: Zone, address: SocketAddr, seed: u64, now: Instant) -> Self {
+        let member = Member {
+            name: name.clone(),
+            zone,
+            address,
+            state: State::Live,
+            incarnation: 0,
+        };
+        let mut view = Self {
+            own: name,
+            entries: BTreeMap::new(),
+            listed: BTreeSet::new(),
+            round: Vec::new(),
+            filler: None,
+            random: Pcg64Mcg::seed_from_u64(seed),
+        };
+        view.put(member, now);
+        view
+    }
+
+    /// Takes in the platform's list: unknown members are added, and those that
+    /// it says are leaving get no new work.
+    pub fn seed(&mut self, members: impl IntoIterator<Item = Member>, now: Instant) {
+        self.listed.clear();
+        for member in members {
+            self.listed.insert(member.name.clone());
+            if member.name == self.own {
+                self.seed_own(member.state, now);
+                continue;
+            }
+            match self.entries.get(&member.name) {
+                None => self.put(member, now),
+                Some(known) if member.state == State::Leaving && is_live(&known.member) => {
+                    let member = Member {
+                        state: State::Leaving,
+                        ..known.member.clone()
+                    };
+                    self.put(member, now);
+                }
+                Some(_) => {}
+            }
+        }
+    }
+
+    fn seed_own(&mut self, state: State, now: Instant) {
+        if state == State::Leaving && self.own_member().state == State::Live {
+            self.leave(now);
+        }
+    }
+
+    /// Tells everybody that this node is leaving.
+    pub fn leave(&mut self, now: Instant) {
+        let mut own = self.own_member();
+        own.state = State::Leaving;
+        own.incarnation += 1;
+        self.put(own, now);
+    }
+
+    /// Returns the next member to probe; none if no other is known.
+    pub fn next_probe(&mut self) -> Option<Member> {
+        if self.random.random_ratio(1, REVIVAL)
+            && let Some(dead) = self.pick(|member| member.state == State::Dead, 1).pop()
+        {
+            return Some(dead);
+        }
+        if let Some(member) = self.next_in_round() {
+            return Some(member);
+        }
+        let own = &self.own;
+        let others = self.entries.values().map(|entry| &entry.member);
+        let others = others.filter(|member| member.name != *own && member.state != State::Dead);
+        self.round = others.map(|member| member.name.clone()).collect();
+        self.round.shuffle(&mut self.random);
+        let next = self.next_in_round();
+        next.or_else(|| self.pick(|member| member.state == State::Dead, 1).pop())
+    }
+
+    fn next_in_round(&mut self) -> Option<Member> {
+        while let Some(name) = self.round.pop() {
+            let entry = self.entries.get(&name);
+            if let Some(entry) = entry.filter(|entry| entry.member.state != State::Dead) {
+                return Some(entry.member.clone());
+            }
+        }
+        None
+    }
+
+    /// Returns members that may probe `target` for this node.
+    pub fn relays(&mut self, target: &NodeId) -> Vec<Member> {
+        let is_relay = |member: &Member| member.name != *target && is_live(member);
+        self.pick(is_relay, RELAYS)
+    }
+
+    fn pick(&mut self, is_wanted: impl Fn(&Member) -> bool, count: usize) -> Vec<Member> {
+        let own = &self.own;
+        let others = self.entries.values().map(|entry| &entry.member);
+        let wanted = others.filter(|member| member.name != *own && is_wanted(member));
+        let mut wanted: Vec<Member> = wanted.cloned().collect();
+        wanted.shuffle(&mut self.random);
+        wanted.truncate(count);
+        wanted
+    }
+
+    /// Records that neither a probe nor a relay reached a member.
+    pub fn suspect(&mut self, name: &NodeId, now: Instant) {
+        let Some(entry) = self.entries.get(name) else {
+            return;
+        };
+        let state = match entry.member.state {
+            State::Live => State::Suspect,
+            // It had no work to lose.
+            State::Leaving => State::Dead,
+            State::Suspect | State::Dead => return,
+        };
+        let member = Member {
+            state,
+            ..entry.member.clone()
+        };
+        self.put(member, now);
+    }
+
+    /// Declares suspects dead that didn't overrule the suspicion in time, and
+    /// forgets members that have long been dead.
+    pub fn expire(&mut self, now: Instant) {
+        let late = self.entries.values().filter(|entry| {
+            let age = now.saturating_duration_since(entry.since);
+            entry.member.state == State::Suspect && age >= SUSPICION
+        });
+        let dead = late.map(|entry| Member {
+            state: State::Dead,
+            ..entry.member.clone()
+        });
+        let dead: Vec<Member> = dead.collect();
+        for member in dead {
+            self.put(member, now);
+        }
+        let listed = &self.listed;
+        self.entries.retain(|name, entry| {
+            let age = now.saturating_duration_since(entry.since);
+            entry.member.state != State::Dead || age < FORGET || listed.contains(name)
+        });
+    }
+
+    /// Returns what rides along with a message to `to`: this node, what it
+    /// thinks of the receiver, the changes that have spread the least, and
+    /// others in turn.
+    pub fn gossip(&mut self, to: &NodeId) -> Gossip {
+        let mut names = vec![self.own.clone()];
+        if self.entries.contains_key(to) {
+            names.push(to.clone());
+        }
+        let changed = self.entries.iter().filter(|(_, entry)| entry.spread > 0);
+        let mut changed: Vec<_> = changed
+            .map(|(name, entry)| (u32::MAX - entry.spread, name.clone()))
+            .collect();
+        changed.sort();
+        let changed = changed.into_iter().map(|(_, name)| name);
+        for name in changed.chain(self.fillers()) {
+            if names.len() < GOSSIP && !names.contains(&name) {
+                names.push(name);
+            }
+        }
+        self.filler = names.last().cloned();
+        let members = names.iter().filter_map(|name| {
+            let entry = self.entries.get_mut(name)?;
+            entry.spread = entry.spread.saturating_sub(1);
+            Some(entry.member.clone())
+        });
+        Gossip {
+            members: members.collect(),
+            from: self.own.clone(),
+        }
+    }
+
+    /// Returns the members after the last filler, in a ring.
+    fn fillers(&self) -> Vec<NodeId> {
+        let after = match &self.filler {
+            Some(name) => Bound::Excluded(name.clone()),
+            None => Bound::Unbounded,
+        };
+        let rest = self.entries.range((after, Bound::Unbounded));
+        let names = rest.chain(&self.entries).map(|(name, _)| name.clone());
+        names.take(GOSSIP).collect()
+    }
+
+    /// Takes in what came with a message.
+    pub fn merge(&mut self, gossip: Gossip, now: Instant) {
+        for member in gossip.members {
+            if member.name == self.own {
+                self.refute(&member, now);
+                continue;
+            }
+            let known = self.entries.get(&member.name);
+            if known.is_none_or(|known| member.overrules(&known.member)) {
+                self.put(member, now);
+            }
+        }
+    }
+
+    /// Overrules what others say of this node.
+    fn refute(&mut self, claim: &Member, now: Instant) {
+        let mut own = self.own_member();
+        if claim.overrules(&own) {
+            own.incarnation = claim.incarnation + 1;
+            self.put(own, now);
+        }
+    }
+
+    fn own_member(&self) -> Member {
+        // The node's own entry is put by `new` and never removed.
+        self.entries[&self.own].member.clone()
+    }
+
+    fn put(&mut self, member: Member, now: Instant) {
+        let count = u32::try_from(self.entries.len()).unwrap_or(u32::MAX);
+        let doublings = count.checked_ilog2().unwrap_or_default() + 1;
+        let entry = Entry {
+            since: now,
+            spread: doublings * SPREAD,
+            member,
+        };
+        self.entries.insert(entry.member.name.clone(), entry);
+    }
+
+    /// Returns one member.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if no such member is known.
+    pub fn member(&self, name: &NodeId) -> Result<&Member, Error> {
+        let entry = self.entries.get(name);
+        let entry = entry.ok_or_else(|| Error { name: name.clone() })?;
+        Ok(&entry.member)
+    }
+
+    /// Returns the members that may get new work, by name.
+    pub fn live(&self) -> impl Iterator<Item = &Member> {
+        self.known().filter(|member| is_live(member))
+    }
+
+    /// Returns all members, dead ones too, by name.
+    pub fn known(&self) -> impl Iterator<Item = &Member> {
+        self.entries.values().map(|entry| &entry.member)
+    }
+
+    /// Tells whether other nodes are known.
+    #[must_use]
+    pub fn is_listed(&self) -> bool {
+        self.entries.len() > 1 || self.listed.contains(&self.own)
+    }
+}
+
+fn is_live(member: &Member) -> bool {
+    member.state == State::Live
+}
--- /dev/null
+++ b/crates/agateport-domain/src/owner/allowance.rs
@@ -0,0 +1,86 @@
+//! How many connections of a server a node may have, while owners move.
+
+use std::time::{Duration, Instant};
+
+/// Time that a higher allowance must stand before it is used: by then the nodes
+/// whose allowance fell have learned of the same list.
+pub const RAISE_DELAY: Duration = Duration::from_secs(5);
+
+/// Percent of the connections that is kept for nodes other than the first.
+const RESERVE_PERCENT: usize = 40;
+
+/// Connections that each node uses for status questions.
+const STATUS_CONNECTIONS: usize = 1;
+
+/// Returns how many connections the node at `position` of the server's order
+/// over all `listed` nodes may have.
+///
+/// The order counts dead nodes too: so the sum over all nodes stays within
+/// `connections`, whichever of them take themselves for the owner.
+#[must_use]
+pub fn allowance(connections: usize, listed: usize, position: usize) -> usize {
+    let pool = connections.saturating_sub(listed * STATUS_CONNECTIONS);
+    let mut rest = pool * RESERVE_PERCENT / 100;
+    if position == 0 {
+        return pool - rest;
+    }
+    for _ in 1..position {
+        rest -= rest.div_ceil(2);
+    }
+    rest.div_ceil(2)
+}
+
+/// Returns an even part of the connections.
+#[must_use]
+pub fn even_part(connections: usize, listed: usize, position: usize) -> usize {
+    let pool = connections.saturating_sub(listed * STATUS_CONNECTIONS);
+    let nodes = listed.max(1);
+    pool / nodes + usize::from(position < pool % nodes)
+}
+
+/// An allowance in use: lowered at once, raised after a delay.
+#[derive(Clone, Copy, Debug)]
+pub struct Allowance {
+    current: usize,
+    raise: Option<(usize, Instant)>,
+    is_settled: bool,
+}
+
+impl Default for Allowance {
+    /// One connection, until the nodes are known.
+    fn default() -> Self {
+        Self {
+            current: 1,
+            raise: None,
+            is_settled: false,
+        }
+    }
+}
+
+impl Allowance {
+    /// Returns the connections that may be open.
+    #[must_use]
+    pub fn current(&self) -> usize {
+        self.current
+    }
+
+    /// Takes in what the order over the nodes grants now; `is_listed` tells
+    /// whether the other nodes are known.
+    pub fn set(&mut self, granted: usize, is_listed: bool, now: Instant) {
+        let is_first = is_listed && !self.is_settled;
+        self.is_settled |= is_listed;
+        if granted <= self.current || is_first {
+            self.current = granted;
+            self.raise = None;
+            return;
+        }
+        let (least, since) = self.raise.unwrap_or((granted, now));
+        // Only what was granted all the while may be used.
+        let least = least.min(granted);
+        self.raise = Some((least, since));
+        if now.saturating_duration_since(since) >= RAISE_DELAY {
+            self.current = least;
+            self.raise = None;
+        }
+    }
+}
--- a/crates/agateport-domain/src/owner/even.rs
+++ b/crates/agateport-domain/src/owner/even.rs
@@ -1,6 +1,8 @@
 //! The baseline: every node connects to every server itself.
 
-use super::Policy;
+use super::{Policy, even_part};
+use crate::admission::Share;
+use crate::bundle::Server;
 use crate::id::{NodeId, ServerId, Zone};
 use crate::membership::View;
 
@@ -18,4 +20,16 @@
     ) -> Vec<NodeId> {
         vec![asker.clone()]
     }
+
+    fn share(&self, node: &NodeId, server: &Server, view: &View) -> Share {
+        let names: Vec<_> = view.known().map(|member| &member.name).collect();
+        let position = names.iter().position(|name| *name == node);
+        let position = position.unwrap_or(names.len());
+        let connections = even_part(server.connections, names.len(), position);
+        Share {
+            // Less than one slot would serve nobody.
+            slots: (server.slots / names.len().max(1)).max(1),
+            connections,
+        }
+    }
 }
--- a/crates/agateport-domain/src/owner/rendezvous.rs
+++ b/crates/agateport-domain/src/owner/rendezvous.rs
@@ -1,8 +1,10 @@
 //! One owner for each server, by rendezvous hashing.
 
-use super::Policy;
+use super::{Policy, allowance};
+use crate::admission::Share;
+use crate::bundle::Server;
 use crate::id::{NodeId, ServerId, Zone};
-use crate::membership::View;
+use crate::membership::{Member, View};
 use sha2::{Digest, Sha256};
 
 /// Ranks the nodes by a hash of node and server, those in the server's
@@ -12,14 +14,32 @@
 
 impl Policy for Rendezvous {
     fn owners(&self, _asker: &NodeId, server: &ServerId, zone: &Zone, view: &View) -> Vec<NodeId> {
-        let ranked = view.live().map(|member| {
-            let is_far = member.zone != *zone;
-            (is_far, score(&member.name, server), member.name.clone())
-        });
-        let mut ranked: Vec<_> = ranked.collect();
-        ranked.sort();
-        ranked.into_iter().map(|(_, _, name)| name).collect()
+        order(server, zone, view.live())
     }
+
+    fn share(&self, node: &NodeId, server: &Server, view: &View) -> Share {
+        let order = order(&server.name, &server.zone, view.known());
+        let position = order.iter().position(|name| name == node);
+        let position = position.unwrap_or(order.len());
+        Share {
+            slots: server.slots,
+            connections: allowance(server.connections, order.len(), position),
+        }
+    }
+}
+
+fn order<'a>(
+    server: &ServerId,
+    zone: &Zone,
+    members: impl Iterator<Item = &'a Member>,
+) -> Vec<NodeId> {
+    let ranked = members.map(|member| {
+        let is_far = member.zone != *zone;
+        (is_far, score(&member.name, server), member.name.clone())
+    });
+    let mut ranked: Vec<_> = ranked.collect();
+    ranked.sort();
+    ranked.into_iter().map(|(_, _, name)| name).collect()
 }
 
 /// A hash that every node works out alike, whatever program version it runs.
--- a/crates/agateport-domain/src/request/error.rs
+++ b/crates/agateport-domain/src/request/error.rs
@@ -37,6 +37,10 @@
     NoBundle,
     /// The node or upstream is leaving.
     Leaving,
+    /// The priority isn't in the bundle in force.
+    UnknownPriority,
+    /// The owner refuses most requests of the priority.
+    Flooded,
 }
 
 impl Reason {
@@ -54,6 +58,8 @@
             Self::UnknownServer => "unknown_server",
             Self::NoBundle => "no_bundle",
             Self::Leaving => "leaving",
+            Self::UnknownPriority => "unknown_priority",
+            Self::Flooded => "flooded",
         }
     }
 }
--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -2,10 +2,11 @@
 
 mod error;
 pub mod statement;
+pub mod tag;
 
 pub use error::{Error, Reason, Refusal};
 
-use crate::id::{GroupId, PriorityId, ServerId};
+use crate::id::{CallerId, GroupId, PriorityId, ServerId};
 use crate::session::{Transaction, Watermark};
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -46,6 +47,8 @@
     pub server: ServerId,
     /// Rank of the work.
     pub priority: PriorityId,
+    /// Who asks, for fairness among callers.
+    pub caller: CallerId,
     /// Time left to answer within the priority's target.
     pub target: Duration,
     /// What the server must be.
--- /dev/null
+++ b/crates/agateport-domain/tests/admission.rs
@@ -0,0 +1,351 @@
+//! Promises of the queue of one upstream server.
+
+#![expect(
+    clippy::cast_possible_truncation,
+    clippy::unwrap_used,
+    reason = "numbers of requests are small, and a wrong fixture fails the test"
+)]
+
+use agateport_domain::admission::{Circuit, Decision, Gate, Offer, Queue, Share, Ticket};
+use agateport_domain::bundle::Priority;
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Reason, Refusal};
+use proptest::prelude::*;
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+/// Name, target in milliseconds, worth and minimum share of each priority.
+const PRIORITIES: [(&str, u64, u32, u32); 3] = [
+    ("payment", 250, 100, 20),
+    ("counter", 500, 20, 20),
+    ("archive", 5_000, 1, 5),
+];
+
+const SHARE: Share = Share {
+    slots: 3,
+    connections: 5,
+};
+
+fn priorities() -> Vec<Priority> {
+    let all = PRIORITIES
+        .iter()
+        .map(|(name, target, worth, share)| Priority {
+            name: (*name).into(),
+            target: Duration::from_millis(*target),
+            worth: *worth,
+            minimum_share: *share,
+        });
+    all.collect()
+}
+
+fn ticket(request: RequestId, rank: usize, caller: &str, now: Instant) -> Ticket {
+    let (name, target, _, _) = PRIORITIES[rank];
+    Ticket {
+        request,
+        priority: name.into(),
+        caller: caller.into(),
+        due: now + Duration::from_millis(target),
+    }
+}
+
+#[derive(Clone, Debug)]
+enum Step {
+    Offer { rank: usize, caller: u8 },
+    Wait(u64),
+    Finish(usize),
+    Pause(usize),
+    Resume(usize),
+    Abandon(RequestId),
+}
+
+fn step() -> impl Strategy<Value = Step> {
+    prop_oneof![
+        6 => (0..3usize, 0..3u8).prop_map(|(rank, caller)| Step::Offer { rank, caller }),
+        3 => (0..40u64).prop_map(Step::Wait),
+        3 => (0..5usize).prop_map(Step::Finish),
+        1 => (0..5usize).prop_map(Step::Pause),
+        2 => (0..5usize).prop_map(Step::Resume),
+        1 => (0..200u64).prop_map(Step::Abandon),
+    ]
+}
+
+/// A queue with what was seen of it.
+struct Seen {
+    queue: Queue,
+    now: Instant,
+    offered: Vec<(usize, u8)>,
+    running: Vec<RequestId>,
+    paused: Vec<RequestId>,
+    resuming: BTreeSet<RequestId>,
+    started: Vec<RequestId>,
+    refused: BTreeSet<RequestId>,
+    abandoned: BTreeSet<RequestId>,
+}
+
+impl Seen {
+    fn new() -> Self {
+        let now = Instant::now();
+        Self {
+            queue: Queue::new(SHARE, 8, &priorities(), now).unwrap(),
+            now,
+            offered: Vec::new(),
+            running: Vec::new(),
+            paused: Vec::new(),
+            resuming: BTreeSet::new(),
+            started: Vec::new(),
+            refused: BTreeSet::new(),
+            abandoned: BTreeSet::new(),
+        }
+    }
+
+    fn apply(&mut self, step: &Step) {
+        match step {
+            Step::Offer { rank, caller } => self.offer(*rank, *caller),
+            Step::Wait(milliseconds) => self.now += Duration::from_millis(*milliseconds),
+            Step::Finish(index) if *index < self.running.len() => {
+                let request = self.running.remove(*index);
+                self.queue.finish(request, self.now);
+            }
+            Step::Pause(index) if *index < self.running.len() => {
+                let request = self.running.remove(*index);
+                self.queue.pause(request, self.now);
+                self.paused.push(request);
+            }
+            Step::Resume(index) if *index < self.paused.len() => {
+                let request = self.paused.remove(*index);
+                if self.queue.resume(request, self.now) {
+                    self.running.push(request);
+                } else {
+                    self.resuming.insert(request);
+                }
+            }
+            Step::Abandon(request) if self.is_waiting(*request) => {
+                self.queue.finish(*request, self.now);
+                self.abandoned.insert(*request);
+            }
+            _ => {}
+        }
+        self.advance();
+    }
+
+    fn offer(&mut self, rank: usize, caller: u8) {
+        let request = self.offered.len() as RequestId;
+        self.offered.push((rank, caller));
+        let ticket = ticket(request, rank, &caller.to_string(), self.now);
+        match self.queue.offer(ticket, self.now) {
+            Ok(Offer::Started) => self.start(request),
+            Ok(Offer::Queued { evicted, .. }) => {
+                self.refused.extend(evicted.map(|(request, _)| request));
+            }
+            Err(_) => drop(self.refused.insert(request)),
+        }
+    }
+
+    fn advance(&mut self) {
+        while let Some(decision) = self.queue.next(self.now) {
+            match decision {
+                Decision::Start(request) if self.resuming.remove(&request) => {
+                    self.running.push(request);
+                }
+                Decision::Start(request) => self.start(request),
+                Decision::Refuse(request, _) => drop(self.refused.insert(request)),
+            }
+        }
+    }
+
+    fn start(&mut self, request: RequestId) {
+        self.running.push(request);
+        self.started.push(request);
+    }
+
+    fn is_waiting(&self, request: RequestId) -> bool {
+        (request as usize) < self.offered.len()
+            && !self.started.contains(&request)
+            && !self.refused.contains(&request)
+            && !self.abandoned.contains(&request)
+    }
+
+    fn check(&self) {
+        assert!(self.queue.running() <= SHARE.slots);
+        assert!(self.queue.held() <= SHARE.connections);
+        assert!(self.queue.waiting() <= 3 * 8);
+        assert_eq!(self.queue.running(), self.running.len());
+        let waiting = (0..self.offered.len() as RequestId).filter(|one| self.is_waiting(*one));
+        assert_eq!(self.queue.waiting(), waiting.count());
+        for request in &self.started {
+            assert!(!self.refused.contains(request), "{request} was run");
+            assert!(!self.abandoned.contains(request), "{request} was run");
+        }
+        self.check_order();
+    }
+
+    fn check_order(&self) {
+        let mut last = BTreeMap::new();
+        for request in &self.started {
+            let before = last.insert(self.offered[*request as usize], *request);
+            assert!(before.is_none_or(|before| before < *request));
+        }
+    }
+
+    /// Ends everything that runs until nobody waits.
+    fn drain(&mut self) {
+        for _ in 0..2 * self.offered.len() + 10 {
+            self.now += Duration::from_millis(1);
+            self.apply(&Step::Resume(0));
+            self.apply(&Step::Finish(0));
+        }
+    }
+}
+
+proptest! {
+    #[test]
+    fn promises_hold_after_any_steps(steps in prop::collection::vec(step(), 0..200)) {
+        let mut seen = Seen::new();
+        for step in &steps {
+            seen.apply(step);
+            seen.check();
+        }
+        seen.drain();
+        seen.check();
+        prop_assert_eq!(seen.queue.waiting(), 0);
+        prop_assert_eq!(seen.queue.held(), 0);
+    }
+
+}
+
+proptest! {
+    // Each case is a minute of the queue's time.
+    #![proptest_config(ProptestConfig::with_cases(32))]
+
+    #[test]
+    fn minimum_shares_are_kept_while_everybody_waits(
+        held in prop::collection::vec(1..60u64, 3),
+        seed in any::<u64>(),
+    ) {
+        let shares = shares_of(&held, seed);
+        for (index, (name, _, _, minimum)) in PRIORITIES.iter().enumerate() {
+            let share = shares[index];
+            // The rest is the grain of whole requests.
+            let least = f64::from(*minimum) - 1.0;
+            prop_assert!(share >= least, "{} has {:.1} percent", name, share);
+        }
+    }
+}
+
+/// Keeps every priority waiting for a minute; returns the percent of the slot
+/// time that each got.
+fn shares_of(held: &[u64], seed: u64) -> Vec<f64> {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let start = Instant::now();
+    let end = start + Duration::from_mins(1);
+    let mut queue = Queue::new(SHARE, 8, &priorities(), start).unwrap();
+    let mut ends: BTreeMap<(Instant, RequestId), usize> = BTreeMap::new();
+    let mut ranks = Vec::new();
+    let mut used = [0.0; 3];
+    let mut now = start;
+    while now < end {
+        for rank in 0..3 {
+            let request = ranks.len() as RequestId;
+            let mut ticket = ticket(request, rank, "one", now);
+            ticket.due = now + Duration::from_hours(1);
+            let offer = queue.offer(ticket, now);
+            ranks.push(rank);
+            if offer == Ok(Offer::Started) {
+                ends.insert((now + Duration::from_millis(1), request), rank);
+            }
+        }
+        while let Some(Decision::Start(request)) = queue.next(now) {
+            let rank = ranks[request as usize];
+            let time = random.random_range(held[rank]..=2 * held[rank]);
+            used[rank] += f64::from(u32::try_from(time).unwrap());
+            ends.insert((now + Duration::from_millis(time), request), rank);
+        }
+        let ((at, request), _) = ends.pop_first().unwrap();
+        now = at;
+        queue.finish(request, now);
+    }
+    let total: f64 = used.iter().sum();
+    used.iter().map(|one| 100.0 * one / total).collect()
+}
+
+#[test]
+fn callers_take_turns() {
+    let now = Instant::now();
+    let share = Share {
+        slots: 1,
+        connections: 1,
+    };
+    let mut queue = Queue::new(share, 8, &priorities(), now).unwrap();
+    for (request, caller) in [(0, "a"), (1, "a"), (2, "a"), (3, "a"), (4, "b"), (5, "c")] {
+        queue.offer(ticket(request, 2, caller, now), now).unwrap();
+    }
+    let mut order = Vec::new();
+    for request in [0, 1, 4, 5, 2] {
+        queue.finish(request, now);
+        order.extend(queue.next(now));
+    }
+    insta::assert_debug_snapshot!(order);
+}
+
+#[test]
+fn target_that_cannot_be_met_is_refused_at_once() {
+    let mut now = Instant::now();
+    let mut queue = Queue::new(SHARE, 256, &priorities(), now).unwrap();
+    for request in 0..20 {
+        queue.offer(ticket(request, 0, "a", now), now).unwrap();
+        now += Duration::from_millis(50);
+        queue.finish(request, now);
+    }
+    let refusals = (100..).find_map(|request| {
+        let offer = queue.offer(ticket(request, 0, "a", now), now);
+        offer.err().map(|refusal| (request, refusal))
+    });
+    insta::assert_debug_snapshot!(refusals);
+}
+
+#[test]
+fn circuit_opens_and_probes() {
+    let mut now = Instant::now();
+    let mut circuit = Circuit::default();
+    let mut transcript = Vec::new();
+    for is_answered in [false, false, false, false, true] {
+        let allowed = circuit.allow(now);
+        transcript.push(format!("{allowed:?}"));
+        if let Err(wait) = allowed {
+            now += wait;
+            transcript.push(format!("probe {:?}", circuit.allow(now)));
+        }
+        if is_answered {
+            circuit.succeed();
+        } else {
+            circuit.fail(now);
+        }
+    }
+    transcript.push(format!("{:?}", circuit.allow(now)));
+    insta::assert_snapshot!(transcript.join("\n"));
+}
+
+#[test]
+fn gate_follows_what_the_owner_accepts() {
+    let mut now = Instant::now();
+    let mut random = Pcg64Mcg::seed_from_u64(1);
+    let mut gate = Gate::new(now);
+    let refusal = Refusal::from(Reason::TargetMissed);
+    let mut transcript = Vec::new();
+    // The owner takes every tenth request at first, then all of them.
+    for (name, every) in [("flood", 10), ("calm", 1)] {
+        let mut passed = 0;
+        for request in 0..2_000 {
+            now += Duration::from_millis(1);
+            let is_passed = gate.pass(now, &mut random).is_ok();
+            passed += i32::from(is_passed);
+            if is_passed && request % every == 0 {
+                gate.accept();
+            } else if is_passed {
+                gate.refuse(&refusal);
+            }
+        }
+        transcript.push(format!("{name}: {passed} of 2000 passed"));
+    }
+    insta::assert_snapshot!(transcript.join("\n"));
+}
--- /dev/null
+++ b/crates/agateport-domain/tests/membership.rs
@@ -0,0 +1,251 @@
+//! Promises of the view of the other nodes.
+
+#![expect(clippy::unwrap_used, reason = "a wrong fixture fails the test")]
+
+use agateport_domain::membership::{Member, PERIOD, State, View};
+use agateport_domain::owner::{Policy, Rendezvous, allowance, even_part};
+use agateport_domain::prelude::*;
+use proptest::prelude::*;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// Periods within which a dead VM is noticed by all others.
+const NOTICED: usize = 40;
+
+/// Periods within which views are the same again.
+const TOGETHER: usize = 150;
+
+/// Zones of the nodes, in turn.
+const ZONES: [&str; 3] = ["a", "b", "c"];
+
+#[derive(Clone, Debug)]
+enum Event {
+    Kill(usize),
+    Restart(usize),
+    Cut(u8),
+    Heal,
+    Run(usize),
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    prop_oneof![
+        (0..7usize).prop_map(Event::Kill),
+        (0..7usize).prop_map(Event::Restart),
+        any::<u8>().prop_map(Event::Cut),
+        Just(Event::Heal),
+        (1..40usize).prop_map(Event::Run),
+    ]
+}
+
+/// Nodes whose messages arrive at once, or not at all.
+struct Net {
+    views: Vec<View>,
+    is_up: Vec<bool>,
+    /// Side of the cut that each node is on.
+    side: Vec<bool>,
+    now: Instant,
+}
+
+fn name(index: usize) -> NodeId {
+    format!("n{index}").into()
+}
+
+fn member(index: usize) -> Member {
+    let port = 1000 + u16::try_from(index).unwrap();
+    Member {
+        name: name(index),
+        zone: ZONES[index % 3].into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        state: State::Live,
+        incarnation: 0,
+    }
+}
+
+impl Net {
+    fn new(count: usize) -> Self {
+        let now = Instant::now();
+        let mut net = Self {
+            views: (0..count).map(|index| view(index, 0, now)).collect(),
+            is_up: vec![true; count],
+            side: vec![false; count],
+            now,
+        };
+        for index in 0..count {
+            net.seed(index);
+        }
+        net
+    }
+
+    fn seed(&mut self, index: usize) {
+        let list: Vec<Member> = (0..self.views.len()).map(member).collect();
+        self.views[index].seed(list, self.now);
+    }
+
+    fn apply(&mut self, event: &Event) {
+        let count = self.views.len();
+        match event {
+            Event::Kill(index) => self.is_up[index % count] = false,
+            Event::Restart(index) => {
+                let index = index % count;
+                self.is_up[index] = true;
+                self.views[index] = view(index, 1, self.now);
+                self.seed(index);
+            }
+            Event::Cut(sides) => {
+                for (index, side) in self.side.iter_mut().enumerate() {
+                    *side = sides >> index & 1 == 1;
+                }
+            }
+            Event::Heal => self.side.fill(false),
+            Event::Run(periods) => self.run(*periods),
+        }
+    }
+
+    fn run(&mut self, periods: usize) {
+        for _ in 0..periods {
+            self.now += PERIOD;
+            for index in 0..self.views.len() {
+                if self.is_up[index] {
+                    self.period(index);
+                }
+            }
+        }
+    }
+
+    fn period(&mut self, index: usize) {
+        self.views[index].expire(self.now);
+        let Some(target) = self.views[index].next_probe() else {
+            return;
+        };
+        if self.exchange(index, number(&target)) {
+            return;
+        }
+        let relays = self.views[index].relays(&target.name);
+        for relay in relays.iter().map(number) {
+            if self.exchange(index, relay)
+                && self.exchange(relay, number(&target))
+                && self.exchange(relay, index)
+            {
+                return;
+            }
+        }
+        self.views[index].suspect(&target.name, self.now);
+    }
+
+    fn exchange(&mut self, from: usize, to: usize) -> bool {
+        if !self.is_up[from] || !self.is_up[to] || self.side[from] != self.side[to] {
+            return false;
+        }
+        let gossip = self.views[from].gossip(&name(to));
+        self.views[to].merge(gossip, self.now);
+        let answer = self.views[to].gossip(&name(from));
+        self.views[from].merge(answer, self.now);
+        true
+    }
+
+    /// Nodes that one takes for live.
+    fn live(&self, index: usize) -> Vec<NodeId> {
+        let live = self.views[index].live();
+        live.map(|member| member.name.clone()).collect()
+    }
+
+    fn up(&self) -> Vec<usize> {
+        (0..self.views.len())
+            .filter(|index| self.is_up[*index])
+            .collect()
+    }
+}
+
+fn view(index: usize, life: u64, now: Instant) -> View {
+    let own = member(index);
+    View::new(
+        own.name,
+        own.zone,
+        own.address,
+        index as u64 + 100 * life,
+        now,
+    )
+}
+
+fn number(member: &Member) -> usize {
+    member.name[1..].parse().unwrap()
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig::with_cases(64))]
+
+    #[test]
+    fn views_come_together(count in 2..8usize, events in prop::collection::vec(event(), 0..20)) {
+        let mut net = Net::new(count);
+        for event in &events {
+            net.apply(event);
+        }
+        net.apply(&Event::Heal);
+        net.run(TOGETHER);
+        let up: Vec<NodeId> = net.up().into_iter().map(name).collect();
+        for index in net.up() {
+            prop_assert_eq!(&net.live(index), &up, "the view of node {}", index);
+        }
+    }
+
+    #[test]
+    fn dead_vm_is_noticed(count in 3..8usize, dead in 0..8usize, warm in 0..50usize) {
+        let mut net = Net::new(count);
+        net.run(warm);
+        let dead = dead % count;
+        net.apply(&Event::Kill(dead));
+        net.run(NOTICED);
+        for index in net.up() {
+            prop_assert!(!net.live(index).contains(&name(dead)), "node {}", index);
+        }
+    }
+
+    #[test]
+    fn leaving_vm_gets_no_work_within_3_s(count in 3..8usize, warm in 0..50usize) {
+        let mut net = Net::new(count);
+        net.run(warm);
+        let now = net.now;
+        net.views[0].leave(now);
+        net.run(15);
+        for index in 1..count {
+            prop_assert!(!net.live(index).contains(&name(0)), "node {}", index);
+        }
+    }
+
+    #[test]
+    fn gossip_is_of_constant_size(count in 2..200usize) {
+        let mut net = Net::new(count);
+        let gossip = net.views[0].gossip(&name(1));
+        prop_assert!(gossip.members.len() <= 8);
+    }
+
+    #[test]
+    fn connections_stay_within_the_limit(connections in 1..100usize, listed in 1..50usize) {
+        for part in [allowance, even_part] {
+            let parts = (0..listed).map(|position| part(connections, listed, position));
+            let total: usize = parts.sum();
+            prop_assert!(total + listed <= connections.max(listed));
+        }
+    }
+}
+
+#[test]
+fn owners_of_a_server_as_nodes_die() {
+    let mut net = Net::new(6);
+    let mut transcript = Vec::new();
+    for dead in [None, Some(0), Some(3), Some(1)] {
+        if let Some(dead) = dead {
+            net.apply(&Event::Kill(dead));
+            net.run(NOTICED);
+        }
+        for server in ["ledger-1-1", "ledger-1-2", "ledger-1-3"] {
+            let zone = ZONES[usize::from(server.as_bytes()[9] - b'1')];
+            let (server, zone) = (ServerId::from(server), Zone::from(zone));
+            let owners = Rendezvous.owners(&name(5), &server, &zone, &net.views[5]);
+            transcript.push(format!(
+                "dead {dead:?}: {server} {zone}: {}",
+                owners.join(" ")
+            ));
+        }
+    }
+    insta::assert_snapshot!(transcript.join("\n"));
+}
--- a/crates/agateport-node/src/control/bundle.rs
+++ b/crates/agateport-node/src/control/bundle.rs
@@ -77,9 +77,7 @@
             node.groups.insert(group.name.clone(), known);
         }
         for server in &group.servers {
-            if let Ok(state) = server::State::new(server, &bundle.limits) {
-                node.servers.insert(server.name.clone(), state);
-            }
+            server::apply(node, server, &bundle);
         }
     }
     tracing::info!(version = bundle.version, "a bundle is in force");
--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -1,43 +1,192 @@
 //! Keeps the view of the other nodes.
 
 use crate::node::Node;
-use agateport_domain::membership::{Member, State};
+use agateport_domain::membership::{Gossip, Member, PERIOD, PROBE_TIMEOUT, State, View};
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_wire::Error;
+use agateport_wire::frame::Frame;
+use agateport_wire::link::Exchange;
 use agateport_wire::platform::Vm;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
 use std::sync::PoisonError;
-use tokio::time::sleep;
+use tokio::time::{interval, sleep, timeout};
 
 /// Interval between two looks at the platform's list.
-const INTERVAL: Duration = Duration::from_secs(1);
+const LIST_INTERVAL: Duration = Duration::from_secs(1);
 
-/// Reads the platform's list of VMs until the node ends.
+/// Keeps the view until the node ends.
 pub async fn run<P>(node: Arc<Node<P>>)
 where
     P: Policy + Send + Sync + 'static,
 {
-    let own = Member {
-        name: node.config.name.clone(),
-        zone: node.config.zone.clone(),
-        address: node.config.peers,
-        state: State::Live,
-    };
-    seed(&node, [own]);
-    while !node.stopping.is_cancelled() {
+    let stopping = node.stopping.clone();
+    let tasks = async { tokio::join!(read_list(&node), probe(&node), leave(&node)) };
+    let _ = stopping.run_until_cancelled(tasks).await;
+}
+
+/// Reads the platform's list of VMs again and again.
+async fn read_list<P>(node: &Node<P>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
         match node.platform.vms().await {
-            Ok(vms) => seed(&node, vms.into_iter().map(member)),
+            Ok(vms) => {
+                let members = vms.into_iter().map(member);
+                with_view(node, |view| view.seed(members, Instant::now()));
+            }
             Err(error) => tracing::debug!(%error, "the list of VMs can't be read"),
         }
-        sleep(INTERVAL).await;
+        sleep(LIST_INTERVAL).await;
+    }
+}
+
+/// Probes one member a period.
+async fn probe<P>(node: &Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut periods = interval(PERIOD);
+    loop {
+        periods.tick().await;
+        let target = with_view(node, |view| {
+            view.expire(Instant::now());
+            view.next_probe()
+        });
+        if let Some(target) = target {
+            // An unanswered probe may take longer than a period.
+            tokio::spawn(probe_one(Arc::clone(node), target));
+        }
+    }
+}
+
+async fn probe_one<P>(node: Arc<Node<P>>, target: Member)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    if is_alive(&node, &target).await || is_alive_through_others(&node, &target).await {
+        return;
+    }
+    node.metrics.count("membership", "unanswered");
+    with_view(&node, |view| view.suspect(&target.name, Instant::now()));
+}
+
+/// Probes a member directly.
+async fn is_alive<P>(node: &Node<P>, target: &Member) -> bool
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let gossip = with_view(node, |view| view.gossip(&target.name));
+    let asking = ask(node, target, Frame::Probe(gossip));
+    matches!(timeout(PROBE_TIMEOUT, asking).await, Ok(Ok(())))
+}
+
+/// Has others probe a member.
+async fn is_alive_through_others<P>(node: &Node<P>, target: &Member) -> bool
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let relays = with_view(node, |view| view.relays(&target.name));
+    let asked = relays.iter().map(|relay| {
+        let gossip = with_view(node, |view| view.gossip(&target.name));
+        let frame = Frame::ProbeFor(target.name.clone(), gossip);
+        timeout(2 * PROBE_TIMEOUT, ask(node, relay, frame))
+    });
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    while let Some(answer) = answers.next().await {
+        if matches!(answer, Ok(Ok(()))) {
+            return true;
+        }
+    }
+    false
+}
+
+async fn ask<P>(node: &Node<P>, member: &Member, frame: Frame) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut stream = node.peers.connection(member).await?.open().await?;
+    stream.send(frame).await?;
+    match stream.receive().await? {
+        Frame::Alive(gossip) => {
+            with_view(node, |view| view.merge(gossip, Instant::now()));
+            Ok(())
+        }
+        _ => Err(Error::Ended),
+    }
+}
+
+/// Answers a probe.
+///
+/// # Errors
+///
+/// [`Error`] if the peer is gone.
+pub async fn answer<P, E>(node: &Node<P>, exchange: &mut E, gossip: Gossip) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let answer = with_view(node, |view| {
+        let from = gossip.from.clone();
+        view.merge(gossip, Instant::now());
+        view.gossip(&from)
+    });
+    exchange.send(Frame::Alive(answer)).await
+}
+
+/// Probes a member for a peer.
+///
+/// # Errors
+///
+/// [`Error`] if the peer is gone.
+pub async fn relay<P, E>(
+    node: &Node<P>,
+    exchange: &mut E,
+    target: &NodeId,
+    gossip: Gossip,
+) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let from = gossip.from.clone();
+    let target = with_view(node, |view| {
+        view.merge(gossip, Instant::now());
+        view.member(target).cloned()
+    });
+    let Ok(target) = target else {
+        return exchange.send(Frame::Unknown).await;
+    };
+    if !is_alive(node, &target).await {
+        return exchange.send(Frame::Unknown).await;
+    }
+    let gossip = with_view(node, |view| view.gossip(&from));
+    exchange.send(Frame::Alive(gossip)).await
+}
+
+/// Says so at once when the node leaves.
+async fn leave<P>(node: &Node<P>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    node.leaving.cancelled().await;
+    let peers = with_view(node, |view| {
+        view.leave(Instant::now());
+        view.relays(&node.config.name)
+    });
+    for peer in peers {
+        is_alive(node, &peer).await;
     }
 }
 
-fn seed<P>(node: &Node<P>, members: impl IntoIterator<Item = Member>)
+fn with_view<P, R>(node: &Node<P>, action: impl FnOnce(&mut View) -> R) -> R
 where
     P: Policy + Send + Sync + 'static,
 {
     let mut view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
-    view.seed(members);
+    action(&mut view)
 }
 
 fn member(vm: Vm) -> Member {
@@ -50,5 +199,6 @@
         } else {
             State::Live
         },
+        incarnation: 0,
     }
 }
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -6,6 +6,7 @@
 mod status;
 
 use crate::node::Node;
+use crate::owner::upkeep;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_wire::Error;
@@ -19,6 +20,7 @@
     P: Policy + Send + Sync + 'static,
 {
     tokio::spawn(membership::run(Arc::clone(node)));
+    tokio::spawn(upkeep::run(Arc::clone(node)));
     tokio::spawn(bundle::run(Arc::clone(node)));
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
@@ -34,7 +36,15 @@
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    // No frame for control is known yet, so the peer is of another version.
-    tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
-    exchange.send(Frame::Unsupported).await
+    match first {
+        Frame::Probe(gossip) => membership::answer(node, &mut exchange, gossip).await,
+        Frame::ProbeFor(target, gossip) => {
+            membership::relay(node, &mut exchange, &target, gossip).await
+        }
+        first => {
+            // The peer is of another version.
+            tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
+            exchange.send(Frame::Unsupported).await
+        }
+    }
 }
--- a/crates/agateport-node/src/frontend/caller.rs
+++ b/crates/agateport-node/src/frontend/caller.rs
@@ -1,6 +1,7 @@
 //! Serves one caller from its first message to its last.
 
 use super::pipeline::{Pipeline, Work};
+use super::priority::Asked;
 use super::route::{self, Attempt, Begun};
 use super::startup::{self, Socket};
 use crate::node::Node;
@@ -52,6 +53,11 @@
         socket,
         id,
         group: login.group,
+        asked: Asked {
+            user: Some(login.user),
+            session: login.priority,
+            tag: None,
+        },
         pipeline: Pipeline::default(),
         link: None,
     };
@@ -64,6 +70,7 @@
     socket: Socket,
     id: SessionId,
     group: GroupId,
+    asked: Asked,
     pipeline: Pipeline,
     /// Link of the open transaction.
     link: Option<Link>,
@@ -113,7 +120,8 @@
             .sessions
             .update(&self.id, |session| session.watermark(&self.group))
             .flatten();
-        match route::begin(&self.node, &self.group, watermark, &work).await {
+        self.asked.tag.clone_from(&work.priority);
+        match route::begin(&self.node, &self.group, &self.asked, watermark, &work).await {
             Attempt::Begun(Begun { link, first }) => self.carry(link, work, Some(first)).await,
             Attempt::Refused(refusal) => self.refuse(&refusal).await,
             Attempt::Unknown => self.unknown().await,
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -21,6 +21,10 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+    if let Err(refusal) = node.gates.pass(&command) {
+        node.metrics.count("gate_refused", &command.priority);
+        return Attempt::Refused(refusal);
+    }
     let owners = {
         let view = node
             .view
@@ -43,9 +47,15 @@
             return Attempt::Unknown;
         }
         return match link.receive().await {
-            Ok(Frame::Refused(refusal)) => Attempt::Refused(refusal),
+            Ok(Frame::Refused(refusal)) => {
+                node.gates.refuse(&command, &refusal);
+                Attempt::Refused(refusal)
+            }
             Ok(Frame::Unknown) | Err(_) => Attempt::Unknown,
-            Ok(first) => Attempt::Begun(Begun { link, first }),
+            Ok(first) => {
+                node.gates.accept(&command);
+                Attempt::Begun(Begun { link, first })
+            }
         };
     }
     Attempt::Refused(Reason::OwnerUnreachable.into())
--- /dev/null
+++ b/crates/agateport-node/src/frontend/gates.rs
@@ -0,0 +1,51 @@
+//! Keeps a flood from the hop to the owner, by what owners said before.
+
+use agateport_domain::admission::Gate;
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Command, Reason, Refusal};
+
+/// Gates of one server, by priority.
+type Priorities = BTreeMap<PriorityId, Gate>;
+
+/// One gate for each server and priority.
+#[derive(Debug, Default)]
+pub struct Gates {
+    servers: Sharded<ServerId, Priorities>,
+}
+
+impl Gates {
+    /// Lets a request pass to the owner.
+    ///
+    /// # Errors
+    ///
+    /// A refusal if the owner would most likely refuse it.
+    pub fn pass(&self, command: &Command) -> Result<(), Refusal> {
+        self.with(command, |gate| gate.pass(Instant::now(), &mut rand::rng()))
+    }
+
+    /// Records that the owner accepted a request.
+    pub fn accept(&self, command: &Command) {
+        self.with(command, Gate::accept);
+    }
+
+    /// Records that the owner refused a request.
+    pub fn refuse(&self, command: &Command, refusal: &Refusal) {
+        match refusal.reason {
+            Reason::QueueFull | Reason::TargetMissed => {
+                self.with(command, |gate| gate.refuse(refusal));
+            }
+            // It says nothing of the load, so the gate stays as it is.
+            _ => self.with(command, Gate::accept),
+        }
+    }
+
+    fn with<R>(&self, command: &Command, action: impl FnOnce(&mut Gate) -> R) -> R {
+        self.servers.with(&command.server, |servers| {
+            let gates = servers.entry(command.server.clone()).or_default();
+            let gate = gates
+                .entry(command.priority.clone())
+                .or_insert_with(|| Gate::new(Instant::now()));
+            action(gate)
+        })
+    }
+}
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -3,7 +3,9 @@
 mod caller;
 mod candidate;
 mod forward;
+pub mod gates;
 mod pipeline;
+mod priority;
 mod route;
 mod startup;
 
--- a/crates/agateport-node/src/frontend/pipeline.rs
+++ b/crates/agateport-node/src/frontend/pipeline.rs
@@ -5,6 +5,7 @@
 
 use agateport_domain::prelude::*;
 use agateport_domain::request::statement::{Kind, Statement};
+use agateport_domain::request::tag;
 use agateport_wire::frame::{Batch, Prepared};
 use agateport_wire::postgres::{Backend, Frontend};
 use bytes::{Bytes, BytesMut};
@@ -30,6 +31,7 @@
 struct Known {
     prepared: Prepared,
     statement: Statement,
+    priority: Option<PriorityId>,
 }
 
 /// A batch with what is known of its statements.
@@ -41,6 +43,8 @@
     pub kind: Kind,
     /// Tables that the statements name.
     pub tables: BTreeSet<String>,
+    /// Priority that a tag in the statements names.
+    pub priority: Option<PriorityId>,
     expected: VecDeque<Expected>,
 }
 
@@ -52,6 +56,7 @@
     used: BTreeMap<String, Prepared>,
     kind: Option<Kind>,
     tables: BTreeSet<String>,
+    priority: Option<PriorityId>,
     expected: VecDeque<Expected>,
 }
 
@@ -60,7 +65,7 @@
     pub fn push(&mut self, message: Frontend) -> Option<Work> {
         match message {
             Frontend::Query(query) => {
-                self.note(&Statement::parse(&query.query));
+                self.note(&Statement::parse(&query.query), tagged(&query.query));
                 self.encode(&Frontend::Query(query));
                 Some(self.take())
             }
@@ -85,6 +90,7 @@
         (&parse.query, &parse.type_oids).hash(&mut hasher);
         let name = format!("agateport_{:016x}", hasher.finish());
         let statement = Statement::parse(&parse.query);
+        let priority = tagged(&parse.query);
         parse.name = Some(name.clone());
         let mut encoded = BytesMut::new();
         // Encoding fails only for a message too long to have been read.
@@ -97,6 +103,7 @@
         let known = Known {
             prepared,
             statement,
+            priority,
         };
         self.statements.insert(caller_name, known);
         self.expected.push_back(Expected::Parsed);
@@ -139,12 +146,13 @@
         let name = known.prepared.name.clone();
         self.used.insert(name.clone(), known.prepared);
         if is_run {
-            self.note(&known.statement);
+            self.note(&known.statement, known.priority);
         }
         Some(name)
     }
 
-    fn note(&mut self, statement: &Statement) {
+    fn note(&mut self, statement: &Statement, priority: Option<PriorityId>) {
+        self.priority = priority.or_else(|| self.priority.take());
         self.kind = self.kind.max(Some(statement.kind));
         self.tables.extend(statement.tables.iter().cloned());
     }
@@ -163,6 +171,7 @@
             },
             kind: self.kind.take().unwrap_or(Kind::Read),
             tables: std::mem::take(&mut self.tables),
+            priority: self.priority.take(),
             expected: std::mem::take(&mut self.expected),
         }
     }
@@ -210,6 +219,11 @@
     }
 }
 
+/// Returns the priority that a tag in a text of SQL names.
+fn tagged(sql: &str) -> Option<PriorityId> {
+    tag::value(sql, "priority").map(Into::into)
+}
+
 /// Tells whether a message is the last answer to one of the caller's messages.
 fn is_last_answer(message: &Backend) -> bool {
     !matches!(
--- a/crates/agateport-node/src/frontend/route.rs
+++ b/crates/agateport-node/src/frontend/route.rs
@@ -3,6 +3,7 @@
 use super::candidate;
 use super::forward;
 use super::pipeline::Work;
+use super::priority::Asked;
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -34,6 +35,7 @@
 pub async fn begin<P>(
     node: &Arc<Node<P>>,
     group: &GroupId,
+    asked: &Asked,
     watermark: Option<Watermark>,
     work: &Work,
 ) -> Attempt
@@ -46,14 +48,18 @@
     let Some(group) = bundle.group(group) else {
         return Attempt::Refused(Reason::UnknownServer.into());
     };
-    let priority = bundle.priority(&bundle.default_priority);
+    let priority = match asked.choose(&bundle, &group.name, &work.tables) {
+        Ok(priority) => priority,
+        Err(refusal) => return Attempt::Refused(refusal),
+    };
     let mut refusal = Refusal::from(Reason::UnknownServer);
     for (server, need) in candidate::servers(node, &bundle, group, watermark, work) {
         let command = Command {
             group: group.name.clone(),
             server: server.name.clone(),
-            priority: bundle.default_priority.clone(),
-            target: priority.map_or(Duration::ZERO, |priority| priority.target),
+            priority: priority.name.clone(),
+            caller: asked.caller(),
+            target: priority.target,
             need,
         };
         match forward::attempt(node, server, command, work).await {
--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -1,5 +1,6 @@
 //! The first messages of a caller's connection.
 
+use super::priority;
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -25,6 +26,10 @@
 pub struct Login {
     /// Group that it wants to talk to.
     pub group: GroupId,
+    /// User that it says it is.
+    pub user: CallerId,
+    /// Priority that it asks for.
+    pub priority: Option<PriorityId>,
     /// What it has seen of the group through other connections.
     pub watermark: Option<Watermark>,
 }
@@ -103,8 +108,16 @@
             Some(parsed?)
         }
     };
+    let text = |name| startup.parameters.get(name).map(String::as_str);
+    let priority = text(priority::SETTING);
+    if let Some(name) = priority.filter(|name| bundle.priority(name).is_none()) {
+        let text = priority::unknown(name);
+        return Err(postgres::error("FATAL", "22023", text));
+    }
     Ok(Login {
         group: group.name.clone(),
+        user: text("user").unwrap_or_default().into(),
+        priority: priority.map(Into::into),
         watermark,
     })
 }
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -3,7 +3,7 @@
 use crate::config::Config;
 use crate::control;
 use crate::error::Error;
-use crate::frontend;
+use crate::frontend::{self, gates::Gates};
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
@@ -44,6 +44,8 @@
     pub groups: Sharded<GroupId, Group>,
     /// Notified when a status of the group came in.
     pub reports: watch::Sender<u64>,
+    /// What owners say of each priority at their servers.
+    pub gates: Gates,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
@@ -77,14 +79,22 @@
             peers: endpoint.address().map_err(Error::Peers)?,
             admin: admin.local_addr()?,
         };
+        let view = View::new(
+            config.name.clone(),
+            config.zone.clone(),
+            addresses.peers,
+            rand::random(),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
             peers: Peers::new(endpoint),
             bundle: watch::Sender::new(None),
-            view: Mutex::default(),
+            view: Mutex::new(view),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
+            gates: Gates::default(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
             metrics: Metrics::new(config.statsd)?,
--- a/crates/agateport-node/src/owner/lease.rs
+++ b/crates/agateport-node/src/owner/lease.rs
@@ -1,16 +1,20 @@
 //! A slot of an upstream server with a connection to it.
 
+use super::server::Place;
 use crate::node::Node;
 use agateport_domain::admission::Ticket;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_domain::request::{Command, Reason, Refusal};
 use agateport_wire::postgres::Upstream;
-use tokio::time::timeout_at;
+use tokio::time::{timeout, timeout_at};
 
 /// User that owners log in as.
 const USER: &str = "agateport";
 
+/// Time after which an attempt to connect is given up.
+const CONNECT_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// A slot of an upstream server with a connection to it, both given back when
 /// it is dropped.
 #[derive(Debug)]
@@ -22,31 +26,34 @@
 }
 
 impl<P: Policy + Send + Sync + 'static> Lease<P> {
-    /// Waits for a slot and a connection.
+    /// Waits for a slot and a connection; a wait that is given up leaves the
+    /// queue.
     ///
     /// # Errors
     ///
     /// A refusal if there is none within the target.
     pub async fn take(node: Arc<Node<P>>, command: &Command) -> Result<Self, Refusal> {
-        let bundle = node.bundle().ok_or(Reason::NoBundle)?;
-        let priority = bundle.priority(&command.priority);
-        let due = Instant::now() + command.target;
+        let now = Instant::now();
+        let due = now + command.target;
         let ticket = Ticket {
             request: node.next_id(),
-            worth: priority.map_or(0, |priority| priority.worth),
+            priority: command.priority.clone(),
+            caller: command.caller.clone(),
             due,
         };
+        let request = ticket.request;
         let offer = node
             .servers
-            .update(&command.server, |server| server.offer(ticket));
-        let turn = offer.ok_or(Reason::UnknownServer)??;
+            .update(&command.server, |server| server.offer(ticket, now));
+        let place = offer.ok_or(Reason::UnknownServer)??;
         let mut lease = Self {
             server: command.server.clone(),
-            request: ticket.request,
+            request,
             upstream: None,
             node,
         };
-        match timeout_at(due.into(), turn).await {
+        let Place { turn, latest_start } = place;
+        match timeout_at(latest_start.into(), turn).await {
             Ok(Ok(turn)) => turn?,
             Ok(Err(_)) | Err(_) => return Err(Reason::TargetMissed.into()),
         }
@@ -59,27 +66,55 @@
             (server.address(), server.take_idle())
         });
         let (address, idle) = found.ok_or(Reason::UnknownServer)?;
-        let upstream = if let Some(upstream) = idle {
-            upstream
-        } else {
-            let connected = Upstream::connect(address, USER, group).await;
-            connected.map_err(|_| Reason::UpstreamUnreachable)?
-        };
+        if idle.is_some() {
+            self.upstream = idle;
+            return Ok(());
+        }
+        let connecting = Upstream::connect(address, USER, group);
+        let connected = timeout(CONNECT_TIMEOUT, connecting).await;
+        let upstream = connected.ok().and_then(Result::ok);
+        self.record(upstream.is_some());
+        let upstream = upstream.ok_or(Reason::UpstreamUnreachable)?;
         self.upstream = Some(upstream);
         Ok(())
     }
 
+    /// Records whether the upstream answered.
+    pub fn record(&self, is_answered: bool) {
+        self.node.servers.update(&self.server, |server| {
+            server.record(is_answered, Instant::now());
+        });
+    }
+
     /// Returns the connection.
     pub fn upstream(&mut self) -> Option<&mut Upstream> {
         self.upstream.as_mut()
     }
 
+    /// Gives the slot back until the transaction's next statement.
+    pub fn pause(&self) {
+        self.node.servers.update(&self.server, |server| {
+            server.pause(self.request, Instant::now());
+        });
+    }
+
+    /// Waits for a slot for the transaction's next statement.
+    pub async fn resume(&self) {
+        let turn = self.node.servers.update(&self.server, |server| {
+            server.resume(self.request, Instant::now())
+        });
+        if let Some(turn) = turn {
+            // A queue that is gone lets the statement through: it is sure to end.
+            drop(turn.await);
+        }
+    }
+
     /// Gives the connection back for others; it must be idle.
     pub fn keep(mut self) {
         if let Some(upstream) = self.upstream.take() {
-            self.node
-                .servers
-                .update(&self.server, |server| server.put_idle(upstream));
+            self.node.servers.update(&self.server, |server| {
+                server.put_idle(upstream, self.request, Instant::now());
+            });
         }
     }
 }
--- a/crates/agateport-node/src/owner/mod.rs
+++ b/crates/agateport-node/src/owner/mod.rs
@@ -6,5 +6,6 @@
 mod lease;
 mod serve;
 pub mod server;
+pub mod upkeep;
 
 pub use serve::serve;
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -29,7 +29,12 @@
     let Frame::Batch(first) = exchange.receive().await? else {
         return Err(Error::Ended);
     };
-    let lease = match admit(node, &command).await {
+    let admitted = tokio::select! {
+        admitted = admit(node, &command) => admitted,
+        // The frontend has nothing to say here: it is gone, or gives up.
+        _ = exchange.receive() => return Err(Error::Ended),
+    };
+    let lease = match admitted {
         Ok(lease) => lease,
         Err(refusal) => {
             node.metrics.count("owner_refused", refusal.reason.name());
@@ -95,11 +100,14 @@
     loop {
         let upstream = lease.upstream().ok_or(Error::Ended)?;
         let Ok(added) = answer::send(upstream, batch).await else {
+            lease.record(false);
             return exchange.send(Frame::Unknown).await;
         };
         let Ok(tail) = answer::carry(upstream, exchange, added).await else {
+            lease.record(false);
             return exchange.send(Frame::Unknown).await;
         };
+        lease.record(true);
         if answer::is_reusable(&tail.completion) {
             // The wait for the acknowledgement holds no slot.
             lease.keep();
@@ -111,9 +119,11 @@
         } = tail;
         exchange.send(Frame::Answer(messages)).await?;
         exchange.send(Frame::Finished(completion)).await?;
+        lease.pause();
         let Frame::Batch(next) = exchange.receive().await? else {
             return Err(Error::Ended);
         };
+        lease.resume().await;
         batch = next;
     }
 }
--- a/crates/agateport-node/src/owner/server.rs
+++ b/crates/agateport-node/src/owner/server.rs
@@ -1,23 +1,72 @@
 //! The state of one upstream server at its owner.
 
-use agateport_domain::admission::{Decision, Offer, Queue, Ticket};
-use agateport_domain::bundle;
+use crate::node::Node;
+use agateport_domain::admission::{
+    Circuit, Decision, Error as QueueError, Offer, Queue, Share, Ticket,
+};
+use agateport_domain::bundle::{self, Bundle};
+use agateport_domain::owner::{Allowance, Policy};
 use agateport_domain::prelude::*;
-use agateport_domain::request::Refusal;
+use agateport_domain::request::{Reason, Refusal};
 use agateport_wire::postgres::Upstream;
 use std::net::SocketAddr;
+use std::sync::PoisonError;
 use tokio::sync::oneshot;
 
+/// Time after which an unused connection is closed.
+const IDLE_LIMIT: Duration = Duration::from_secs(30);
+
 /// A request's turn, or why it gets none.
 pub type Turn = Result<(), Refusal>;
 
+/// A place in the queue.
+#[derive(Debug)]
+pub struct Place {
+    /// Tells when it is this request's turn.
+    pub turn: oneshot::Receiver<Turn>,
+    /// When the target can no longer be met.
+    pub latest_start: Instant,
+}
+
+/// A connection that nobody uses.
+#[derive(Debug)]
+struct Idle {
+    upstream: Upstream,
+    since: Instant,
+}
+
+/// Goes by a bundle for one of its servers.
+pub fn apply<P>(node: &Node<P>, server: &bundle::Server, bundle: &Bundle)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let share = {
+        let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+        node.policy.share(&node.config.name, server, &view)
+    };
+    let now = Instant::now();
+    let result = node.servers.with(&server.name, |servers| {
+        match servers.get_mut(&server.name) {
+            Some(state) => state.apply(server, bundle, share, now),
+            None => State::new(server, bundle, share, now)
+                .map(|state| drop(servers.insert(server.name.clone(), state))),
+        }
+    });
+    if let Err(error) = result {
+        tracing::warn!(server = %server.name, %error, "the server can't be used");
+    }
+}
+
 /// The queue and the idle connections of one upstream server.
 #[derive(Debug)]
 pub struct State {
-    address: SocketAddr,
+    declared: bundle::Server,
     queue: Queue,
+    allowance: Allowance,
+    circuit: Circuit,
     waiting: BTreeMap<RequestId, oneshot::Sender<Turn>>,
-    idle: Vec<Upstream>,
+    /// The one used last is at the end, so that the others can be closed.
+    idle: Vec<Idle>,
 }
 
 impl State {
@@ -28,61 +77,188 @@
     /// An error of the queue if the server has no slot.
     pub fn new(
         server: &bundle::Server,
-        limits: &bundle::Limits,
-    ) -> Result<Self, agateport_domain::admission::Error> {
+        bundle: &Bundle,
+        share: Share,
+        now: Instant,
+    ) -> Result<Self, QueueError> {
+        let allowance = Allowance::default();
+        let share = Share {
+            connections: allowance.current(),
+            ..share
+        };
         Ok(Self {
-            address: server.address,
-            queue: Queue::new(server.slots, limits.queue)?,
+            declared: server.clone(),
+            queue: Queue::new(share, bundle.limits.queue, &bundle.priorities, now)?,
+            allowance,
+            circuit: Circuit::default(),
             waiting: BTreeMap::new(),
             idle: Vec::new(),
         })
     }
 
+    /// Goes by another bundle; what runs and waits stays.
+    ///
+    /// # Errors
+    ///
+    /// An error of the queue if the server has no slot.
+    pub fn apply(
+        &mut self,
+        server: &bundle::Server,
+        bundle: &Bundle,
+        share: Share,
+        now: Instant,
+    ) -> Result<(), QueueError> {
+        let share = Share {
+            connections: self.allowance.current(),
+            ..share
+        };
+        self.queue
+            .apply(share, bundle.limits.queue, &bundle.priorities, now)?;
+        if self.declared.address != server.address {
+            self.idle.clear();
+        }
+        self.declared = server.clone();
+        Ok(())
+    }
+
+    /// Returns the server as the bundle declares it.
+    #[must_use]
+    pub fn declared(&self) -> &bundle::Server {
+        &self.declared
+    }
+
     /// Returns the address of the server's PostgreSQL port.
     #[must_use]
     pub fn address(&self) -> SocketAddr {
-        self.address
+        self.declared.address
     }
 
-    /// Asks for a slot; the receiver tells when it is this request's turn.
+    /// Asks for a slot.
     ///
     /// # Errors
     ///
-    /// A refusal if the queue is full.
-    pub fn offer(&mut self, ticket: Ticket) -> Result<oneshot::Receiver<Turn>, Refusal> {
-        let (sender, receiver) = oneshot::channel();
-        match self.queue.offer(ticket)? {
-            // A receiver that is gone gives its slot back by its lease.
-            Offer::Started => drop(sender.send(Ok(()))),
-            Offer::Queued => drop(self.waiting.insert(ticket.request, sender)),
+    /// A refusal if the server doesn't answer, the target can't be met or the
+    /// queue is full.
+    pub fn offer(&mut self, ticket: Ticket, now: Instant) -> Result<Place, Refusal> {
+        if let Err(wait) = self.circuit.allow(now) {
+            return Err(Refusal {
+                reason: Reason::UpstreamUnreachable,
+                retry_after: Some(wait),
+            });
+        }
+        let (sender, turn) = oneshot::channel();
+        let request = ticket.request;
+        let due = ticket.due;
+        match self.queue.offer(ticket, now)? {
+            Offer::Started => {
+                // A receiver that is gone gives its slot back by its lease.
+                let _ = sender.send(Ok(()));
+                Ok(Place {
+                    turn,
+                    latest_start: due,
+                })
+            }
+            Offer::Queued {
+                latest_start,
+                evicted,
+            } => {
+                self.waiting.insert(request, sender);
+                if let Some((evicted, refusal)) = evicted {
+                    self.tell(evicted, Err(refusal));
+                }
+                // Connections may have been added since the last request ended.
+                self.advance(now);
+                Ok(Place { turn, latest_start })
+            }
         }
-        Ok(receiver)
     }
 
-    /// Gives a slot back and hands it to whom it is due.
+    /// Gives a slot and a connection back and hands them to whom they are due.
     pub fn finish(&mut self, request: RequestId, now: Instant) {
         self.waiting.remove(&request);
-        self.queue.finish(request);
+        self.queue.finish(request, now);
+        self.advance(now);
+    }
+
+    /// Gives the slot of an open transaction back until its next statement.
+    pub fn pause(&mut self, request: RequestId, now: Instant) {
+        self.queue.pause(request, now);
+        self.advance(now);
+    }
+
+    /// Asks for a slot for the next statement of an open transaction.
+    pub fn resume(&mut self, request: RequestId, now: Instant) -> oneshot::Receiver<Turn> {
+        let (sender, turn) = oneshot::channel();
+        if self.queue.resume(request, now) {
+            let _ = sender.send(Ok(()));
+        } else {
+            self.waiting.insert(request, sender);
+        }
+        turn
+    }
+
+    fn advance(&mut self, now: Instant) {
         while let Some(decision) = self.queue.next(now) {
             let (request, turn) = match decision {
                 Decision::Start(request) => (request, Ok(())),
                 Decision::Refuse(request, refusal) => (request, Err(refusal)),
             };
-            let sender = self.waiting.remove(&request);
-            let is_gone = sender.is_none_or(|sender| sender.send(turn).is_err());
+            let is_gone = !self.tell(request, turn);
             if is_gone && turn.is_ok() {
-                self.queue.finish(request);
+                self.queue.finish(request, now);
             }
         }
     }
 
+    fn tell(&mut self, request: RequestId, turn: Turn) -> bool {
+        let sender = self.waiting.remove(&request);
+        sender.is_some_and(|sender| sender.send(turn).is_ok())
+    }
+
+    /// Records whether the server answered.
+    pub fn record(&mut self, is_answered: bool, now: Instant) {
+        if is_answered {
+            self.circuit.succeed();
+        } else {
+            self.circuit.fail(now);
+        }
+    }
+
+    /// Takes in which part of the server this node may use.
+    pub fn set_share(&mut self, share: Share, is_listed: bool, now: Instant) {
+        self.allowance.set(share.connections, is_listed, now);
+        self.queue.set_connections(self.allowance.current());
+        self.trim(now);
+        self.advance(now);
+    }
+
+    /// Returns the connections that are open or about to be.
+    #[must_use]
+    pub fn connections(&self) -> usize {
+        self.queue.held() + self.idle.len()
+    }
+
     /// Takes an idle connection.
     pub fn take_idle(&mut self) -> Option<Upstream> {
-        self.idle.pop()
+        self.idle.pop().map(|idle| idle.upstream)
+    }
+
+    /// Keeps a connection for the next request; `request` used it.
+    pub fn put_idle(&mut self, upstream: Upstream, request: RequestId, now: Instant) {
+        let idle = Idle {
+            upstream,
+            since: now,
+        };
+        self.idle.push(idle);
+        self.finish(request, now);
+        self.trim(now);
     }
 
-    /// Keeps a connection for the next request.
-    pub fn put_idle(&mut self, upstream: Upstream) {
-        self.idle.push(upstream);
+    /// Closes connections that were long unused, or are above the allowance.
+    fn trim(&mut self, now: Instant) {
+        self.idle
+            .retain(|idle| now.saturating_duration_since(idle.since) < IDLE_LIMIT);
+        let excess = self.connections().saturating_sub(self.allowance.current());
+        self.idle.drain(..excess.min(self.idle.len()));
     }
 }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -1,6 +1,8 @@
 //! The messages between nodes.
 
 use crate::Error;
+use agateport_domain::id::NodeId;
+use agateport_domain::membership::Gossip;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -45,6 +47,12 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+    /// Asks whether the peer is live.
+    Probe(Gossip),
+    /// Asks the peer to probe another node.
+    ProbeFor(NodeId, Gossip),
+    /// The peer, or the node that it probed, is live.
+    Alive(Gossip),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -43,11 +43,13 @@
     error("ERROR", TRANSACTION_RESOLUTION_UNKNOWN, text.to_owned())
 }
 
-/// Returns the SQLSTATE of a refusal: all are of classes that clients retry.
+/// Returns the SQLSTATE of a refusal: all are of classes that clients retry, but
+/// for a priority that the bundle doesn't know.
 #[must_use]
 pub fn sqlstate(reason: Reason) -> &'static str {
     match reason {
-        Reason::QueueFull | Reason::TargetMissed => "53300",
+        Reason::Flooded | Reason::QueueFull | Reason::TargetMissed => "53300",
+        Reason::UnknownPriority => "22023",
         Reason::UnknownServer => "3D000",
         Reason::NoBundle | Reason::Leaving => "57P03",
         Reason::Behind
