peers: go on with a handshake when a probe is given up

Change: one attempt to connect at a time for each peer, which goes on by itself and pauses after a failure; probes wait 500 ms instead of 250 ms.

--- a/crates/agateport-domain/src/membership/mod.rs
+++ b/crates/agateport-domain/src/membership/mod.rs
@@ -18,7 +18,7 @@
 pub const PERIOD: Duration = Duration::from_millis(200);
 
 /// Time after which a probe counts as unanswered.
-pub const PROBE_TIMEOUT: Duration = Duration::from_millis(250);
+pub const PROBE_TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Nodes that are asked to probe one that didn't answer.
 pub const RELAYS: usize = 3;
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -10,12 +10,29 @@
 use agateport_wire::frame::Frame;
 use agateport_wire::link::{Exchange, Link, Local};
 use agateport_wire::peer::{Connection, Endpoint};
+use std::io;
+use std::net::SocketAddr;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+/// Time after a failure during which no other attempt to connect is made.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Time after which a link to an owner is given up.
+const LINK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The connection to one peer.
+#[derive(Debug, Default)]
+struct Slot {
+    connection: Option<Connection>,
+    failed: Option<Instant>,
+}
 
 /// Connections to peers, one each.
 #[derive(Debug)]
 pub struct Peers {
     endpoint: Endpoint,
-    connections: Sharded<NodeId, Connection>,
+    slots: Sharded<NodeId, Arc<Mutex<Slot>>>,
 }
 
 impl Peers {
@@ -24,25 +41,32 @@
     pub fn new(endpoint: Endpoint) -> Self {
         Self {
             endpoint,
-            connections: Sharded::new(),
+            slots: Sharded::new(),
         }
     }
 
     /// Returns a connection to a peer, a new one if need be.
     ///
+    /// An attempt to connect goes on when the caller of this function gives up,
+    /// so that a slow handshake isn't begun again and again.
+    ///
     /// # Errors
     ///
     /// [`Error::Unreachable`] if the peer can't be reached.
     pub async fn connection(&self, member: &Member) -> Result<Connection, Error> {
-        if let Some(connection) = self.connections.get(&member.name)
-            && !connection.is_closed()
-        {
-            return Ok(connection);
-        }
-        let connection = self.endpoint.connect(&member.name, member.address).await?;
-        self.connections
-            .insert(member.name.clone(), connection.clone());
-        Ok(connection)
+        let slot = self.slots.with(&member.name, |slots| {
+            Arc::clone(slots.entry(member.name.clone()).or_default())
+        });
+        let endpoint = self.endpoint.clone();
+        let (name, address) = (member.name.clone(), member.address);
+        let connecting = tokio::spawn(async move {
+            let mut slot = slot.lock().await;
+            slot.connect(&endpoint, &name, address).await
+        });
+        connecting.await.map_err(|error| Error::Unreachable {
+            peer: member.name.to_string(),
+            source: io::Error::other(error),
+        })?
     }
 
     /// Closes all connections.
@@ -51,6 +75,31 @@
     }
 }
 
+impl Slot {
+    async fn connect(
+        &mut self,
+        endpoint: &Endpoint,
+        name: &NodeId,
+        address: SocketAddr,
+    ) -> Result<Connection, Error> {
+        let open = self.connection.clone().filter(|one| !one.is_closed());
+        if let Some(connection) = open {
+            return Ok(connection);
+        }
+        if self.failed.is_some_and(|failed| failed.elapsed() < PAUSE) {
+            return Err(Error::Unreachable {
+                peer: name.to_string(),
+                source: io::ErrorKind::NotConnected.into(),
+            });
+        }
+        let connected = endpoint.connect(name, address).await;
+        self.failed = connected.is_err().then(Instant::now);
+        let connection = connected?;
+        self.connection = Some(connection.clone());
+        Ok(connection)
+    }
+}
+
 /// Opens a link to the owner named `name`, which may be this node itself.
 ///
 /// # Errors
@@ -74,10 +123,15 @@
     };
     let member = member.map_err(|error| Error::Unreachable {
         peer: name.to_string(),
-        source: std::io::Error::other(error),
+        source: io::Error::other(error),
+    })?;
+    let opening = async { node.peers.connection(&member).await?.open().await };
+    let opened = timeout(LINK_TIMEOUT, opening).await;
+    let stream = opened.map_err(|error| Error::Unreachable {
+        peer: name.to_string(),
+        source: error.into(),
     })?;
-    let connection = node.peers.connection(&member).await?;
-    Ok(Link::Remote(Box::new(connection.open().await?)))
+    Ok(Link::Remote(Box::new(stream?)))
 }
 
 /// Takes connections of peers until the node ends.
