--- a/crates/agateport-node/src/config.rs
+++ b/crates/agateport-node/src/config.rs
@@ -54,6 +54,7 @@
             zone: self.zone.clone(),
             address: self.address,
             state: State::Live,
+            incarnation: 0,
         }
     }
 }
--- a/crates/agateport-node/src/control/bundle/apply.rs
+++ b/crates/agateport-node/src/control/bundle/apply.rs
@@ -44,15 +44,7 @@
             node.groups.insert(group.name.clone(), known);
         }
         for server in &group.servers {
-            let old = before
-                .as_ref()
-                .and_then(|before| before.server(&server.name));
-            if old.is_some_and(|(_, old)| old == server) {
-                continue;
-            }
-            if let Ok(state) = server::State::new(server, &bundle.limits) {
-                node.servers.insert(server.name.clone(), state);
-            }
+            server::apply(node, server, bundle);
         }
     }
     node.bundle.send_replace(Some(Arc::clone(bundle)));
