group: forget servers that a node no longer asks

Cause: a node that had watched a group while it knew no other node kept the old primary for good, and sent each write there first. Change: a report ends with the questions, a refusing server has no status, and all watchers ask often while a group is in trouble.

--- a/crates/agateport-domain/src/group/health.rs
+++ b/crates/agateport-domain/src/group/health.rs
@@ -138,8 +138,8 @@
 
     fn reigning(&self) -> Option<(&ServerId, Term)> {
         let primary = self.reported_primary()?;
-        let (status, _) = self.status(primary)?;
-        Some((primary, status.term))
+        let report = self.reports.get(primary)?.as_ref()?;
+        Some((primary, report.status.term))
     }
 
     fn has_majority(&self, now: Instant) -> bool {
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -141,11 +141,25 @@
         primaries.max().map(|(_, server)| server)
     }
 
-    /// Returns the last status of a server, and when it was heard.
+    /// Returns the last status of a server, and when it was heard; none if it
+    /// refuses connections.
     #[must_use]
     pub fn status(&self, server: &ServerId) -> Option<(Status, Instant)> {
         let report = self.reports.get(server)?.as_ref()?;
-        Some((report.status, report.heard))
+        (!report.is_refused).then_some((report.status, report.heard))
+    }
+
+    /// Tells whether anything was heard of a server.
+    #[must_use]
+    pub fn is_known(&self, server: &ServerId) -> bool {
+        self.reports.get(server).is_some_and(Option::is_some)
+    }
+
+    /// Forgets a server that this node no longer asks: what it said grows old.
+    pub fn forget(&mut self, server: &ServerId) {
+        if let Some(report) = self.reports.get_mut(server) {
+            *report = None;
+        }
     }
 
     /// Tells whether the write at `written` may be acknowledged.
--- a/crates/agateport-node/src/control/promotion.rs
+++ b/crates/agateport-node/src/control/promotion.rs
@@ -3,6 +3,7 @@
 mod attempt;
 
 use crate::control::claim::Obstacle;
+use crate::control::status::Guard;
 use crate::control::{suspicion, watcher};
 use crate::node::Node;
 use agateport_domain::bundle::{self, Bundle};
@@ -55,6 +56,7 @@
             damper: Damper::default(),
             attempted: 0,
             obstacle: None,
+            interest: None,
             pointed: None,
         };
         tokio::spawn(round.clone().run_until_cancelled_owned(watch.run()));
@@ -70,6 +72,8 @@
     /// Highest term that this node has tried.
     attempted: Term,
     obstacle: Obstacle,
+    /// Keeps the questions frequent while the group is in trouble.
+    interest: Option<Guard>,
     /// When strays were last pointed at the primary.
     pointed: Option<Instant>,
 }
@@ -77,6 +81,7 @@
 /// What a look at the group shows.
 struct Look {
     cause: Option<Cause>,
+    is_troubled: bool,
     trouble: Duration,
     primary: Option<ServerId>,
     reigning: Term,
@@ -100,6 +105,11 @@
         let Some(look) = self.look(now) else {
             return;
         };
+        if !look.is_troubled {
+            self.interest = None;
+        } else if self.interest.is_none() {
+            self.interest = Some(self.node.interest.raise(&self.group.name));
+        }
         let Some(cause) = look.cause else {
             self.point(rank, look.strays, now);
             return;
@@ -124,6 +134,7 @@
     fn look(&self, now: Instant) -> Option<Look> {
         self.node.groups.update(&self.group.name, |group| Look {
             cause: group.diagnose(now),
+            is_troubled: group.trouble(now).is_some(),
             trouble: group.trouble(now).unwrap_or_default(),
             primary: group.primary().cloned(),
             reigning: group.reigning_term(),
--- a/crates/agateport-node/src/control/status.rs
+++ b/crates/agateport-node/src/control/status.rs
@@ -32,9 +32,6 @@
 /// Time for a first answer of a server that this node doesn't watch.
 const FIRST: Duration = Duration::from_millis(100);
 
-/// Age over which a status tells nothing of the server's role.
-const FRESH: Duration = Duration::from_secs(1);
-
 /// Counts who waits for the positions of each group.
 #[derive(Debug, Default)]
 pub struct Interest {
@@ -80,10 +77,7 @@
 {
     let mut reports = node.reports.subscribe();
     let is_known = || {
-        let known = node.groups.update(group, |group| {
-            let heard = group.status(server).map(|(_, heard)| heard);
-            heard.is_some_and(|heard| heard.elapsed() < FRESH)
-        });
+        let known = node.groups.update(group, |group| group.is_known(server));
         known.unwrap_or(true)
     };
     if is_known() {
@@ -151,6 +145,8 @@
         }
         if !is_watched && *waiting.borrow() == 0 {
             control = None;
+            node.groups
+                .update(group, |group| group.forget(&server.name));
             pause(LOOK, &mut waiting).await;
             continue;
         }
--- a/crates/agateport-node/src/control/suspicion.rs
+++ b/crates/agateport-node/src/control/suspicion.rs
@@ -67,7 +67,7 @@
 {
     let now = Instant::now();
     let known = node.groups.update(group, |group| {
-        group.status(server).is_some() && group.is_silent(server, now)
+        group.is_known(server) && group.is_silent(server, now)
     });
     if known == Some(true) {
         return true;
