group: scenarios and a random test of promotions

Cause: the promises of a failover had one end-to-end test. Change: fakes of three servers with logs, a platform and two promoters; 11 scenarios (killed, slow, zombie, two promoters, ended after each step, paused, platform down or slow, lost answers, a replica dead too, two failures in a row); 10,000 cases of 60 random steps with a fixed seed. A promoter now goes above a higher claim that stood in its way, which it did not before. Acknowledging from the primary alone fails the random test, as it must.

--- /dev/null
+++ b/crates/agateport-domain/tests/promotion.rs
@@ -0,0 +1,110 @@
+//! Promotions: scenarios, and the promises under random faults.
+
+mod fake;
+mod script;
+
+use agateport_domain::group::{Acknowledge, Ballot, Damper};
+use fake::World;
+use proptest::prelude::*;
+use proptest::test_runner::{Config, TestRunner};
+use std::time::{Duration, Instant};
+
+#[test]
+fn scenarios() {
+    insta::glob!("scenarios/group/*.txt", |path| {
+        let text = std::fs::read_to_string(path).unwrap();
+        let mut world = World::new(Acknowledge::Majority);
+        let transcript = script::run(&text, |words| world.step(words));
+        insta::assert_snapshot!(transcript);
+    });
+}
+
+/// Cases of the random test.
+const CASES: u32 = 10_000;
+
+/// Steps of one case.
+const STEPS: usize = 60;
+
+/// Seed of all cases.
+const SEED: [u8; 32] = [5; 32];
+
+fn runner() -> TestRunner {
+    let config = Config {
+        cases: CASES,
+        failure_persistence: None,
+        ..Config::default()
+    };
+    let random = proptest::test_runner::TestRng::from_seed(
+        proptest::test_runner::RngAlgorithm::ChaCha,
+        &SEED,
+    );
+    TestRunner::new_with_rng(config, random)
+}
+
+/// Two promoters, three servers and a platform, with faults at every step.
+#[test]
+fn no_acknowledged_write_is_lost_or_doubled() {
+    let steps = prop::collection::vec(any::<u32>(), STEPS);
+    let result = runner().run(&steps, |steps| {
+        let mut world = World::new(Acknowledge::Majority);
+        for choice in steps {
+            world.choose(choice);
+            prop_assert_eq!(world.broken(), None);
+        }
+        world.settle();
+        prop_assert_eq!(world.broken(), None);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// Acknowledging from the primary alone loses writes: the fakes can tell.
+#[test]
+fn primary_alone_loses_writes() {
+    let steps = prop::collection::vec(any::<u32>(), STEPS);
+    let result = runner().run(&steps, |steps| {
+        let mut world = World::new(Acknowledge::Primary);
+        for choice in steps {
+            world.choose(choice);
+        }
+        world.settle();
+        prop_assert_eq!(world.broken(), None);
+        Ok(())
+    });
+    assert!(result.is_err());
+}
+
+#[test]
+fn ballots_are_never_shared() {
+    let ballots = (any::<u64>(), 0..1u64 << 47, 0..1u64 << 47);
+    let result = runner().run(&ballots, |(highest, one, other)| {
+        let highest = highest >> 2;
+        let first = Ballot::above(highest, one).term();
+        prop_assert!(first > highest);
+        prop_assert_eq!(first == Ballot::above(highest, other).term(), one == other);
+        prop_assert!(Ballot::above(first, other).term() > first);
+        Ok(())
+    });
+    if let Err(error) = result {
+        panic!("{error}");
+    }
+}
+
+/// A primary that fails again and again is replaced less and less often, and
+/// soon again after a calm minute.
+#[test]
+fn flapping_primary_is_damped() {
+    let start = Instant::now();
+    let mut damper = Damper::default();
+    let mut starts = Vec::new();
+    for tenth in (0..200u64).chain(1_000..1_020) {
+        let now = start + Duration::from_millis(100 * tenth);
+        if damper.is_open(now) {
+            damper.start(now);
+            starts.push(now.duration_since(start));
+        }
+    }
+    insta::assert_debug_snapshot!(starts);
+}
--- a/crates/agateport-node/src/control/promotion.rs
+++ b/crates/agateport-node/src/control/promotion.rs
@@ -161,7 +161,9 @@
 
     async fn promote(&mut self, cause: Cause, look: &Look) {
         self.damper.start(Instant::now());
-        let ballot = Ballot::above(look.highest.max(self.attempted), self.node.promoter);
+        let highest = look.highest.max(self.attempted);
+        let highest = highest.max(self.obstacle.unwrap_or(0));
+        let ballot = Ballot::above(highest, self.node.promoter);
         self.attempted = ballot.term();
         self.node.metrics.count("promotion_started", cause.name());
         let name = &self.group.name;
