node: drain without cutting a request, orders signed by operators

Cause: SIGTERM waited for the node's own callers only; streams served for peers were cut, and nobody told the peers. Change: the node tells its peers under the name in its certificate, finishes callers and streams within the limit, then refuses what still comes as not run (the frontend takes the next owner), and lets last answers reach the peers. agateport's admin port takes /drain with an operator's signed order. Status tells digest, signers, and why a bundle was rejected.

--- a/crates/agateport-domain/tests/bundle.rs
+++ b/crates/agateport-domain/tests/bundle.rs
@@ -109,6 +109,11 @@
     for signer in signers {
         match signer.split_once(':') {
             None => signed.sign(&key(signer)),
+            Some((name, "twice")) => {
+                let one = Signed::new(signed.text.clone(), &key(name));
+                signed.signatures.extend_from_slice(&one.signatures);
+                signed.signatures.extend_from_slice(&one.signatures);
+            }
             Some((name, _)) => {
                 let mut forged = Signed::new("another text".to_owned(), &key(name));
                 signed.signatures.append(&mut forged.signatures);
--- a/crates/agateport-node/src/control/admin.rs
+++ b/crates/agateport-node/src/control/admin.rs
@@ -1,22 +1,39 @@
 //! Status and readiness over HTTP.
 
+use super::bundle;
 use crate::node::Node;
+use agateport_domain::bundle::{Order, Revision};
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
-use axum::extract::State;
+use agateport_wire::signed;
+use axum::body::Bytes;
+use axum::extract::{DefaultBodyLimit, State};
 use axum::http::StatusCode;
-use axum::routing::get;
+use axum::routing::{get, post};
 use axum::{Json, Router};
 use serde::Serialize;
 use std::sync::PoisonError;
 use tokio::net::TcpListener;
 
+/// An order that isn't carried out, with the reason.
+type Refusal = (StatusCode, String);
+
 /// What a node says of itself.
 #[derive(Debug, Serialize)]
 struct Report {
     name: NodeId,
     zone: Zone,
     bundle: Option<BundleVersion>,
+    /// Digest of the bundle in force.
+    digest: Option<String>,
+    /// Operators whose signatures of it are valid.
+    signers: BTreeSet<String>,
+    /// Why the last bundle that could not be taken over was rejected.
+    rejected: Option<Rejected>,
+    /// Servers that the bundle no longer declares, with work to finish.
+    retiring: BTreeSet<ServerId>,
+    /// Whether the node takes no new work.
+    is_leaving: bool,
     /// Nodes that may get new work.
     members: Vec<NodeId>,
     /// Primary of each group, as far as it is known.
@@ -25,6 +42,16 @@
     counts: BTreeMap<String, u64>,
 }
 
+/// A bundle that could not be taken over.
+#[derive(Debug, Serialize)]
+struct Rejected {
+    revision: Option<Revision>,
+    reason: String,
+}
+
+/// Longest order, in bytes.
+const MAXIMUM_ORDER: usize = 4096;
+
 /// Serves the admin port until the node ends.
 pub async fn run<P>(node: Arc<Node<P>>, listener: TcpListener)
 where
@@ -34,6 +61,8 @@
     let router = Router::new()
         .route("/status", get(status::<P>))
         .route("/ready", get(ready::<P>))
+        .route("/drain", post(drain::<P>))
+        .layer(DefaultBodyLimit::max(MAXIMUM_ORDER))
         .with_state(node);
     let serving = axum::serve(listener, router);
     if let Err(error) = serving
@@ -56,8 +85,14 @@
     node.groups.for_each(|name, group| {
         primaries.insert(name.clone(), group.primary().cloned());
     });
+    let force = in_force(&node);
     Json(Report {
         members,
+        digest: force.digest,
+        signers: force.signers,
+        rejected: force.rejected,
+        retiring: bundle::retiring(&node),
+        is_leaving: node.leaving.is_cancelled(),
         primaries,
         name: node.config.name.clone(),
         zone: node.config.zone.clone(),
@@ -67,6 +102,46 @@
     })
 }
 
+/// What is known of the bundle in force.
+struct InForce {
+    digest: Option<String>,
+    signers: BTreeSet<String>,
+    rejected: Option<Rejected>,
+}
+
+fn in_force<P>(node: &Node<P>) -> InForce {
+    let (accepted, rejected) = {
+        let force = bundle::force(node);
+        (force.accepted().cloned(), force.rejected().cloned())
+    };
+    let signed = accepted.as_ref().map(|accepted| &accepted.signed);
+    InForce {
+        signers: signed
+            .map(|one| one.signers(&node.trust))
+            .unwrap_or_default(),
+        digest: accepted.map(|accepted| accepted.revision.digest),
+        rejected: rejected.map(|(revision, reason)| Rejected { revision, reason }),
+    }
+}
+
+/// Ends the node as an operator orders.
+async fn drain<P>(State(node): State<Arc<Node<P>>>, body: Bytes) -> Result<String, Refusal>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let refuse = |error: String| {
+        node.metrics.count("admin", "refused");
+        (StatusCode::FORBIDDEN, error)
+    };
+    let signed = signed::decode(&body).map_err(|error| refuse(error.to_string()))?;
+    let now = SystemTime::now();
+    let operator = Order::check(&signed, &node.trust, &node.config.name, node.started, now)
+        .map_err(|error| refuse(error.to_string()))?;
+    tracing::info!(%operator, "an operator orders the node to end");
+    node.draining.cancel();
+    Ok(format!("{} is leaving\n", node.config.name))
+}
+
 async fn ready<P>(State(node): State<Arc<Node<P>>>) -> StatusCode
 where
     P: Policy + Send + Sync + 'static,
--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -40,6 +40,18 @@
     view.seed(members);
 }
 
+/// Records that a peer said it is leaving.
+pub fn set_leaving<P>(node: &Node<P>, peer: &NodeId)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
+    if let Ok(member) = view.member(peer).cloned() {
+        let state = State::Leaving;
+        view.seed([Member { state, ..member }]);
+    }
+}
+
 fn member(vm: Vm) -> Member {
     Member {
         name: vm.name.into(),
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -2,8 +2,12 @@
 
 mod admin;
 mod bundle;
+mod claim;
 mod membership;
-mod status;
+mod promotion;
+pub mod status;
+mod suspicion;
+mod watcher;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
@@ -21,6 +25,7 @@
     tokio::spawn(membership::run(Arc::clone(node)));
     bundle::start(node);
     tokio::spawn(status::run(Arc::clone(node)));
+    tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
 }
 
@@ -29,13 +34,26 @@
 /// # Errors
 ///
 /// [`Error`] if the peer is gone or sent what isn't due.
-pub async fn answer<P, E>(node: &Arc<Node<P>>, mut exchange: E, first: Frame) -> Result<(), Error>
+pub async fn answer<P, E>(
+    node: &Arc<Node<P>>,
+    peer: &NodeId,
+    mut exchange: E,
+    first: Frame,
+) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
     match first {
         Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        Frame::Leaving => {
+            membership::set_leaving(node, peer);
+            exchange.send(Frame::Leaving).await
+        }
+        Frame::Suspect(group, server) => {
+            let verdict = suspicion::judge(node, &group, &server).await;
+            exchange.send(Frame::Verdict(verdict)).await
+        }
         first => {
             // The peer is of another version.
             tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -5,7 +5,7 @@
 mod forward;
 mod pipeline;
 mod route;
-mod startup;
+pub mod startup;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -6,6 +6,7 @@
 use agateport_domain::membership::Member;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_domain::request::Reason;
 use agateport_wire::Error;
 use agateport_wire::frame::Frame;
 use agateport_wire::link::{Exchange, Link, Local};
@@ -45,9 +46,9 @@
         Ok(connection)
     }
 
-    /// Closes all connections.
-    pub fn close(&self) {
-        self.endpoint.close();
+    /// Closes all connections and waits until the peers were told.
+    pub async fn close(&self) {
+        self.endpoint.close().await;
     }
 }
 
@@ -62,7 +63,8 @@
 {
     if *name == node.config.name {
         let (near, far) = Local::pair();
-        tokio::spawn(dispatch(Arc::clone(node), far));
+        let own = node.config.name.clone();
+        node.streams.spawn(dispatch(Arc::clone(node), own, far));
         return Ok(Link::Local(near));
     }
     let member = {
@@ -89,31 +91,36 @@
         let node = Arc::clone(&node);
         tokio::spawn(async move {
             match Connection::admit(incoming).await {
-                Ok(connection) => serve(node, connection).await,
+                Ok((peer, connection)) => serve(node, peer, connection).await,
                 Err(error) => tracing::warn!(%error, "a peer was turned away"),
             }
         });
     }
 }
 
-async fn serve<P>(node: Arc<Node<P>>, connection: Connection)
+async fn serve<P>(node: Arc<Node<P>>, peer: NodeId, connection: Connection)
 where
     P: Policy + Send + Sync + 'static,
 {
     while let Ok(stream) = connection.accept().await {
-        tokio::spawn(dispatch(Arc::clone(&node), stream));
+        node.streams
+            .spawn(dispatch(Arc::clone(&node), peer.clone(), stream));
     }
 }
 
 /// Hands a stream to whom its first frame is for.
-async fn dispatch<P, E>(node: Arc<Node<P>>, mut exchange: E)
+async fn dispatch<P, E>(node: Arc<Node<P>>, peer: NodeId, mut exchange: E)
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
     let result = match exchange.receive().await {
+        Ok(Frame::Open(_)) if node.closing.is_cancelled() => {
+            let refusal = Reason::Leaving.into();
+            exchange.send(Frame::Refused(refusal)).await
+        }
         Ok(Frame::Open(command)) => owner::serve(&node, exchange, command).await,
-        Ok(frame) => control::answer(&node, exchange, frame).await,
+        Ok(frame) => control::answer(&node, &peer, exchange, frame).await,
         Err(error) => Err(error),
     };
     if let Err(error) = result {
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -1,4 +1,6 @@
 //! Tests of several nodes and stand-ins in one process.
 
+mod failover;
+mod operation;
 mod path;
 mod support;
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use agateport_domain::bundle::Revision;
-use agateport_domain::id::NodeId;
+use agateport_domain::id::{GroupId, ServerId};
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -52,7 +52,11 @@
     /// A signed bundle, as `signed` encodes it.
     Bundle(Bytes),
     /// The sender takes no new work from now on.
-    Leaving(NodeId),
+    Leaving,
+    /// Asks whether a server can't be reached from here either.
+    Suspect(GroupId, ServerId),
+    /// Whether the suspected server can't be reached.
+    Verdict(bool),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
