ctl: diff, history, drain, and a roll that settles a lost answer

Cause: a lost answer of the platform left the operator in doubt, and nobody could see what was in force before. Change: roll reads back until it knows, and the exit code tells whether something was changed; the row's history is written in the same transaction; status names who is behind and can watch; drain sends a signed order.

--- /dev/null
+++ b/crates/agateport-ctl/src/drain.rs
@@ -0,0 +1,33 @@
+//! Orders a node to finish what it does and end.
+
+use crate::error::Error;
+use crate::sign;
+use agateport_domain::bundle::Order;
+use agateport_wire::signed;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::time::SystemTime;
+
+/// Sends a signed order to the node `name` at its admin address.
+///
+/// # Errors
+///
+/// [`Error`] if the key can't be read, or the node refuses or gives no answer.
+pub async fn drain(name: &str, address: SocketAddr, key: &Path) -> Result<(), Error> {
+    let order = Order {
+        node: name.into(),
+        issued: SystemTime::now(),
+    };
+    let body = signed::encode(&order.sign(&sign::read_key(key)?))?;
+    let failed = |source| Error::Node { address, source };
+    let url = format!("http://{address}/drain");
+    let client = reqwest::Client::new();
+    let response = client.post(url).body(body).send().await.map_err(failed)?;
+    let is_success = response.status().is_success();
+    let text = response.text().await.map_err(failed)?;
+    if !is_success {
+        return Err(Error::Refused(text));
+    }
+    print!("{text}");
+    Ok(())
+}
--- a/crates/agateport-ctl/src/error.rs
+++ b/crates/agateport-ctl/src/error.rs
@@ -63,6 +63,12 @@
     /// The platform didn't do what it was asked.
     #[error("the platform can't be used")]
     Platform(#[from] agateport_wire::platform::Error),
+    /// Nodes give no answer or have an older bundle than others.
+    #[error("{0} node(s) are behind or give no answer")]
+    Behind(usize),
+    /// A node doesn't carry an order out.
+    #[error("the node refused: {0}")]
+    Refused(String),
     /// A node gave no answer.
     #[error("the node at {address} gives no answer")]
     Node {
--- a/crates/agateport-ctl/src/exit_codes.rs
+++ b/crates/agateport-ctl/src/exit_codes.rs
@@ -19,6 +19,10 @@
     Unreachable,
     /// The platform gave no answer; the bundle may be in force or not.
     Unsettled,
+    /// A node is behind or gave no answer.
+    Behind,
+    /// A node refused.
+    Refused,
 }
 
 impl From<&Error> for ExitCode {
@@ -30,6 +34,8 @@
             Error::Certificate(_) | Error::Content { .. } | Error::File { .. } | Error::Wire(_) => {
                 Self::Failure
             }
+            Error::Behind(_) => Self::Behind,
+            Error::Refused(_) => Self::Refused,
             Error::Unsettled => Self::Unsettled,
             Error::Bundle(_) => Self::Bundle,
             Error::NotHigher(_) => Self::NotHigher,
@@ -48,6 +54,8 @@
             ExitCode::NotHigher => 4,
             ExitCode::Unreachable => 5,
             ExitCode::Unsettled => 6,
+            ExitCode::Behind => 7,
+            ExitCode::Refused => 8,
         }
         .into()
     }
--- /dev/null
+++ b/crates/agateport-ctl/src/history.rs
@@ -0,0 +1,65 @@
+//! Shows what is in force, what was, and what a bundle would change.
+
+use crate::error::Error;
+use crate::roll;
+use crate::show;
+use agateport_domain::bundle::{Bundle, change};
+use agateport_wire::platform::{Platform, bundle_object, history_row};
+use agateport_wire::signed;
+use std::net::SocketAddr;
+use std::path::Path;
+
+/// Changes of the bundle in force that are shown.
+const SHOWN: u64 = 20;
+
+/// Prints what a bundle would change of the one in force.
+///
+/// # Errors
+///
+/// [`Error`] if the bundle is wrong or the platform doesn't answer.
+pub async fn diff(path: &Path, platform: SocketAddr, json: bool) -> Result<(), Error> {
+    let next = show::load(path)?;
+    let before = in_force(&Platform::new(platform)?).await?;
+    let changes = change::changes(before.as_ref(), &next);
+    if json {
+        println!("{}", serde_json::to_string(&changes).unwrap_or_default());
+        return Ok(());
+    }
+    let version = before.map_or(0, |bundle| bundle.version);
+    println!("version {version} -> {}", next.version);
+    for change in changes {
+        println!("{change}");
+    }
+    Ok(())
+}
+
+async fn in_force(platform: &Platform) -> Result<Option<Bundle>, Error> {
+    let Some((_, revision)) = roll::in_force(platform).await? else {
+        return Ok(None);
+    };
+    let Some(bytes) = platform.object(&bundle_object(&revision)).await? else {
+        return Ok(None);
+    };
+    Ok(Some(Bundle::parse(&signed::decode(&bytes)?.text)?))
+}
+
+/// Prints the last changes of the bundle in force, the latest first: version,
+/// digest, and when it was put in force, in seconds since 1970.
+///
+/// # Errors
+///
+/// [`Error`] if the platform doesn't answer.
+pub async fn history(platform: SocketAddr) -> Result<(), Error> {
+    let platform = Platform::new(platform)?;
+    let Some((row, _)) = roll::in_force(&platform).await? else {
+        println!("no bundle is in force");
+        return Ok(());
+    };
+    let oldest = row.version.saturating_sub(SHOWN) + 1;
+    for version in (oldest..=row.version).rev() {
+        if let Some(entry) = platform.row(&history_row(version)).await? {
+            println!("{}", entry.value);
+        }
+    }
+    Ok(())
+}
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -1,8 +1,10 @@
 //! The operators' program.
 
 mod cli;
+mod drain;
 mod error;
 mod exit_codes;
+mod history;
 mod keygen;
 mod roll;
 mod show;
@@ -56,6 +58,13 @@
             operators,
             threshold,
         } => roll::roll(&signed, platform, &operators, threshold).await,
-        Command::Status { admins, json } => status::status(&admins, json).await,
+        Command::Diff {
+            bundle,
+            platform,
+            json,
+        } => history::diff(&bundle, platform, json).await,
+        Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
+        Command::History { platform } => history::history(platform).await,
+        Command::Status { admins, view } => status::status(&admins, view).await,
     }
 }
--- a/crates/agateport-ctl/src/roll.rs
+++ b/crates/agateport-ctl/src/roll.rs
@@ -4,11 +4,13 @@
 use crate::sign;
 use agateport_domain::bundle::roll::{Answer, End, RowVersion, Step};
 use agateport_domain::bundle::{Revision, Roll, Signed, Trust};
-use agateport_wire::platform::{self, IN_FORCE, Operation, Platform, Row, bundle_object};
+use agateport_wire::platform::{
+    self, IN_FORCE, Operation, Platform, Row, bundle_object, history_row,
+};
 use agateport_wire::signed;
 use std::net::SocketAddr;
 use std::path::{Path, PathBuf};
-use std::time::Duration;
+use std::time::{Duration, SystemTime, UNIX_EPOCH};
 use tokio::time::sleep;
 
 /// Time before the row is read again.
@@ -83,7 +85,13 @@
         expected,
         value: revision.to_string(),
     };
-    match platform.commit(&[operation]).await {
+    let now = SystemTime::now().duration_since(UNIX_EPOCH);
+    let entry = Operation {
+        key: history_row(expected + 1),
+        expected: 0,
+        value: format!("{revision} {}", now.unwrap_or_default().as_secs()),
+    };
+    match platform.commit(&[operation, entry]).await {
         Ok(()) => Answer::Applied,
         Err(platform::Error::Conflict) => Answer::Changed,
         Err(_) => Answer::Lost,
@@ -106,6 +114,9 @@
         && let Ok(stored) = signed::decode(&bytes)
     {
         signed.merge(&stored);
+        if signed.signatures.len() == stored.signatures.len() {
+            return Ok(());
+        }
     }
     platform.put_object(&key, signed::encode(&signed)?).await?;
     Ok(())
--- a/crates/agateport-ctl/src/status.rs
+++ b/crates/agateport-ctl/src/status.rs
@@ -2,55 +2,169 @@
 
 use crate::error::Error;
 use serde::{Deserialize, Serialize};
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
+use std::fmt::Write;
 use std::net::SocketAddr;
+use std::time::Duration;
+use tokio::task::JoinSet;
+use tokio::time::sleep;
+
+/// Time after which a node's answer is given up.
+const TIMEOUT: Duration = Duration::from_secs(2);
+
+/// Interval between two looks.
+const INTERVAL: Duration = Duration::from_secs(1);
+
+/// Digits of a digest that are shown.
+const SHOWN_DIGITS: usize = 12;
 
 /// What a node says of itself.
 #[derive(Debug, Deserialize, Serialize)]
-struct Report {
+pub struct Report {
     name: String,
     zone: String,
     bundle: Option<u64>,
+    digest: Option<String>,
+    #[serde(default)]
+    signers: BTreeSet<String>,
+    rejected: Option<Rejected>,
+    #[serde(default)]
+    retiring: BTreeSet<String>,
+    #[serde(default)]
+    is_leaving: bool,
     sessions: usize,
     counts: BTreeMap<String, u64>,
 }
 
+/// A bundle that a node could not take over.
+#[derive(Debug, Deserialize, Serialize)]
+struct Rejected {
+    reason: String,
+}
+
+/// One node's line.
+#[derive(Debug, Serialize)]
+struct Line {
+    address: SocketAddr,
+    /// Whether the node's bundle is older than another node's, or unknown.
+    is_behind: bool,
+    /// None if the node gave no answer.
+    #[serde(flatten)]
+    report: Option<Report>,
+}
+
+/// How the status is shown.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct View {
+    /// Whether to print JSON.
+    pub json: bool,
+    /// Whether to go on until the process is ended.
+    pub watch: bool,
+}
+
 /// Asks nodes by their admin addresses and prints what they say.
 ///
 /// # Errors
 ///
-/// [`Error`] if a node gives no answer.
-pub async fn status(admins: &[SocketAddr], json: bool) -> Result<(), Error> {
-    let mut reports = Vec::new();
-    for address in admins {
-        reports.push(ask(*address).await?);
+/// [`Error::Behind`] if a node gives no answer or is behind the others.
+pub async fn status(admins: &[SocketAddr], view: View) -> Result<(), Error> {
+    loop {
+        let lines = look(admins).await;
+        if view.json {
+            println!("{}", serde_json::to_string(&lines).unwrap_or_default());
+        } else {
+            print!("{}", table(&lines));
+        }
+        if !view.watch {
+            let behind = lines.iter().filter(|line| line.is_behind).count();
+            return match behind {
+                0 => Ok(()),
+                behind => Err(Error::Behind(behind)),
+            };
+        }
+        sleep(INTERVAL).await;
+    }
+}
+
+async fn look(admins: &[SocketAddr]) -> Vec<Line> {
+    let mut asking = JoinSet::new();
+    for (index, address) in admins.iter().copied().enumerate() {
+        asking.spawn(async move { (index, address, ask(address).await.ok()) });
     }
-    if json {
-        println!("{}", serde_json::to_string(&reports).unwrap_or_default());
-        return Ok(());
+    let mut answers = asking.join_all().await;
+    answers.sort_by_key(|(index, ..)| *index);
+    let versions = answers
+        .iter()
+        .filter_map(|(.., report)| report.as_ref()?.bundle);
+    let highest = versions.max();
+    let lines = answers.into_iter().map(|(_, address, report)| Line {
+        address,
+        is_behind: report
+            .as_ref()
+            .is_none_or(|report| report.bundle.is_none() || report.bundle < highest),
+        report,
+    });
+    lines.collect()
+}
+
+async fn ask(address: SocketAddr) -> Result<Report, reqwest::Error> {
+    let client = reqwest::Client::builder()
+        .timeout(TIMEOUT)
+        .no_proxy()
+        .build()?;
+    let response = client
+        .get(format!("http://{address}/status"))
+        .send()
+        .await?;
+    response.json().await
+}
+
+fn table(lines: &[Line]) -> String {
+    let mut text = format!(
+        "{:<16} {:<6} {:>8} {:<SHOWN_DIGITS$} {:<20} {:>9} STATE\n",
+        "NODE", "ZONE", "BUNDLE", "DIGEST", "SIGNED BY", "SESSIONS"
+    );
+    for line in lines {
+        text.push_str(&row(line));
     }
-    println!(
-        "{:<16} {:<6} {:>8} {:>9}",
-        "NODE", "ZONE", "BUNDLE", "SESSIONS"
+    text
+}
+
+fn row(line: &Line) -> String {
+    let Some(report) = &line.report else {
+        return format!("{:<16} gives no answer\n", line.address.to_string());
+    };
+    let digest = report.digest.as_deref().unwrap_or("-");
+    let signers: Vec<&str> = report.signers.iter().map(String::as_str).collect();
+    let version = report
+        .bundle
+        .map_or("none".to_owned(), |one| one.to_string());
+    let mut text = format!(
+        "{:<16} {:<6} {version:>8} {:<SHOWN_DIGITS$} {:<20} {:>9} {}\n",
+        report.name,
+        report.zone,
+        digest.get(..SHOWN_DIGITS).unwrap_or(digest),
+        signers.join(","),
+        report.sessions,
+        state(line.is_behind, report),
     );
-    for report in reports {
-        let bundle = report
-            .bundle
-            .map_or("none".to_owned(), |version| version.to_string());
-        println!(
-            "{:<16} {:<6} {:>8} {:>9}",
-            report.name, report.zone, bundle, report.sessions
-        );
-        for (name, count) in report.counts {
-            println!("  {name} {count}");
-        }
+    // Writing to a string can't fail.
+    if let Some(rejected) = &report.rejected {
+        let _ = writeln!(text, "  rejected: {}", rejected.reason);
     }
-    Ok(())
+    for server in &report.retiring {
+        let _ = writeln!(text, "  retiring: {server}");
+    }
+    for (name, count) in &report.counts {
+        let _ = writeln!(text, "  {name} {count}");
+    }
+    text
 }
 
-async fn ask(address: SocketAddr) -> Result<Report, Error> {
-    let failed = |source| Error::Node { address, source };
-    let url = format!("http://{address}/status");
-    let response = reqwest::get(url).await.map_err(failed)?;
-    response.json().await.map_err(failed)
+fn state(is_behind: bool, report: &Report) -> &'static str {
+    match (report.is_leaving, is_behind) {
+        (true, _) => "leaving",
+        (false, true) => "behind",
+        (false, false) => "up to date",
+    }
 }
