platform: bound the rate of requests, and hold back while it fails

Cause: each node asked a failing platform as often as a healthy one. A request that is held back is certainly not sent, and says so.

--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod id;
 pub mod membership;
 pub mod owner;
+pub mod platform;
 pub mod prelude;
 pub mod request;
 pub mod session;
--- a/crates/agateport-wire/src/platform.rs
+++ b/crates/agateport-wire/src/platform.rs
@@ -1,10 +1,14 @@
 //! The platform's table service, object store and list of VMs, over HTTP.
 
 use agateport_domain::bundle::Revision;
-use reqwest::{Client, Response, StatusCode};
+use agateport_domain::platform::Gate;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
-use std::time::Duration;
+use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
+use std::time::{Duration, Instant};
 
 /// Time after which an answer of the platform is given up.
 const TIMEOUT: Duration = Duration::from_secs(2);
@@ -71,6 +75,9 @@
     /// A row had another version than the one expected.
     #[error("a row has changed")]
     Conflict,
+    /// The request wasn't sent, so it has no effect.
+    #[error("the platform was not asked")]
+    NotSent(#[from] agateport_domain::platform::Error),
     /// The platform answered that it can't.
     #[error("the platform answered with status {0}")]
     Status(StatusCode),
@@ -81,6 +88,7 @@
 pub struct Platform {
     base: String,
     client: Client,
+    gate: Arc<Mutex<Gate>>,
 }
 
 impl Platform {
@@ -90,10 +98,12 @@
     ///
     /// [`Error`] if the HTTP library can't start.
     pub fn new(address: SocketAddr) -> Result<Self, Error> {
+        let random = Pcg64Mcg::from_rng(&mut rand::rng());
         let client = Client::builder().timeout(TIMEOUT).no_proxy().build()?;
         Ok(Self {
             base: format!("http://{address}"),
             client,
+            gate: Arc::new(Mutex::new(Gate::new(random, Instant::now()))),
         })
     }
 
@@ -118,8 +128,8 @@
     /// whether the change took effect.
     pub async fn commit(&self, operations: &[Operation]) -> Result<(), Error> {
         let url = format!("{}/transaction", self.base);
-        let response = self.client.post(url).json(operations).send().await?;
-        checked(response)?;
+        let request = self.client.post(url).json(operations);
+        checked(self.send(request).await?)?;
         Ok(())
     }
 
@@ -143,7 +153,8 @@
     /// [`Error`] if the platform doesn't answer.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
         let url = format!("{}/object/{key}", self.base);
-        checked(self.client.put(url).body(bytes).send().await?)?;
+        let request = self.client.put(url).body(bytes);
+        checked(self.send(request).await?)?;
         Ok(())
     }
 
@@ -158,7 +169,26 @@
 
     async fn get(&self, path: &str) -> Result<Response, Error> {
         let url = format!("{}/{path}", self.base);
-        Ok(self.client.get(url).send().await?)
+        self.send(self.client.get(url)).await
+    }
+
+    async fn send(&self, request: RequestBuilder) -> Result<Response, Error> {
+        self.gate().admit(Instant::now())?;
+        let result = request.send().await;
+        let is_answered = result
+            .as_ref()
+            .is_ok_and(|response| !response.status().is_server_error());
+        let mut gate = self.gate();
+        if is_answered {
+            gate.succeed();
+        } else {
+            gate.fail(Instant::now());
+        }
+        Ok(result?)
+    }
+
+    fn gate(&self) -> MutexGuard<'_, Gate> {
+        self.gate.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
 
