--- a/crates/agateport-node/src/control/bundle/apply.rs
+++ b/crates/agateport-node/src/control/bundle/apply.rs
@@ -26,6 +26,25 @@
     }
 }
 
+/// Returns the servers that the bundle no longer declares.
+pub fn retiring<P>(node: &Node<P>) -> BTreeSet<ServerId>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let bundle = node.bundle();
+    let is_declared = |name: &ServerId| {
+        let bundle = bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.server(name).is_some())
+    };
+    let mut retiring = BTreeSet::new();
+    node.servers.for_each(|name, _| {
+        if !is_declared(name) {
+            retiring.insert(name.clone());
+        }
+    });
+    retiring
+}
+
 /// Adds what is new and changes what differs; what is unchanged keeps its state.
 fn apply<P>(node: &Node<P>, bundle: &Arc<Bundle>)
 where
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -7,7 +7,7 @@
 mod pipeline;
 mod priority;
 mod route;
-mod startup;
+pub mod startup;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
--- a/crates/agateport-node/src/lib.rs
+++ b/crates/agateport-node/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod cli;
 pub mod config;
 pub mod control;
+pub mod drain;
 pub mod error;
 pub mod exit_codes;
 pub mod frontend;
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -3,8 +3,10 @@
 use crate::config::{Config, Seed};
 use crate::control;
 use crate::control::status::Interest;
+use crate::drain;
 use crate::error::Error;
-use crate::frontend::{self, gates::Gates};
+use crate::frontend::gates::Gates;
+use crate::frontend::{self, startup};
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
@@ -24,10 +26,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Time that peers get to hear that the connections are closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// The state that a node's tasks share.
 #[derive(Debug)]
 pub struct Node<P> {
@@ -73,6 +79,16 @@
     pub stopping: CancellationToken,
     /// Callers' tasks.
     pub callers: TaskTracker,
+    /// Places for callers that haven't logged in yet.
+    pub logins: Semaphore,
+    /// Streams that this node serves, its own callers' among them.
+    pub streams: TaskTracker,
+    /// Cancelled when an operator orders the node to end.
+    pub draining: CancellationToken,
+    /// Cancelled when no new stream is served any more.
+    pub closing: CancellationToken,
+    /// When the node started.
+    pub started: SystemTime,
     next_id: AtomicU64,
 }
 
@@ -130,6 +146,11 @@
             leaving: CancellationToken::new(),
             stopping: CancellationToken::new(),
             callers: TaskTracker::new(),
+            logins: Semaphore::new(startup::MAXIMUM_LOGINS),
+            streams: TaskTracker::new(),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            started: SystemTime::now(),
             next_id: AtomicU64::new(1),
             config,
         });
@@ -176,7 +197,14 @@
         self.addresses
     }
 
-    /// Runs until a signal, then lets requests finish.
+    /// Returns a token that makes the node finish what it does and end.
+    #[must_use]
+    pub fn draining(&self) -> CancellationToken {
+        self.node.draining.clone()
+    }
+
+    /// Runs until a signal or an operator's order, then lets requests finish; a
+    /// second signal ends the node at once.
     ///
     /// # Errors
     ///
@@ -187,18 +215,17 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = self.node.draining.cancelled() => {}
         }
-        tracing::info!("leaving");
-        self.node.leaving.cancel();
-        self.node.callers.close();
         tokio::select! {
-            () = self.node.callers.wait() => {}
-            () = tokio::time::sleep(self.node.config.drain) => {}
+            () = drain::run(&self.node) => {}
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
         self.node.stopping.cancel();
-        self.node.peers.close();
+        // A peer that is gone can't be told.
+        let _ = timeout(CLOSE_LIMIT, self.node.peers.close()).await;
+        tracing::info!(node = %self.node.config.name, "the node has ended");
         Ok(())
     }
 }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -57,7 +57,7 @@
     /// A signed bundle, as `signed` encodes it.
     Bundle(Bytes),
     /// The sender takes no new work from now on.
-    Leaving(NodeId),
+    Leaving,
     /// Asks whether the peer is live.
     Probe(Gossip),
     /// Asks the peer to probe another node.
