--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -1,8 +1,10 @@
 //! One database group: its servers, its primary, and what it has acknowledged.
 
 mod error;
+mod read_index;
 
 pub use error::Error;
+pub use read_index::ReadIndex;
 
 use crate::id::{ServerId, Term};
 use crate::session::Watermark;
@@ -111,7 +113,7 @@
     /// gather that majority, so no clock is needed.
     #[must_use]
     pub fn is_acknowledged(&self, written: Watermark) -> bool {
-        if self.acknowledge == Acknowledge::Primary {
+        if self.acknowledge == Acknowledge::Primary || written.position == 0 {
             return true;
         }
         let holders = self.reports.values().flatten().filter(|report| {
--- a/crates/agateport-domain/src/request/error.rs
+++ b/crates/agateport-domain/src/request/error.rs
@@ -37,6 +37,18 @@
     NoBundle,
     /// The node or upstream is leaving.
     Leaving,
+    /// What the read has seen may yet be lost in a failover.
+    Unsettled,
+    /// The key stands for another write.
+    KeyReused,
+    /// The key was settled as not run.
+    KeySettled,
+    /// A keyed write is more than one statement, or is inside a transaction.
+    KeyMisplaced,
+    /// Too few servers answered to tell what was acknowledged before.
+    NoReadIndex,
+    /// The upstream refused a setting of the session.
+    Setting,
 }
 
 impl Reason {
@@ -54,6 +66,41 @@
             Self::UnknownServer => "unknown_server",
             Self::NoBundle => "no_bundle",
             Self::Leaving => "leaving",
+            Self::Unsettled => "unsettled",
+            Self::KeyReused => "key_reused",
+            Self::KeySettled => "key_settled",
+            Self::KeyMisplaced => "key_misplaced",
+            Self::NoReadIndex => "no_read_index",
+            Self::Setting => "setting",
+        }
+    }
+
+    /// Tells whether the reason proves that no earlier try has run either.
+    #[must_use]
+    pub fn is_proof(self) -> bool {
+        matches!(self, Self::KeyReused | Self::KeySettled)
+    }
+
+    /// Tells whether another try, here or at another server, may go better.
+    #[must_use]
+    pub fn is_transient(self) -> bool {
+        match self {
+            Self::Behind
+            | Self::Leaving
+            | Self::NoReadIndex
+            | Self::NotPrimary
+            | Self::OwnerUnreachable
+            | Self::Stale
+            | Self::Unsettled
+            | Self::UpstreamUnreachable => true,
+            Self::KeyMisplaced
+            | Self::KeyReused
+            | Self::KeySettled
+            | Self::NoBundle
+            | Self::QueueFull
+            | Self::Setting
+            | Self::TargetMissed
+            | Self::UnknownServer => false,
         }
     }
 }
--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -1,13 +1,18 @@
 //! One request: its life, what it needs of a server, and how it ended.
 
 mod error;
+pub mod key;
+pub mod retry;
+pub mod setting;
 pub mod statement;
 
 pub use error::{Error, Reason, Refusal};
+pub use key::Key;
 
 use crate::id::{GroupId, PriorityId, ServerId};
 use crate::session::{Transaction, Watermark};
 use serde::{Deserialize, Serialize};
+use statement::Kind;
 use std::time::Duration;
 
 /// How far a request has come.
@@ -27,16 +32,31 @@
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Need {
     /// The primary of the group.
-    Primary,
+    Primary {
+        /// What the session has seen; a superseded primary is behind it.
+        watermark: Option<Watermark>,
+    },
     /// Any server that holds the watermark.
     Replica {
         /// What the session has seen; none asks for nothing.
         watermark: Option<Watermark>,
         /// How old the data may be.
         maximum_staleness: Duration,
+        /// How long to wait for a server that is nearly there.
+        patience: Duration,
     },
 }
 
+impl Need {
+    /// Returns what the server must hold.
+    #[must_use]
+    pub fn watermark(&self) -> Option<Watermark> {
+        match self {
+            Self::Primary { watermark } | Self::Replica { watermark, .. } => *watermark,
+        }
+    }
+}
+
 /// A request as a frontend hands it to a server's owner.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Command {
@@ -50,6 +70,10 @@
     pub target: Duration,
     /// What the server must be.
     pub need: Need,
+    /// What the first batch does to the data.
+    pub kind: Kind,
+    /// What it does with a key, if it has one.
+    pub key: Option<key::Use>,
 }
 
 /// How a request ended, when it was answered in whole.
@@ -59,6 +83,8 @@
     pub seen: Option<Watermark>,
     /// Transaction state after it.
     pub transaction: Transaction,
+    /// Whether a statement failed.
+    pub is_failed: bool,
 }
 
 /// The life of one request.
@@ -66,6 +92,8 @@
 pub struct Request {
     state: State,
     is_repeatable: bool,
+    /// Whether the answer to an earlier try is lost.
+    is_lost: bool,
 }
 
 impl Request {
@@ -75,6 +103,7 @@
         Self {
             state: State::Queued,
             is_repeatable,
+            is_lost: false,
         }
     }
 
@@ -90,25 +119,35 @@
     ///
     /// [`Error`] if it went out before and may not be repeated, or has ended.
     pub fn send(&mut self) -> Result<(), Error> {
-        let may_send = match self.state {
-            State::Queued => true,
-            State::Unknown => self.is_repeatable,
-            State::Sent | State::Answered => false,
-        };
-        if !may_send {
+        if !self.may_send() {
             return Err(Error { state: self.state });
         }
         self.state = State::Sent;
         Ok(())
     }
 
-    /// Records that the upstream certainly did not run it.
+    /// Tells whether the request may go out to an upstream now.
+    #[must_use]
+    pub fn may_send(&self) -> bool {
+        match self.state {
+            State::Queued => true,
+            State::Unknown => self.is_repeatable,
+            State::Sent | State::Answered => false,
+        }
+    }
+
+    /// Records that this try certainly did not run it; an earlier one may have,
+    /// unless the reason rules that out.
     ///
     /// # Errors
     ///
     /// [`Error`] if the request has been sent and the answer isn't a refusal.
-    pub fn refuse(&mut self) -> Result<(), Error> {
+    pub fn refuse(&mut self, reason: Reason) -> Result<(), Error> {
         match self.state {
+            State::Queued | State::Sent if self.is_lost && !reason.is_proof() => {
+                self.state = State::Unknown;
+                Ok(())
+            }
             State::Queued | State::Sent => {
                 self.state = State::Queued;
                 Ok(())
@@ -126,6 +165,7 @@
     pub fn lose(&mut self) {
         if self.state == State::Sent {
             self.state = State::Unknown;
+            self.is_lost = true;
         }
     }
 
--- /dev/null
+++ b/crates/agateport-domain/src/request/setting.rs
@@ -0,0 +1,107 @@
+//! Statements that set, reset or show a setting of the session.
+
+use sqlparser::ast::{ContextModifier, Reset, Set, Statement as Ast};
+
+/// Prefix of the settings that agateport itself keeps.
+const OWN_PREFIX: &str = "agateport.";
+
+/// What a statement does to one setting.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Setting {
+    /// Sets it for the rest of the session.
+    Set {
+        /// Name, in lower case.
+        name: String,
+        /// Value without its quotes.
+        value: String,
+        /// The whole statement, to be run again on another connection.
+        sql: String,
+    },
+    /// Takes one setting back to its start.
+    Reset {
+        /// Name, in lower case.
+        name: String,
+    },
+    /// Takes all settings back to their start.
+    ResetAll,
+    /// Returns one setting.
+    Show {
+        /// Name, in lower case.
+        name: String,
+    },
+}
+
+impl Setting {
+    /// Returns what a statement does to a setting, if it does anything that
+    /// outlives its transaction.
+    #[must_use]
+    pub fn of(statement: &Ast) -> Option<Self> {
+        match statement {
+            Ast::Set(set) => Self::of_set(set, statement),
+            Ast::Reset(reset) => Some(match &reset.reset {
+                Reset::ALL => Self::ResetAll,
+                Reset::ConfigurationParameter(name) => Self::Reset {
+                    name: name.to_string().to_lowercase(),
+                },
+                // `SET SESSION AUTHORIZATION` is kept under its second word.
+                Reset::SessionAuthorization => Self::Reset {
+                    name: "session".to_owned(),
+                },
+            }),
+            Ast::Discard { .. } => Some(Self::ResetAll),
+            Ast::ShowVariable { variable } => {
+                let parts: Vec<_> = variable.iter().map(|part| part.value.as_str()).collect();
+                Some(Self::Show {
+                    name: parts.join(".").to_lowercase(),
+                })
+            }
+            _ => None,
+        }
+    }
+
+    fn of_set(set: &Set, statement: &Ast) -> Option<Self> {
+        let sql = statement.to_string();
+        match set {
+            Set::SingleAssignment {
+                scope: Some(ContextModifier::Local),
+                ..
+            } => None,
+            Set::SingleAssignment {
+                variable, values, ..
+            } => {
+                let values: Vec<_> = values.iter().map(ToString::to_string).collect();
+                Some(Self::Set {
+                    name: variable.to_string().to_lowercase(),
+                    value: unquote(&values.join(", ")),
+                    sql,
+                })
+            }
+            _ => {
+                let name = sql.split_whitespace().nth(1).unwrap_or_default();
+                Some(Self::Set {
+                    name: name.to_lowercase(),
+                    value: String::new(),
+                    sql,
+                })
+            }
+        }
+    }
+
+    /// Tells whether the setting is one that agateport itself keeps.
+    #[must_use]
+    pub fn is_own(&self) -> bool {
+        match self {
+            Self::Reset { name } | Self::Set { name, .. } | Self::Show { name } => {
+                name.starts_with(OWN_PREFIX)
+            }
+            Self::ResetAll => false,
+        }
+    }
+}
+
+fn unquote(text: &str) -> String {
+    let inner = text
+        .strip_prefix('\'')
+        .and_then(|rest| rest.strip_suffix('\''));
+    inner.unwrap_or(text).replace("''", "'")
+}
--- a/crates/agateport-domain/src/request/statement.rs
+++ b/crates/agateport-domain/src/request/statement.rs
@@ -1,16 +1,21 @@
 //! What a statement does, as far as it is certain.
 
+use super::key;
+use super::setting::Setting;
 use serde::{Deserialize, Serialize};
-use sqlparser::ast::{Query, SetExpr, Statement as Ast, TableFactor, visit_relations};
+use sqlparser::ast::{
+    Expr, Query, SetExpr, Statement as Ast, TableFactor, visit_expressions, visit_relations,
+};
 use sqlparser::dialect::PostgreSqlDialect;
 use sqlparser::parser::Parser;
 use std::collections::BTreeSet;
 use std::ops::ControlFlow;
 
 /// What a statement does to the data.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Kind {
     /// Surely changes nothing and takes no lock.
+    #[default]
     Read,
     /// Changes only the session's settings.
     Set,
@@ -22,13 +27,37 @@
     Write,
 }
 
+/// What a statement does to the transaction.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Control {
+    /// Opens one.
+    Begin,
+    /// Ends it for good.
+    Commit,
+    /// Ends it without effect.
+    Rollback,
+    /// Divides it, or goes back to a division.
+    Savepoint,
+}
+
 /// What is known of a text of SQL, all of its statements together.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Statement {
     /// The strongest of the statements' kinds.
     pub kind: Kind,
     /// Tables named anywhere, in lower case.
     pub tables: BTreeSet<String>,
+    /// What the statements do to the transaction, in their order.
+    pub controls: Vec<Control>,
+    /// What the statements do to the session's settings, in their order.
+    pub settings: Vec<Setting>,
+    /// Number of statements.
+    pub count: usize,
+    /// Whether something may be left behind on the connection, such as a
+    /// setting, a lock or a temporary table.
+    pub leaves_state: bool,
+    /// Key under which the write is recorded.
+    pub key: Option<String>,
 }
 
 /// Functions that read nothing but their arguments and the tables.
@@ -40,10 +69,14 @@
     /// Classifies a text of SQL; what isn't surely a read is a write.
     #[must_use]
     pub fn parse(sql: &str) -> Self {
+        let key = key::in_comment(sql);
         let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
             return Self {
                 kind: Kind::Write,
-                tables: BTreeSet::new(),
+                count: 1,
+                leaves_state: true,
+                key,
+                ..Self::default()
             };
         };
         let mut tables = BTreeSet::new();
@@ -51,8 +84,41 @@
             tables.insert(relation.to_string().to_lowercase());
             ControlFlow::Continue(())
         });
-        let kind = statements.iter().map(kind).max().unwrap_or(Kind::Read);
-        Self { kind, tables }
+        Self {
+            kind: statements.iter().map(kind).max().unwrap_or_default(),
+            tables,
+            controls: statements.iter().filter_map(control).collect(),
+            settings: statements.iter().filter_map(Setting::of).collect(),
+            count: statements.len(),
+            leaves_state: statements.iter().any(leaves_state),
+            key,
+        }
+    }
+
+    /// Adds the statements of `other`, which run after these.
+    pub fn merge(&mut self, other: &Self) {
+        self.kind = self.kind.max(other.kind);
+        self.tables.extend(other.tables.iter().cloned());
+        self.controls.extend(&other.controls);
+        self.settings.extend(other.settings.iter().cloned());
+        self.count += other.count;
+        self.leaves_state |= other.leaves_state;
+        if other.key.is_some() {
+            self.key.clone_from(&other.key);
+        }
+    }
+
+    /// Tells whether the statements discard everything that the session keeps.
+    #[must_use]
+    pub fn discards(&self) -> bool {
+        self.settings.contains(&Setting::ResetAll)
+    }
+
+    /// Tells whether the statements may end the transaction that they run in.
+    #[must_use]
+    pub fn may_end_transaction(&self) -> bool {
+        let mut controls = self.controls.iter();
+        controls.any(|control| matches!(control, Control::Commit | Control::Rollback))
     }
 }
 
@@ -60,7 +126,7 @@
     match statement {
         Ast::Query(query) if is_read(query) => Kind::Read,
         Ast::ShowVariable { .. } => Kind::Read,
-        Ast::Set(_) => Kind::Set,
+        Ast::Discard { .. } | Ast::Reset(_) | Ast::Set(_) => Kind::Set,
         Ast::Commit { .. }
         | Ast::ReleaseSavepoint { .. }
         | Ast::Rollback { .. }
@@ -71,6 +137,50 @@
     }
 }
 
+fn control(statement: &Ast) -> Option<Control> {
+    match statement {
+        Ast::StartTransaction { .. } => Some(Control::Begin),
+        Ast::Commit { .. } => Some(Control::Commit),
+        Ast::Rollback {
+            savepoint: None, ..
+        } => Some(Control::Rollback),
+        Ast::ReleaseSavepoint { .. } | Ast::Rollback { .. } | Ast::Savepoint { .. } => {
+            Some(Control::Savepoint)
+        }
+        _ => None,
+    }
+}
+
+fn leaves_state(statement: &Ast) -> bool {
+    let is_plain = matches!(
+        statement,
+        Ast::Commit { .. }
+            | Ast::Delete(_)
+            | Ast::Insert(_)
+            | Ast::Query(_)
+            | Ast::ReleaseSavepoint { .. }
+            | Ast::Rollback { .. }
+            | Ast::Savepoint { .. }
+            | Ast::ShowVariable { .. }
+            | Ast::StartTransaction { .. }
+            | Ast::Update { .. }
+    );
+    // A function may set a setting or take a lock of the connection.
+    !is_plain || visit_expressions(statement, impure).is_break()
+}
+
+fn impure(expression: &Expr) -> ControlFlow<()> {
+    let Expr::Function(function) = expression else {
+        return ControlFlow::Continue(());
+    };
+    let name = function.name.to_string().to_lowercase();
+    if PURE_FUNCTIONS.contains(&name.as_str()) {
+        ControlFlow::Continue(())
+    } else {
+        ControlFlow::Break(())
+    }
+}
+
 fn is_read(query: &Query) -> bool {
     if !query.locks.is_empty() || !is_read_body(&query.body) {
         return false;
@@ -79,18 +189,7 @@
     if !with.into_iter().all(|table| is_read(&table.query)) {
         return false;
     }
-    let unknown = sqlparser::ast::visit_expressions(query, |expression| {
-        let sqlparser::ast::Expr::Function(function) = expression else {
-            return ControlFlow::Continue(());
-        };
-        let name = function.name.to_string().to_lowercase();
-        if PURE_FUNCTIONS.contains(&name.as_str()) {
-            ControlFlow::Continue(())
-        } else {
-            ControlFlow::Break(())
-        }
-    });
-    unknown.is_continue()
+    visit_expressions(query, impure).is_continue()
 }
 
 fn is_read_body(body: &SetExpr) -> bool {
--- /dev/null
+++ b/crates/agateport-domain/src/session/choice.rs
@@ -0,0 +1,81 @@
+//! Chooses the servers that may serve a session's read.
+
+use super::Watermark;
+use crate::id::ServerId;
+use std::cmp::Reverse;
+use std::time::Duration;
+
+/// Load that makes a server of another zone the better choice, in requests.
+const ZONE_WORTH: usize = 4;
+
+/// What is known of a replica.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Name of the server.
+    pub server: ServerId,
+    /// What it said last; none if this node hasn't asked it. Its owner has, and
+    /// decides.
+    pub report: Option<Report>,
+    /// Whether it is in the zone of the one who asks.
+    pub is_near: bool,
+    /// Requests that were sent to it and aren't answered.
+    pub load: usize,
+}
+
+/// What a replica said of itself.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Report {
+    /// Last entry of its log.
+    pub last: Watermark,
+    /// Age of its data; none if it doesn't know.
+    pub age: Option<Duration>,
+}
+
+/// A replica to ask.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Name of the server.
+    pub server: ServerId,
+    /// How long it may take to catch up.
+    pub patience: Duration,
+}
+
+/// Returns the replicas to ask, the best first.
+///
+/// A replica that doesn't know its age, or whose age is over the limit, serves
+/// none. Those that hold `floor`, or may hold it, come by zone and load. If
+/// there is none, the most advanced one gets `patience` to catch up; to wait
+/// for more than one would cost more than the primary's answer.
+#[must_use]
+pub fn choose(
+    candidates: &[Candidate],
+    floor: Option<Watermark>,
+    maximum_staleness: Duration,
+    patience: Duration,
+) -> Vec<Choice> {
+    let is_fresh = |report: Report| report.age.is_some_and(|age| age <= maximum_staleness);
+    let holds = |report: Report| floor.is_none_or(|floor| report.last >= floor);
+    let fresh = candidates
+        .iter()
+        .filter(|one| one.report.is_none_or(is_fresh));
+    let (mut ready, behind): (Vec<_>, Vec<_>) = fresh.partition(|one| one.report.is_none_or(holds));
+    if ready.is_empty() {
+        let place = |one: &Candidate| one.report.map(|report| report.last);
+        let nearest = behind
+            .into_iter()
+            .max_by_key(|one| (place(one), one.is_near, Reverse(one.load)));
+        let choice = nearest.map(|one| Choice {
+            server: one.server.clone(),
+            patience,
+        });
+        return choice.into_iter().collect();
+    }
+    let distance = |one: &Candidate| one.load + if one.is_near { 0 } else { ZONE_WORTH };
+    ready.sort_by_key(|one| (one.report.is_none(), distance(one)));
+    let choices = ready.into_iter().map(|one| Choice {
+        server: one.server.clone(),
+        // What is known here may be out of date.
+        patience,
+    });
+    choices.collect()
+}
--- /dev/null
+++ b/crates/agateport-domain/src/session/settings.rs
@@ -0,0 +1,44 @@
+//! The settings of a session, kept apart from any upstream connection.
+
+use crate::request::setting::Setting;
+use std::collections::BTreeMap;
+
+/// The settings that a caller has set, by name, each as the statement that sets
+/// it.
+///
+/// What is set inside a transaction counts only once the transaction commits.
+#[derive(Clone, Debug, Default)]
+pub struct Settings {
+    current: BTreeMap<String, String>,
+    pending: Option<BTreeMap<String, String>>,
+}
+
+impl Settings {
+    /// Records a setting that an upstream has taken.
+    pub fn apply(&mut self, setting: &Setting, is_inside_transaction: bool) {
+        let settings = if is_inside_transaction {
+            self.pending.get_or_insert_with(|| self.current.clone())
+        } else {
+            &mut self.current
+        };
+        match setting {
+            Setting::Set { name, sql, .. } => drop(settings.insert(name.clone(), sql.clone())),
+            Setting::Reset { name } => drop(settings.remove(name)),
+            Setting::ResetAll => settings.clear(),
+            Setting::Show { .. } => {}
+        }
+    }
+
+    /// Records the end of a transaction.
+    pub fn end(&mut self, is_committed: bool) {
+        if let (Some(pending), true) = (self.pending.take(), is_committed) {
+            self.current = pending;
+        }
+    }
+
+    /// Returns the statements that bring a connection to these settings.
+    #[must_use]
+    pub fn statements(&self) -> Vec<String> {
+        self.current.values().cloned().collect()
+    }
+}
--- a/crates/agateport-domain/tests/session.rs
+++ b/crates/agateport-domain/tests/session.rs
@@ -9,7 +9,7 @@
 fn scenarios() {
     insta::glob!("scenarios/watermark/*.txt", |path| {
         let text = std::fs::read_to_string(path).unwrap();
-        let mut session = Session::default();
+        let mut session = Session::new(Instant::now());
         let transcript = script::run(&text, |words| step(&mut session, words));
         insta::assert_snapshot!(transcript);
     });
--- a/crates/agateport-node/src/config.rs
+++ b/crates/agateport-node/src/config.rs
@@ -57,10 +57,21 @@
     /// Time that requests get to finish when the node stops.
     #[serde(default = "default_drain", with = "humantime_serde")]
     pub drain: Duration,
+    /// Time that a transaction may wait for its caller.
+    #[serde(default = "default_idle_in_transaction", with = "humantime_serde")]
+    pub idle_in_transaction: Duration,
     /// Files of the node's identity.
     pub tls: Tls,
 }
 
+/// Time that a transaction may wait for its caller, when the settings don't
+/// say.
+const DEFAULT_IDLE_IN_TRANSACTION: Duration = Duration::from_mins(1);
+
+fn default_idle_in_transaction() -> Duration {
+    DEFAULT_IDLE_IN_TRANSACTION
+}
+
 /// Time that requests get to finish when the settings don't say.
 const DEFAULT_DRAIN: Duration = Duration::from_secs(10);
 
--- a/crates/agateport-node/src/control/status.rs
+++ b/crates/agateport-node/src/control/status.rs
@@ -60,10 +60,12 @@
             control = connecting.await.ok().and_then(Result::ok);
         }
         if let Some(connected) = control.as_mut() {
+            // The status is at least as new as the question.
+            let asked = Instant::now();
             match timeout(TIMEOUT, connected.status()).await {
                 Ok(Ok(status)) => {
                     node.groups.update(group, |group| {
-                        group.report(&server.name, status, Instant::now());
+                        group.report(&server.name, status, asked);
                     });
                     node.reports.send_modify(|count| *count += 1);
                 }
--- a/crates/agateport-node/src/frontend/candidate.rs
+++ b/crates/agateport-node/src/frontend/candidate.rs
@@ -1,16 +1,19 @@
 //! Chooses the servers that may run a batch.
 
-use super::pipeline::Work;
+use super::work::Work;
 use crate::node::Node;
 use agateport_domain::bundle;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Need;
-use agateport_domain::request::statement::Kind;
+use agateport_domain::session::{self, Candidate, Choice, Report};
 
 /// Replicas that are asked before the primary.
 const REPLICA_TRIES: usize = 2;
 
+/// Time that a replica which is nearly there gets to catch up.
+const PATIENCE: Duration = Duration::from_millis(15);
+
 /// Returns the servers to ask, the best first, with what each must be.
 pub fn servers<'a, P>(
     node: &Node<P>,
@@ -26,30 +29,51 @@
         .groups
         .update(&group.name, |known| known.primary().cloned())
         .flatten();
-    let is_primary = |server: &&bundle::Server| Some(&server.name) == primary.as_ref();
     let mut candidates = Vec::new();
-    if let (Kind::Read, Some(maximum_staleness)) =
-        (work.kind, bundle.maximum_staleness(&work.tables))
-    {
-        let need = Need::Replica {
-            watermark,
-            maximum_staleness,
-        };
-        let mut replicas: Vec<_> = group
-            .servers
-            .iter()
-            .filter(|one| !is_primary(one))
-            .collect();
-        replicas.sort_by_key(|server| server.zone != node.config.zone);
-        candidates.extend(
-            replicas
-                .into_iter()
-                .take(REPLICA_TRIES)
-                .map(|one| (one, need)),
-        );
+    let staleness = bundle.maximum_staleness(&work.statement.tables);
+    if let (true, Some(maximum_staleness)) = (work.is_read(), staleness) {
+        let replicas = replicas(node, group, primary.as_ref());
+        let choices = session::choose(&replicas, watermark, maximum_staleness, PATIENCE);
+        let chosen = choices.into_iter().take(REPLICA_TRIES);
+        candidates.extend(chosen.filter_map(|choice: Choice| {
+            let server = group.servers.iter().find(|one| one.name == choice.server)?;
+            let need = Need::Replica {
+                watermark,
+                maximum_staleness,
+                patience: choice.patience,
+            };
+            Some((server, need))
+        }));
     }
     let mut primaries: Vec<_> = group.servers.iter().collect();
-    primaries.sort_by_key(|server| !is_primary(server));
-    candidates.extend(primaries.into_iter().map(|server| (server, Need::Primary)));
+    primaries.sort_by_key(|server| Some(&server.name) != primary.as_ref());
+    let need = Need::Primary { watermark };
+    candidates.extend(primaries.into_iter().map(|server| (server, need)));
     candidates
 }
+
+fn replicas<P>(node: &Node<P>, group: &bundle::Group, primary: Option<&ServerId>) -> Vec<Candidate>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let others = group
+        .servers
+        .iter()
+        .filter(|one| Some(&one.name) != primary);
+    let candidates = others.map(|server| {
+        let status = node
+            .groups
+            .update(&group.name, |known| known.status(&server.name));
+        let report = status.flatten().map(|(status, asked)| Report {
+            last: status.last,
+            age: status.age.map(|age| age + asked.elapsed()),
+        });
+        Candidate {
+            server: server.name.clone(),
+            report,
+            is_near: server.zone == node.config.zone,
+            load: node.frontend.load(&server.name),
+        }
+    });
+    candidates.collect()
+}
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -1,7 +1,7 @@
 //! Opens a link to a server's owner and sends it a batch.
 
-use super::pipeline::Work;
 use super::route::{Attempt, Begun};
+use super::work::Work;
 use crate::node::Node;
 use crate::peers;
 use agateport_domain::bundle;
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -1,11 +1,20 @@
 //! The frontend's side: takes callers and routes their requests to owners.
 
 mod caller;
+mod cancel;
 mod candidate;
 mod forward;
+mod local;
+mod options;
+mod own;
 mod pipeline;
+mod read_index;
 mod route;
 mod startup;
+pub mod state;
+mod work;
+
+pub use cancel::cancel;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
--- /dev/null
+++ b/crates/agateport-node/src/frontend/own.rs
@@ -0,0 +1,133 @@
+//! The settings that agateport itself keeps for a session.
+
+use super::caller::Caller;
+use super::local::Answer;
+use super::read_index;
+use super::work::Work;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::request::key;
+use agateport_domain::request::setting::Setting;
+use agateport_domain::session;
+use agateport_wire::postgres::{self, Backend, WATERMARK};
+
+/// Name of the setting that holds the key of the next write.
+const KEY: &str = "agateport.key";
+
+/// Name of the setting that tells what became of the last key.
+const OUTCOME: &str = "agateport.outcome";
+
+/// What a statement about such a setting comes to.
+pub enum Reply {
+    /// The frontend answers it.
+    Answer(Answer),
+    /// It is wrong.
+    Error(Backend),
+    /// What became of the key of this name has to be settled.
+    Resolve(String),
+}
+
+/// Returns what the batch does to one of agateport's own settings, if it is
+/// nothing else.
+pub fn setting(work: &Work) -> Option<Setting> {
+    match work.described.settings.as_slice() {
+        [setting] if setting.is_own() && work.described.count == 1 => Some(setting.clone()),
+        _ => None,
+    }
+}
+
+/// Answers a statement about one of agateport's own settings.
+pub async fn answer<P>(caller: &Caller<P>, work: &Work, setting: &Setting) -> Reply
+where
+    P: Policy + Send + Sync + 'static,
+{
+    match setting {
+        Setting::Show { name } => show(caller, work, name),
+        Setting::Set { .. } | Setting::Reset { .. } | Setting::ResetAll if !work.runs() => {
+            Reply::Answer(Answer::Command("SET"))
+        }
+        Setting::Set { name, value, .. } if name == WATERMARK => observe(caller, value).await,
+        Setting::Set { name, value, .. } if name == KEY => set_key(caller, value),
+        Setting::Reset { name } if name == KEY => set_key(caller, ""),
+        _ => wrong("42704", "there is no such setting, or it can't be set"),
+    }
+}
+
+/// Returns the answer that tells what became of a key.
+pub fn outcome(outcome: key::Outcome) -> Answer {
+    Answer::Value {
+        name: OUTCOME.to_owned(),
+        value: Some(outcome.name().to_owned()),
+    }
+}
+
+fn show<P>(caller: &Caller<P>, work: &Work, name: &str) -> Reply
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let found = caller.session(|session| {
+        let watermark = session.watermark(&caller.group);
+        let key = session.key().map(ToOwned::to_owned);
+        let last_key = session.last_key().map(ToOwned::to_owned);
+        (watermark, key, last_key)
+    });
+    let (watermark, key, last_key) = found.unwrap_or_default();
+    let value = match name {
+        WATERMARK => watermark.map(|watermark| watermark.to_string()),
+        KEY => key,
+        OUTCOME if !work.runs() => None,
+        OUTCOME => match last_key {
+            Some(name) => return Reply::Resolve(name),
+            None => return wrong("22023", "the session has used no key"),
+        },
+        _ => return wrong("42704", "there is no such setting"),
+    };
+    Reply::Answer(Answer::Value {
+        name: name.to_owned(),
+        value,
+    })
+}
+
+async fn observe<P>(caller: &Caller<P>, value: &str) -> Reply
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let checked = match value.parse() {
+        Ok(watermark) => check(caller, watermark).await,
+        Err(error) => Err(error),
+    };
+    match checked {
+        Ok(watermark) => {
+            caller.session(|session| session.observe(&caller.group, watermark));
+            Reply::Answer(Answer::Command("SET"))
+        }
+        Err(error) => wrong("22023", &error.to_string()),
+    }
+}
+
+async fn check<P>(caller: &Caller<P>, watermark: Watermark) -> Result<Watermark, session::Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let bundle = caller.node.bundle();
+    if let Some(group) = bundle.as_ref().and_then(|one| one.group(&caller.group)) {
+        read_index::check(&caller.node, group, watermark).await?;
+    }
+    Ok(watermark)
+}
+
+fn set_key<P>(caller: &Caller<P>, value: &str) -> Reply
+where
+    P: Policy + Send + Sync + 'static,
+{
+    if !value.is_empty() && !key::is_valid(value) {
+        return wrong("22023", "the key is too long");
+    }
+    let key = (!value.is_empty()).then(|| value.to_owned());
+    caller.session(|session| session.set_key(key));
+    Reply::Answer(Answer::Command("SET"))
+}
+
+fn wrong(code: &str, text: &str) -> Reply {
+    Reply::Error(postgres::error("ERROR", code, text.to_owned()))
+}
--- a/crates/agateport-node/src/frontend/pipeline.rs
+++ b/crates/agateport-node/src/frontend/pipeline.rs
@@ -3,28 +3,16 @@
 //! Prepared statements live in the session, not at an upstream: their names are
 //! made from their texts, so that any pooled connection can have them.
 
+use super::work::{Expected, Work};
 use agateport_domain::prelude::*;
 use agateport_domain::request::statement::{Kind, Statement};
 use agateport_wire::frame::{Batch, Prepared};
-use agateport_wire::postgres::{Backend, Frontend};
-use bytes::{Bytes, BytesMut};
-use pgwire::messages::extendedquery::{
-    CloseComplete, Parse, ParseComplete, TARGET_TYPE_BYTE_STATEMENT,
-};
+use agateport_wire::postgres::Frontend;
+use bytes::BytesMut;
+use pgwire::messages::extendedquery::{Parse, TARGET_TYPE_BYTE_STATEMENT};
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
 
-/// One message of the batch that has an answer of its own.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-enum Expected {
-    /// The upstream answers.
-    Upstream,
-    /// A statement was prepared: the frontend answers.
-    Parsed,
-    /// A statement was closed: the frontend answers.
-    Closed,
-}
-
 /// What is known of a prepared statement.
 #[derive(Clone, Debug)]
 struct Known {
@@ -32,42 +20,38 @@
     statement: Statement,
 }
 
-/// A batch with what is known of its statements.
-#[derive(Clone, Debug)]
-pub struct Work {
-    /// What goes to the owner.
-    pub batch: Batch,
-    /// The strongest of the statements' kinds.
-    pub kind: Kind,
-    /// Tables that the statements name.
-    pub tables: BTreeSet<String>,
-    expected: VecDeque<Expected>,
-}
-
 /// Collects a caller's messages into batches.
 #[derive(Debug, Default)]
 pub struct Pipeline {
     statements: BTreeMap<String, Known>,
     messages: BytesMut,
     used: BTreeMap<String, Prepared>,
-    kind: Option<Kind>,
-    tables: BTreeSet<String>,
+    statement: Statement,
+    described: Option<Statement>,
     expected: VecDeque<Expected>,
+    /// Whether messages are skipped up to the next sync, after an error that
+    /// the caller has been told of.
+    is_skipping: bool,
 }
 
 impl Pipeline {
     /// Takes one message; returns a batch when the caller waits for its answer.
     pub fn push(&mut self, message: Frontend) -> Option<Work> {
+        if self.is_skipping && !matches!(message, Frontend::Sync(_)) {
+            return None;
+        }
         match message {
             Frontend::Query(query) => {
-                self.note(&Statement::parse(&query.query));
+                self.statement = Statement::parse(&query.query);
                 self.encode(&Frontend::Query(query));
-                Some(self.take())
+                Some(self.take(true))
             }
             Frontend::Sync(sync) => {
+                self.is_skipping = false;
                 self.encode(&Frontend::Sync(sync));
-                Some(self.take())
+                Some(self.take(false))
             }
+            Frontend::Flush(_) => self.flush(),
             Frontend::Parse(parse) => {
                 self.parse(parse);
                 None
@@ -79,6 +63,29 @@
         }
     }
 
+    /// Skips messages up to the next sync.
+    pub fn skip(&mut self) {
+        self.is_skipping = true;
+    }
+
+    /// Forgets all prepared statements.
+    pub fn forget(&mut self) {
+        self.statements.clear();
+    }
+
+    fn flush(&mut self) -> Option<Work> {
+        if self.expected.is_empty() {
+            return None;
+        }
+        let upstream = self.expected.iter().filter(|one| !one.is_own());
+        let answers = upstream.count();
+        let mut work = self.take(false);
+        work.batch.flush = Some(answers);
+        // What follows before the sync belongs to the same transaction.
+        work.statement.kind = work.statement.kind.max(Kind::Transaction);
+        Some(work)
+    }
+
     fn parse(&mut self, mut parse: Parse) {
         let caller_name = parse.name.take().unwrap_or_default();
         let mut hasher = DefaultHasher::new();
@@ -94,6 +101,7 @@
             parse: encoded.freeze(),
         };
         self.used.insert(name, prepared.clone());
+        self.described = Some(statement.clone());
         let known = Known {
             prepared,
             statement,
@@ -107,20 +115,24 @@
             Frontend::Bind(mut bind) => {
                 bind.statement_name = self.rename(bind.statement_name.take(), true);
                 self.encode(&Frontend::Bind(bind));
-                Expected::Upstream
+                Expected::Bound
             }
             Frontend::Describe(mut target) => {
-                if target.target_type == TARGET_TYPE_BYTE_STATEMENT {
+                let is_statement = target.target_type == TARGET_TYPE_BYTE_STATEMENT;
+                if is_statement {
                     target.name = self.rename(target.name.take(), false);
                 }
                 self.encode(&Frontend::Describe(target));
-                Expected::Upstream
+                Expected::Described { is_statement }
             }
             Frontend::Close(close) if close.target_type == TARGET_TYPE_BYTE_STATEMENT => {
                 self.statements.remove(&close.name.unwrap_or_default());
                 Expected::Closed
             }
-            Frontend::Flush(_) => return,
+            Frontend::Execute(execute) => {
+                self.encode(&Frontend::Execute(execute));
+                Expected::Executed
+            }
             message => {
                 self.encode(&message);
                 Expected::Upstream
@@ -139,84 +151,32 @@
         let name = known.prepared.name.clone();
         self.used.insert(name.clone(), known.prepared);
         if is_run {
-            self.note(&known.statement);
+            self.statement.merge(&known.statement);
         }
+        self.described = Some(known.statement);
         Some(name)
     }
 
-    fn note(&mut self, statement: &Statement) {
-        self.kind = self.kind.max(Some(statement.kind));
-        self.tables.extend(statement.tables.iter().cloned());
-    }
-
     fn encode(&mut self, message: &Frontend) {
         // Encoding fails only for a message too long to have been read.
         let _ = message.encode(&mut self.messages);
     }
 
-    fn take(&mut self) -> Work {
+    fn take(&mut self, is_simple: bool) -> Work {
         let statements = std::mem::take(&mut self.used);
+        let statement = std::mem::take(&mut self.statement);
+        let described = self.described.take();
         Work {
             batch: Batch {
                 statements: statements.into_values().collect(),
                 messages: self.messages.split().freeze(),
+                leaves_state: statement.leaves_state,
+                ..Batch::default()
             },
-            kind: self.kind.take().unwrap_or(Kind::Read),
-            tables: std::mem::take(&mut self.tables),
+            described: described.unwrap_or_else(|| statement.clone()),
+            statement,
+            is_simple,
             expected: std::mem::take(&mut self.expected),
         }
     }
 }
-
-impl Work {
-    /// Adds the frontend's own answers to a part of the upstream's.
-    ///
-    /// # Errors
-    ///
-    /// An error if the part isn't made of whole messages.
-    pub fn complete(&mut self, part: Bytes) -> Result<Bytes, agateport_wire::Error> {
-        if self.expected.iter().all(|one| *one == Expected::Upstream) {
-            return Ok(part);
-        }
-        let mut rest = BytesMut::from(part);
-        let mut completed = BytesMut::new();
-        self.answer_own(&mut completed);
-        let mut codec = agateport_wire::postgres::Client;
-        while let Some(message) = tokio_util::codec::Decoder::decode(&mut codec, &mut rest)? {
-            message.encode(&mut completed)?;
-            if matches!(message, Backend::ErrorResponse(_)) {
-                self.expected.clear();
-            }
-            if is_last_answer(&message) {
-                self.expected.pop_front();
-                self.answer_own(&mut completed);
-            }
-        }
-        Ok(completed.freeze())
-    }
-
-    /// Answers the messages before the next one that the upstream answers.
-    fn answer_own(&mut self, answers: &mut BytesMut) {
-        while let Some(expected) = self.expected.front() {
-            let answer = match expected {
-                Expected::Upstream => return,
-                Expected::Parsed => Backend::ParseComplete(ParseComplete::new()),
-                Expected::Closed => Backend::CloseComplete(CloseComplete::new()),
-            };
-            self.expected.pop_front();
-            // Encoding fails only for messages over a gigabyte.
-            let _ = answer.encode(answers);
-        }
-    }
-}
-
-/// Tells whether a message is the last answer to one of the caller's messages.
-fn is_last_answer(message: &Backend) -> bool {
-    !matches!(
-        message,
-        Backend::DataRow(_)
-            | Backend::NoticeResponse(_)
-            | Backend::ParameterDescription(_)
-            | Backend::ParameterStatus(_)
-    )
-}
--- /dev/null
+++ b/crates/agateport-node/src/frontend/read_index.rs
@@ -0,0 +1,156 @@
+//! Takes read indexes: one poll of a group's servers serves all who wait.
+
+use crate::node::Node;
+use crate::peers;
+use agateport_domain::bundle;
+use agateport_domain::group::{ReadIndex, Status};
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::session::Error;
+use agateport_wire::frame::Frame;
+use agateport_wire::link::Exchange;
+use futures::StreamExt;
+use futures::stream::FuturesUnordered;
+use tokio::sync::watch;
+use tokio::time::timeout;
+
+/// Time that the servers may take to answer.
+const TIMEOUT: Duration = Duration::from_secs(1);
+
+/// What became of a poll; none while it is under way.
+type Result = Option<Option<Watermark>>;
+
+/// One poll of a group's servers.
+#[derive(Clone, Debug)]
+pub struct Round {
+    started: Instant,
+    result: watch::Receiver<Result>,
+}
+
+/// Returns a place that covers every write acknowledged before `since`, or none
+/// if too few servers answer.
+pub async fn take<P>(
+    node: &Arc<Node<P>>,
+    group: &bundle::Group,
+    since: Instant,
+) -> Option<Watermark>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        let mut round = join(node, group, since);
+        // The sender lives until the poll has ended.
+        let result = round.result.wait_for(Option::is_some).await;
+        let place = result.ok().and_then(|result| *result).flatten();
+        if round.started >= since {
+            return place;
+        }
+    }
+}
+
+/// Checks a watermark that a caller handed over.
+///
+/// # Errors
+///
+/// [`Error::Ahead`] if no write of that place can have been acknowledged.
+pub async fn check<P>(
+    node: &Arc<Node<P>>,
+    group: &bundle::Group,
+    watermark: Watermark,
+) -> std::result::Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let place = take(node, group, Instant::now()).await;
+    match place {
+        Some(last) if last < watermark => Err(Error::Ahead { watermark, last }),
+        // A watermark that can't be checked only asks for more.
+        _ => Ok(()),
+    }
+}
+
+/// Returns the poll to wait for: one that started late enough, else the one
+/// that is under way, else a new one.
+fn join<P>(node: &Arc<Node<P>>, group: &bundle::Group, since: Instant) -> Round
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let (sender, receiver) = watch::channel(None);
+    let mut is_new = false;
+    let round = node.frontend.rounds.with(&group.name, |rounds| {
+        let known = rounds.get(&group.name);
+        let usable =
+            known.filter(|round| round.started >= since || round.result.borrow().is_none());
+        if let Some(round) = usable {
+            return round.clone();
+        }
+        is_new = true;
+        let round = Round {
+            started: Instant::now(),
+            result: receiver,
+        };
+        rounds.insert(group.name.clone(), round.clone());
+        round
+    });
+    if is_new {
+        node.metrics.count("read_index", "poll");
+        tokio::spawn(poll(Arc::clone(node), group.clone(), sender));
+    }
+    round
+}
+
+async fn poll<P>(node: Arc<Node<P>>, group: bundle::Group, sender: watch::Sender<Result>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut index = ReadIndex::new(group.acknowledge, group.servers.len());
+    let asked = group
+        .servers
+        .iter()
+        .map(|server| locate(&node, &group.name, server));
+    let mut answers: FuturesUnordered<_> = asked.collect();
+    let polling = async {
+        while let Some(status) = answers.next().await {
+            if let Some(status) = status {
+                index.add(status);
+            }
+            if index.place().is_some() {
+                break;
+            }
+        }
+        index.place()
+    };
+    let place = timeout(TIMEOUT, polling).await.unwrap_or_default();
+    if place.is_none() {
+        node.metrics.count("read_index", "no_majority");
+    }
+    sender.send_replace(Some(place));
+}
+
+/// Asks a server's owner what the server says of itself now.
+async fn locate<P>(node: &Arc<Node<P>>, group: &GroupId, server: &bundle::Server) -> Option<Status>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let owners = {
+        let view = node
+            .view
+            .lock()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        node.policy
+            .owners(&node.config.name, &server.name, &server.zone, &view)
+    };
+    for owner in owners.into_iter().take(2) {
+        let Ok(mut link) = peers::link(node, &owner).await else {
+            continue;
+        };
+        let question = Frame::Locate(group.clone(), server.name.clone());
+        if link.send(question).await.is_err() {
+            continue;
+        }
+        if let Ok(Frame::Located(status)) = link.receive().await {
+            return Some(status);
+        }
+    }
+    None
+}
--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -1,25 +1,22 @@
 //! The first messages of a caller's connection.
 
+use super::{cancel, options, read_index};
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_domain::session;
 use agateport_wire::Error;
 use agateport_wire::postgres::{self, Backend, Frontend, Phase, Server};
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::SslNegotiationMetaMessage;
 use pgwire::messages::response::SslResponse;
-use pgwire::messages::startup::{
-    Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
-};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
 use tokio::net::TcpStream;
 use tokio_util::codec::Framed;
 
 /// A caller's connection.
 pub type Socket = Framed<TcpStream, Server>;
 
-/// Startup option that hands a watermark over.
-const WATERMARK_OPTION: &str = "agateport.watermark";
-
 /// What a caller asks for when it connects.
 #[derive(Debug)]
 pub struct Login {
@@ -27,6 +24,8 @@
     pub group: GroupId,
     /// What it has seen of the group through other connections.
     pub watermark: Option<Watermark>,
+    /// Secret that its cancel requests carry.
+    pub secret: i32,
 }
 
 /// Goes through the first messages; none if the caller asks for nothing more.
@@ -34,7 +33,7 @@
 /// # Errors
 ///
 /// [`Error`] if the connection broke or a message can't be read.
-pub async fn negotiate<P>(node: &Node<P>, socket: &mut Socket) -> Result<Option<Login>, Error>
+pub async fn negotiate<P>(node: &Arc<Node<P>>, socket: &mut Socket) -> Result<Option<Login>, Error>
 where
     P: Policy + Send + Sync + 'static,
 {
@@ -51,6 +50,10 @@
                 socket.codec_mut().set_phase(Phase::Ready);
                 return log_in(node, socket, &startup).await;
             }
+            Frontend::CancelRequest(request) => {
+                cancel::forward(node, &request).await;
+                return Ok(None);
+            }
             _ => return Ok(None),
         }
     }
@@ -58,7 +61,7 @@
 }
 
 async fn log_in<P>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     socket: &mut Socket,
     startup: &Startup,
 ) -> Result<Option<Login>, Error>
@@ -72,7 +75,11 @@
             return Ok(None);
         }
     };
-    greet(socket).await?;
+    if let Err(refusal) = check_watermark(node, &login).await {
+        socket.send(refusal).await?;
+        return Ok(None);
+    }
+    greet(socket, cancel::key(node, login.secret)).await?;
     Ok(Some(login))
 }
 
@@ -92,24 +99,34 @@
         );
         return Err(postgres::error("FATAL", "3D000", text));
     };
-    let watermark = match startup.parameters.get(WATERMARK_OPTION) {
-        None => None,
-        Some(text) => {
-            let parsed = text
-                .parse()
-                .map_err(|error: agateport_domain::session::Error| {
-                    postgres::error("FATAL", "22023", error.to_string())
-                });
-            Some(parsed?)
-        }
-    };
+    let parsed = options::watermark(&startup.parameters);
+    let watermark = parsed.map_err(|error| wrong_watermark(&error))?;
     Ok(Login {
         group: group.name.clone(),
         watermark,
+        secret: rand::random(),
     })
 }
 
-async fn greet(socket: &mut Socket) -> Result<(), Error> {
+async fn check_watermark<P>(node: &Arc<Node<P>>, login: &Login) -> Result<(), Backend>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let (Some(bundle), Some(watermark)) = (node.bundle(), login.watermark) else {
+        return Ok(());
+    };
+    let Some(group) = bundle.group(&login.group) else {
+        return Ok(());
+    };
+    let checked = read_index::check(node, group, watermark).await;
+    checked.map_err(|error| wrong_watermark(&error))
+}
+
+fn wrong_watermark(error: &session::Error) -> Backend {
+    postgres::error("FATAL", "22023", error.to_string())
+}
+
+async fn greet(socket: &mut Socket, key: BackendKeyData) -> Result<(), Error> {
     socket
         .feed(Backend::Authentication(Authentication::Ok))
         .await?;
@@ -125,8 +142,7 @@
         let status = ParameterStatus::new(name.to_owned(), value.to_owned());
         socket.feed(Backend::ParameterStatus(status)).await?;
     }
-    let key = BackendKeyData::new(1, SecretKey::I32(0));
     socket.feed(Backend::BackendKeyData(key)).await?;
-    let ready = postgres::ready(agateport_domain::session::Transaction::Idle);
+    let ready = postgres::ready(session::Transaction::Idle);
     socket.send(ready).await
 }
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -48,6 +48,8 @@
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
     pub sessions: Sharded<SessionId, Session>,
+    /// What the frontend keeps beside the sessions.
+    pub frontend: Arc<frontend::state::State>,
     /// Counters.
     pub metrics: Metrics,
     /// Cancelled when the node takes no new work.
@@ -87,6 +89,7 @@
             reports: watch::Sender::new(0),
             servers: Sharded::new(),
             sessions: Sharded::new(),
+            frontend: Arc::default(),
             metrics: Metrics::new(config.statsd)?,
             leaving: CancellationToken::new(),
             stopping: CancellationToken::new(),
--- a/crates/agateport-node/src/owner/answer.rs
+++ b/crates/agateport-node/src/owner/answer.rs
@@ -1,93 +1,264 @@
 //! Carries an upstream's answer to the frontend.
 
-use agateport_domain::request::Completion;
+use super::settle;
+use crate::node::Node;
+use agateport_domain::group::Role;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Command, Completion, Need};
 use agateport_domain::session::Transaction;
 use agateport_wire::Error;
 use agateport_wire::frame::{Batch, Frame};
 use agateport_wire::link::Exchange;
-use agateport_wire::postgres::{self, Backend, Upstream};
+use agateport_wire::postgres::{self, Backend, Frontend, Upstream};
 use bytes::{Bytes, BytesMut};
+use pgwire::messages::extendedquery::{Close, Flush, TARGET_TYPE_BYTE_STATEMENT};
+use std::collections::VecDeque;
+use tokio::time::{sleep, timeout};
 
-/// Bytes of an answer that are collected before they go out.
-const CHUNK: usize = 16 * 1024;
+/// Bytes of an answer that are held before they go out.
+pub const HOLD: usize = 64 * 1024;
+
+/// Interval at which a silent upstream is looked at.
+const CHECK: Duration = Duration::from_millis(100);
+
+/// Time that a server may be without a report before it counts as lost.
+const SILENCE: Duration = Duration::from_millis(1500);
+
+/// Time that a cancel request may take.
+const CANCEL_TIMEOUT: Duration = Duration::from_secs(1);
 
 /// The end of an answer, held back until the write is acknowledged.
 #[derive(Debug)]
 pub struct Tail {
-    /// Messages from the first completed command on.
+    /// Messages that haven't gone out.
     pub messages: Bytes,
     /// What the answer says of the transaction and the log.
     pub completion: Completion,
 }
 
+/// The confirmations that the caller must not see, in the order they come.
+#[derive(Debug, Default)]
+pub struct Added {
+    statements: VecDeque<String>,
+    closed: usize,
+}
+
 /// Sends a batch to the upstream, statements that it lacks first.
 ///
 /// # Errors
 ///
 /// [`Error`] if the connection broke.
-pub async fn send(upstream: &mut Upstream, batch: Batch) -> Result<Vec<String>, Error> {
+pub async fn send(upstream: &mut Upstream, batch: &Batch) -> Result<Added, Error> {
     let mut messages = BytesMut::new();
-    let mut added = Vec::new();
-    for statement in batch.statements {
-        if !upstream.is_prepared(&statement.name) {
-            messages.extend_from_slice(&statement.parse);
-            added.push(statement.name);
+    let mut added = Added::default();
+    for statement in &batch.statements {
+        if upstream.is_prepared(&statement.name) {
+            continue;
+        }
+        if let Some(name) = upstream.evict() {
+            let close = Close::new(TARGET_TYPE_BYTE_STATEMENT, Some(name));
+            Frontend::Close(close).encode(&mut messages)?;
+            added.closed += 1;
         }
+        messages.extend_from_slice(&statement.parse);
+        added.statements.push_back(statement.name.clone());
     }
     messages.extend_from_slice(&batch.messages);
+    if batch.flush.is_some() {
+        Frontend::Flush(Flush::new()).encode(&mut messages)?;
+    }
     upstream.send(messages.freeze()).await?;
     Ok(added)
 }
 
-/// Carries the answer to the frontend, all but its end.
-///
-/// `added` are the statements prepared ahead of the batch, whose confirmations
-/// the caller must not see.
-///
-/// # Errors
-///
-/// [`Error`] if either connection broke.
-pub async fn carry<E: Exchange>(
-    upstream: &mut Upstream,
-    exchange: &mut E,
-    added: Vec<String>,
-) -> Result<Tail, Error> {
-    let mut added = added.into_iter();
-    let mut chunk = BytesMut::new();
-    let mut is_held = false;
-    loop {
-        let message = upstream.receive().await?;
-        match message {
-            Backend::ReadyForQuery(ready) => {
-                let completion = Completion {
-                    seen: upstream.seen(),
-                    transaction: postgres::transaction(ready.status),
-                };
-                return Ok(Tail {
-                    messages: chunk.freeze(),
-                    completion,
-                });
+/// The answer to one batch, on its way from the upstream to the frontend.
+pub struct Answer<'a, P, E> {
+    node: &'a Node<P>,
+    command: &'a Command,
+    exchange: &'a mut E,
+    added: Added,
+    held: BytesMut,
+    /// Whether what the answer shows can't be lost in a failover.
+    is_settled: bool,
+    is_failed: bool,
+    /// Answers left until the caller stops waiting; none for the whole batch.
+    left: Option<usize>,
+}
+
+impl<'a, P, E> Answer<'a, P, E>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    /// Creates the answer to a batch that was sent.
+    pub fn new(
+        node: &'a Node<P>,
+        command: &'a Command,
+        exchange: &'a mut E,
+        added: Added,
+        flush: Option<usize>,
+    ) -> Self {
+        Self {
+            node,
+            command,
+            exchange,
+            added,
+            held: BytesMut::new(),
+            is_settled: false,
+            is_failed: false,
+            left: flush,
+        }
+    }
+
+    /// Carries the answer, all but its end.
+    ///
+    /// An answer longer than [`HOLD`] goes out in parts, each only when the one
+    /// before was taken, once what it shows can't be lost any more.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if either connection broke or the upstream is lost.
+    pub async fn carry(mut self, upstream: &mut Upstream) -> Result<Tail, Error> {
+        while self.left != Some(0) {
+            let message = self.next(upstream).await?;
+            if let Backend::ReadyForQuery(ready) = message {
+                let transaction = postgres::transaction(ready.status);
+                return Ok(self.tail(upstream.seen(), transaction));
+            }
+            if self.is_own(&message, upstream) {
+                continue;
+            }
+            if self.held.len() >= HOLD {
+                self.release().await?;
+            }
+            message.encode(&mut self.held)?;
+            self.note(&message);
+        }
+        Ok(self.tail(None, Transaction::Open))
+    }
+
+    /// Carries the answer to its end without sending any of it; none if it is
+    /// longer than [`HOLD`], and the connection is of no more use.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if either connection broke or the upstream is lost.
+    pub async fn collect(mut self, upstream: &mut Upstream) -> Result<Option<Tail>, Error> {
+        loop {
+            let message = self.next(upstream).await?;
+            if let Backend::ReadyForQuery(ready) = message {
+                let transaction = postgres::transaction(ready.status);
+                return Ok(Some(self.tail(upstream.seen(), transaction)));
             }
-            Backend::ParseComplete(_) => {
-                if let Some(name) = added.next() {
+            if self.is_own(&message, upstream) {
+                continue;
+            }
+            if self.held.len() >= HOLD {
+                return Ok(None);
+            }
+            message.encode(&mut self.held)?;
+            self.note(&message);
+        }
+    }
+
+    fn tail(self, seen: Option<Watermark>, transaction: Transaction) -> Tail {
+        Tail {
+            messages: self.held.freeze(),
+            completion: Completion {
+                seen,
+                transaction,
+                is_failed: self.is_failed,
+            },
+        }
+    }
+
+    /// Tells whether a message answers what was sent ahead of the batch.
+    fn is_own(&mut self, message: &Backend, upstream: &mut Upstream) -> bool {
+        match message {
+            Backend::ParseComplete(_) => match self.added.statements.pop_front() {
+                Some(name) => {
                     upstream.set_prepared(name);
-                    continue;
+                    true
                 }
-                message.encode(&mut chunk)?;
+                None => false,
+            },
+            Backend::CloseComplete(_) if self.added.closed > 0 => {
+                self.added.closed -= 1;
+                true
             }
-            Backend::CommandComplete(_) => {
-                is_held = true;
-                message.encode(&mut chunk)?;
-            }
-            message => message.encode(&mut chunk)?,
+            _ => false,
+        }
+    }
+
+    fn note(&mut self, message: &Backend) {
+        let is_error = matches!(message, Backend::ErrorResponse(_));
+        self.is_failed |= is_error;
+        if let Some(left) = self.left.as_mut() {
+            // After an error the upstream skips the rest of the batch.
+            *left = match postgres::is_last_answer(message) {
+                _ if is_error => 0,
+                true => *left - 1,
+                false => *left,
+            };
         }
-        if chunk.len() >= CHUNK && !is_held {
-            exchange.send(Frame::Answer(chunk.split().freeze())).await?;
+    }
+
+    async fn release(&mut self) -> Result<(), Error> {
+        if !self.is_settled {
+            settle::wait_for_all_shown(self.node, self.command).await?;
+            self.is_settled = true;
         }
+        let part = self.held.split().freeze();
+        self.exchange.send(Frame::Answer(part)).await
     }
+
+    /// Receives the upstream's next message, and meanwhile watches the frontend
+    /// and the server.
+    async fn next(&mut self, upstream: &mut Upstream) -> Result<Backend, Error> {
+        loop {
+            tokio::select! {
+                biased;
+                message = upstream.receive() => return message,
+                _ = self.exchange.receive() => {
+                    // The caller has gone or cancels; nothing else is due.
+                    cancel(self.node, upstream).await;
+                    return Err(Error::Ended);
+                }
+                () = sleep(CHECK) => if is_lost(self.node, self.command) {
+                    self.node.metrics.count("lost", "upstream_silent");
+                    return Err(Error::Ended);
+                },
+            }
+        }
+    }
+}
+
+async fn cancel<P>(node: &Node<P>, upstream: &Upstream)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let is_sent = matches!(timeout(CANCEL_TIMEOUT, upstream.cancel()).await, Ok(Ok(())));
+    let result = if is_sent { "sent" } else { "not_sent" };
+    node.metrics.count("cancel", result);
 }
 
-/// Tells whether the connection may serve another request.
-pub fn is_reusable(completion: &Completion) -> bool {
-    completion.transaction == Transaction::Idle
+/// Tells whether the server gives no sign of life, or was superseded.
+fn is_lost<P>(node: &Node<P>, command: &Command) -> bool
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let known = node.groups.update(&command.group, |group| {
+        let status = group.status(&command.server);
+        let is_other = group
+            .primary()
+            .is_some_and(|primary| *primary != command.server);
+        status.map(|(status, heard)| (status, heard, is_other))
+    });
+    let Some((status, heard, is_other)) = known.flatten() else {
+        return true;
+    };
+    let needs_primary = matches!(command.need, Need::Primary { .. });
+    let is_superseded = needs_primary && (is_other || status.role != Role::Primary);
+    is_superseded || heard.elapsed() > SILENCE
 }
--- /dev/null
+++ b/crates/agateport-node/src/owner/key.rs
@@ -0,0 +1,226 @@
+//! Writes with a key: recorded in the upstream in the write's own transaction.
+
+use super::answer::{self, Answer, Tail};
+use super::lease::Lease;
+use super::serve;
+use crate::node::Node;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::request::key::{self, Key, Outcome, Record};
+use agateport_domain::request::{Command, Completion, Reason, Refusal};
+use agateport_domain::session::Transaction;
+use agateport_wire::Error;
+use agateport_wire::frame::{Batch, Frame};
+use agateport_wire::link::Exchange;
+use agateport_wire::postgres::Upstream;
+use bytes::Bytes;
+
+/// Creates the table of records.
+const CREATE: &str = "CREATE TABLE IF NOT EXISTS agateport_key \
+    (name TEXT PRIMARY KEY, digest TEXT NOT NULL, answer TEXT NOT NULL)";
+
+/// Separates the digest from the answer in what [`find`] reads.
+const SEPARATOR: char = ':';
+
+/// Runs a write with a key, or answers it from the record.
+///
+/// # Errors
+///
+/// [`Error`] if the frontend is gone.
+pub async fn record<P, E>(
+    node: &Node<P>,
+    exchange: &mut E,
+    command: &Command,
+    mut lease: Lease<P>,
+    key: &Key,
+    batch: Batch,
+) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let upstream = lease.upstream().ok_or(Error::Ended)?;
+    let result = match claim(upstream, &key.name, &key.digest).await {
+        Ok(true) => write(node, exchange, command, upstream, key, batch).await,
+        Ok(false) => repeat(upstream, key).await,
+        Err(error) => Err(error.into()),
+    };
+    match result {
+        Ok(tail) => {
+            serve::keep(lease, false).await;
+            node.metrics.count("key", "answered");
+            serve::finish(node, exchange, command, tail, false).await
+        }
+        Err(Failure::Refused(refusal)) => serve::refuse(node, exchange, refusal).await,
+        Err(Failure::Unknown) => exchange.send(Frame::Unknown).await,
+    }
+}
+
+/// Settles what became of a key: one that isn't recorded is recorded as not
+/// run, so that a write that is still under way can't run any more.
+///
+/// # Errors
+///
+/// [`Error`] if the frontend is gone.
+pub async fn resolve<P, E>(
+    node: &Node<P>,
+    exchange: &mut E,
+    command: &Command,
+    mut lease: Lease<P>,
+    name: &str,
+) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let upstream = lease.upstream().ok_or(Error::Ended)?;
+    let Ok((outcome, seen)) = settle(upstream, name).await else {
+        // Nothing but the settling itself can have run.
+        return serve::refuse(node, exchange, Reason::UpstreamUnreachable).await;
+    };
+    lease.keep();
+    let due = Instant::now() + command.target;
+    let seen = seen.unwrap_or_default();
+    if !super::acknowledge::wait(node, &command.group, seen, due).await {
+        return serve::refuse(node, exchange, Reason::Unsettled).await;
+    }
+    exchange.send(Frame::Settled(outcome)).await
+}
+
+async fn settle(
+    upstream: &mut Upstream,
+    name: &str,
+) -> Result<(Outcome, Option<Watermark>), Error> {
+    let outcome = if claim(upstream, name, "").await? {
+        upstream.query("COMMIT").await?;
+        Outcome::NotRun
+    } else {
+        let (digest, _) = find(upstream, name).await?;
+        if digest.is_empty() {
+            Outcome::NotRun
+        } else {
+            Outcome::Done
+        }
+    };
+    Ok((outcome, upstream.seen()))
+}
+
+/// How an attempt at a write with a key failed.
+enum Failure {
+    /// It certainly did not run.
+    Refused(Refusal),
+    /// It may have run.
+    Unknown,
+}
+
+impl From<Error> for Failure {
+    /// Turns an error from before the commit was sent.
+    fn from(error: Error) -> Self {
+        // Whatever ran is rolled back with its transaction.
+        let reason = match error {
+            Error::Refused { .. } => Reason::NotPrimary,
+            _ => Reason::UpstreamUnreachable,
+        };
+        Self::Refused(reason.into())
+    }
+}
+
+impl From<Reason> for Failure {
+    fn from(reason: Reason) -> Self {
+        Self::Refused(reason.into())
+    }
+}
+
+/// Opens a transaction and records the key in it; false if it was recorded
+/// before, and no transaction is open.
+async fn claim(upstream: &mut Upstream, name: &str, digest: &str) -> Result<bool, Error> {
+    let name = quote(name);
+    let insert = format!(
+        "INSERT INTO agateport_key (name, digest, answer) VALUES ({name}, '{digest}', '') \
+         ON CONFLICT (name) DO NOTHING RETURNING name"
+    );
+    upstream.query("BEGIN").await?;
+    let rows = match upstream.query(&insert).await {
+        Ok(rows) => rows,
+        // The table may not be there yet.
+        Err(Error::Refused { .. }) => {
+            upstream.query("ROLLBACK").await?;
+            upstream.query(CREATE).await?;
+            upstream.query("BEGIN").await?;
+            upstream.query(&insert).await?
+        }
+        Err(error) => return Err(error),
+    };
+    if rows.is_empty() {
+        upstream.query("ROLLBACK").await?;
+    }
+    Ok(!rows.is_empty())
+}
+
+/// Returns the digest and the answer that are recorded for a key.
+async fn find(upstream: &mut Upstream, name: &str) -> Result<(String, String), Error> {
+    let name = quote(name);
+    let select =
+        format!("SELECT digest || '{SEPARATOR}' || answer FROM agateport_key WHERE name = {name}");
+    let rows = upstream.query(&select).await?;
+    let row = rows.first().ok_or(Error::Ended)?;
+    let (digest, answer) = row.split_once(SEPARATOR).ok_or(Error::Ended)?;
+    Ok((digest.to_owned(), answer.to_owned()))
+}
+
+async fn write<P, E>(
+    node: &Node<P>,
+    exchange: &mut E,
+    command: &Command,
+    upstream: &mut Upstream,
+    key: &Key,
+    batch: Batch,
+) -> Result<Tail, Failure>
+where
+    P: Policy + Send + Sync + 'static,
+    E: Exchange,
+{
+    let added = answer::send(upstream, &batch).await?;
+    let answer = Answer::new(node, command, exchange, added, None);
+    let tail = answer.collect(upstream).await?;
+    let mut tail = tail.ok_or(Reason::KeyMisplaced)?;
+    tail.completion.transaction = Transaction::Idle;
+    if tail.completion.is_failed {
+        upstream.query("ROLLBACK").await?;
+        tail.completion.seen = upstream.seen();
+        return Ok(tail);
+    }
+    let update = format!(
+        "UPDATE agateport_key SET answer = '{}' WHERE name = {}",
+        key::to_hex(&tail.messages),
+        quote(&key.name)
+    );
+    upstream.query(&update).await?;
+    match upstream.query("COMMIT").await {
+        Ok(_) => {}
+        Err(error @ Error::Refused { .. }) => return Err(error.into()),
+        Err(_) => return Err(Failure::Unknown),
+    }
+    tail.completion.seen = upstream.seen();
+    Ok(tail)
+}
+
+async fn repeat(upstream: &mut Upstream, key: &Key) -> Result<Tail, Failure> {
+    let (digest, answer) = find(upstream, &key.name).await?;
+    match key.read(&digest, &answer) {
+        Record::Reused => Err(Reason::KeyReused.into()),
+        Record::NotRun => Err(Reason::KeySettled.into()),
+        Record::Done { answer } => Ok(Tail {
+            messages: Bytes::from(answer),
+            completion: Completion {
+                seen: upstream.seen(),
+                transaction: Transaction::Idle,
+                is_failed: false,
+            },
+        }),
+    }
+}
+
+fn quote(text: &str) -> String {
+    format!("'{}'", text.replace('\'', "''"))
+}
--- a/crates/agateport-node/src/owner/mod.rs
+++ b/crates/agateport-node/src/owner/mod.rs
@@ -3,8 +3,13 @@
 
 mod acknowledge;
 mod answer;
+mod key;
 mod lease;
+mod locate;
+mod need;
 mod serve;
 pub mod server;
+mod settle;
 
+pub use locate::locate;
 pub use serve::serve;
--- /dev/null
+++ b/crates/agateport-node/src/owner/need.rs
@@ -0,0 +1,77 @@
+//! Checks that a server is what a request needs.
+
+use crate::node::Node;
+use agateport_domain::group::Role;
+use agateport_domain::owner::Policy;
+use agateport_domain::request::{Command, Need, Reason, Refusal};
+use std::time::Duration;
+use tokio::time::timeout;
+
+/// Time that the primary gets to report a place that the session has seen.
+const PRIMARY_PATIENCE: Duration = Duration::from_millis(100);
+
+/// Checks the server, and gives one that is nearly there time to catch up.
+///
+/// # Errors
+///
+/// A refusal if the server isn't what the request needs.
+pub async fn wait<P>(node: &Node<P>, command: &Command) -> Result<(), Refusal>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let is_behind = || check(node, command).is_err_and(|one| one.reason == Reason::Behind);
+    if !is_behind() {
+        return check(node, command);
+    }
+    node.metrics.count("waited", "behind");
+    let patience = match command.need {
+        // The primary in force holds the place; its report may be older.
+        Need::Primary { .. } => PRIMARY_PATIENCE,
+        Need::Replica { patience, .. } => patience,
+    };
+    let mut reports = node.reports.subscribe();
+    let waiting = async {
+        while is_behind() {
+            // The sender lives as long as the node.
+            let _ = reports.changed().await;
+        }
+    };
+    // Whether it was in time, the check tells.
+    let _ = timeout(patience, waiting).await;
+    check(node, command)
+}
+
+/// Checks that the server is what the request needs, by its last report.
+///
+/// # Errors
+///
+/// A refusal if it isn't.
+pub fn check<P>(node: &Node<P>, command: &Command) -> Result<(), Refusal>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let status = node
+        .groups
+        .update(&command.group, |group| group.status(&command.server));
+    let (status, asked) = status.flatten().ok_or(Reason::UpstreamUnreachable)?;
+    let needs_primary = matches!(command.need, Need::Primary { .. });
+    if needs_primary && status.role != Role::Primary {
+        return Err(Reason::NotPrimary.into());
+    }
+    // A superseded primary is behind what the session has seen.
+    let watermark = command.need.watermark();
+    if watermark.is_some_and(|watermark| status.last < watermark) {
+        return Err(Reason::Behind.into());
+    }
+    let Need::Replica {
+        maximum_staleness, ..
+    } = command.need
+    else {
+        return Ok(());
+    };
+    let age = status.age.map(|age| age + asked.elapsed());
+    match age {
+        Some(age) if age <= maximum_staleness => Ok(()),
+        _ => Err(Reason::Stale.into()),
+    }
+}
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -1,13 +1,17 @@
 //! Serves one stream of a frontend: one request, or one transaction.
 
 use super::acknowledge;
-use super::answer::{self, Tail};
+use super::answer::{self, Answer, Tail};
+use super::key;
 use super::lease::Lease;
+use super::need;
 use crate::node::Node;
-use agateport_domain::group::Role;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
-use agateport_domain::request::{Command, Need, Reason, Refusal};
+use agateport_domain::request::key::Use;
+use agateport_domain::request::statement::Kind;
+use agateport_domain::request::{Command, Reason, Refusal};
+use agateport_domain::session::Transaction;
 use agateport_wire::Error;
 use agateport_wire::frame::{Batch, Frame};
 use agateport_wire::link::Exchange;
@@ -29,55 +33,55 @@
     let Frame::Batch(first) = exchange.receive().await? else {
         return Err(Error::Ended);
     };
-    let lease = match admit(node, &command).await {
+    let lease = match admit(node, &command, &first).await {
         Ok(lease) => lease,
-        Err(refusal) => {
-            node.metrics.count("owner_refused", refusal.reason.name());
-            return exchange.send(Frame::Refused(refusal)).await;
-        }
+        Err(refusal) => return refuse(node, &mut exchange, refusal).await,
     };
-    run(node, &mut exchange, &command, lease, first).await
+    match &command.key {
+        Some(Use::Record(key)) => {
+            key::record(node, &mut exchange, &command, lease, key, first).await
+        }
+        Some(Use::Resolve(name)) => key::resolve(node, &mut exchange, &command, lease, name).await,
+        None => run(node, &mut exchange, &command, lease, first).await,
+    }
 }
 
-async fn admit<P>(node: &Arc<Node<P>>, command: &Command) -> Result<Lease<P>, Refusal>
+async fn admit<P>(
+    node: &Arc<Node<P>>,
+    command: &Command,
+    first: &Batch,
+) -> Result<Lease<P>, Refusal>
 where
     P: Policy + Send + Sync + 'static,
 {
-    check_need(node, command)?;
-    let lease = Lease::take(Arc::clone(node), command).await?;
+    need::wait(node, command).await?;
+    let mut lease = Lease::take(Arc::clone(node), command).await?;
     // The wait may have been long.
-    check_need(node, command)?;
-    Ok(lease)
+    need::check(node, command)?;
+    let upstream = lease.upstream().ok_or(Reason::UpstreamUnreachable)?;
+    match upstream.set(&first.settings).await {
+        Ok(()) => Ok(lease),
+        Err(Error::Refused { message, .. }) => {
+            tracing::debug!(message, "the upstream refused a setting");
+            Err(Reason::Setting.into())
+        }
+        Err(_) => Err(Reason::UpstreamUnreachable.into()),
+    }
 }
 
-fn check_need<P>(node: &Node<P>, command: &Command) -> Result<(), Refusal>
+/// Tells the frontend that the request certainly did not run.
+pub async fn refuse<P, E>(
+    node: &Node<P>,
+    exchange: &mut E,
+    refusal: impl Into<Refusal>,
+) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
+    E: Exchange,
 {
-    let status = node
-        .groups
-        .update(&command.group, |group| group.status(&command.server));
-    let (status, heard) = status.flatten().ok_or(Reason::UpstreamUnreachable)?;
-    let reason = match command.need {
-        Need::Primary => (status.role != Role::Primary).then_some(Reason::NotPrimary),
-        Need::Replica {
-            watermark,
-            maximum_staleness,
-        } => {
-            let is_behind = watermark.is_some_and(|watermark| status.last < watermark);
-            let age = status.age.map(|age| age + heard.elapsed());
-            let is_stale = age.is_none_or(|age| age > maximum_staleness);
-            match (is_behind, is_stale) {
-                (true, _) => Some(Reason::Behind),
-                (false, true) => Some(Reason::Stale),
-                (false, false) => None,
-            }
-        }
-    };
-    match reason {
-        Some(reason) => Err(reason.into()),
-        None => Ok(()),
-    }
+    let refusal = refusal.into();
+    node.metrics.count("owner_refused", refusal.reason.name());
+    exchange.send(Frame::Refused(refusal)).await
 }
 
 async fn run<P, E>(
@@ -92,25 +96,25 @@
     E: Exchange,
 {
     let mut batch = first;
+    let mut leaves_state = false;
+    let mut is_read = command.kind == Kind::Read;
     loop {
+        leaves_state |= batch.leaves_state;
         let upstream = lease.upstream().ok_or(Error::Ended)?;
-        let Ok(added) = answer::send(upstream, batch).await else {
+        let Ok(added) = answer::send(upstream, &batch).await else {
             return exchange.send(Frame::Unknown).await;
         };
-        let Ok(tail) = answer::carry(upstream, exchange, added).await else {
+        let answer = Answer::new(node, command, exchange, added, batch.flush);
+        let Ok(tail) = answer.carry(upstream).await else {
             return exchange.send(Frame::Unknown).await;
         };
-        if answer::is_reusable(&tail.completion) {
-            // The wait for the acknowledgement holds no slot.
-            lease.keep();
-            return finish(node, exchange, command, tail).await;
+        if tail.completion.transaction == Transaction::Idle {
+            keep(lease, leaves_state).await;
+            return finish(node, exchange, command, tail, is_read).await;
         }
-        let Tail {
-            messages,
-            completion,
-        } = tail;
-        exchange.send(Frame::Answer(messages)).await?;
-        exchange.send(Frame::Finished(completion)).await?;
+        // What follows in the transaction may write.
+        is_read = false;
+        send(exchange, tail).await?;
         let Frame::Batch(next) = exchange.receive().await? else {
             return Err(Error::Ended);
         };
@@ -118,23 +122,56 @@
     }
 }
 
-async fn finish<P, E>(
+/// Gives a connection back, as it was when it was new; the wait for an
+/// acknowledgement holds no slot.
+pub async fn keep<P>(mut lease: Lease<P>, leaves_state: bool)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    if leaves_state {
+        let Some(upstream) = lease.upstream() else {
+            return;
+        };
+        if upstream.reset().await.is_err() {
+            return;
+        }
+    }
+    lease.keep();
+}
+
+/// Sends the end of an answer once what it shows can't be lost.
+///
+/// # Errors
+///
+/// [`Error`] if the frontend is gone.
+pub async fn finish<P, E>(
     node: &Node<P>,
     exchange: &mut E,
     command: &Command,
     tail: Tail,
+    is_read: bool,
 ) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
-    if let (Need::Primary, Some(written)) = (command.need, tail.completion.seen) {
-        let due = Instant::now() + command.target;
-        if !acknowledge::wait(node, &command.group, written, due).await {
-            node.metrics.count("unknown", "not_acknowledged");
-            return exchange.send(Frame::Unknown).await;
-        }
+    let Some(seen) = tail.completion.seen else {
+        return send(exchange, tail).await;
+    };
+    let due = Instant::now() + command.target;
+    if acknowledge::wait(node, &command.group, seen, due).await {
+        return send(exchange, tail).await;
     }
+    if is_read {
+        // The frontend asks another server; nothing was shown yet, or it ends
+        // the answer with an error.
+        return refuse(node, exchange, Reason::Unsettled).await;
+    }
+    node.metrics.count("unknown", "not_acknowledged");
+    exchange.send(Frame::Unknown).await
+}
+
+async fn send<E: Exchange>(exchange: &mut E, tail: Tail) -> Result<(), Error> {
     exchange.send(Frame::Answer(tail.messages)).await?;
     exchange.send(Frame::Finished(tail.completion)).await
 }
--- /dev/null
+++ b/crates/agateport-node/src/owner/settle.rs
@@ -0,0 +1,62 @@
+//! Waits until what an answer shows can't be lost in a failover.
+
+use super::acknowledge;
+use crate::node::Node;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use agateport_domain::request::Command;
+use agateport_wire::Error;
+use tokio::time::timeout;
+
+/// Time that a server may take to report where its log ends.
+const PATIENCE: Duration = Duration::from_secs(1);
+
+/// Waits until everything that the command's server holds now is acknowledged.
+///
+/// A statement whose first rows have come sees nothing newer than that.
+///
+/// # Errors
+///
+/// [`Error::Ended`] if that doesn't happen within the target.
+pub async fn wait_for_all_shown<P>(node: &Node<P>, command: &Command) -> Result<(), Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let now = Instant::now();
+    let status = report_since(node, &command.group, &command.server, now).await;
+    let last = status.ok_or(Error::Ended)?.last;
+    let due = Instant::now() + command.target.max(PATIENCE);
+    if acknowledge::wait(node, &command.group, last, due).await {
+        Ok(())
+    } else {
+        node.metrics.count("lost", "unsettled");
+        Err(Error::Ended)
+    }
+}
+
+/// Waits for what a server says of itself when asked after `since`; none if it
+/// doesn't answer.
+pub async fn report_since<P>(
+    node: &Node<P>,
+    group: &GroupId,
+    server: &ServerId,
+    since: Instant,
+) -> Option<agateport_domain::group::Status>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut reports = node.reports.subscribe();
+    let waiting = async {
+        loop {
+            let known = node.groups.update(group, |group| group.status(server));
+            if let Some((status, asked)) = known.flatten()
+                && asked >= since
+            {
+                return status;
+            }
+            // The sender lives as long as the node.
+            let _ = reports.changed().await;
+        }
+    };
+    timeout(PATIENCE, waiting).await.ok()
+}
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to peers, and the streams that come from them.
 
 use crate::control;
+use crate::frontend;
 use crate::node::Node;
 use crate::owner;
 use agateport_domain::membership::Member;
@@ -113,6 +114,11 @@
 {
     let result = match exchange.receive().await {
         Ok(Frame::Open(command)) => owner::serve(&node, exchange, command).await,
+        Ok(Frame::Locate(group, server)) => owner::locate(&node, exchange, &group, &server).await,
+        Ok(Frame::CancelCaller(secret)) => {
+            frontend::cancel(&node, secret);
+            Ok(())
+        }
         Ok(frame) => control::answer(&node, exchange, frame).await,
         Err(error) => Err(error),
     };
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -1,4 +1,8 @@
 //! Tests of several nodes and stand-ins in one process.
 
+mod keys;
 mod path;
+mod sessions;
 mod support;
+mod transactions;
+mod transcript;
--- a/crates/agateport-node/tests/end_to_end/path.rs
+++ b/crates/agateport-node/tests/end_to_end/path.rs
@@ -1,34 +1,8 @@
 //! The whole path: a caller's statement through two nodes to an upstream and back.
 
 use crate::support::Deployment;
+use crate::transcript::transcript;
 use std::time::Duration;
-use tokio_postgres::SimpleQueryMessage;
-
-/// Prints what a caller sees of a text of SQL.
-async fn transcript(client: &tokio_postgres::Client, sql: &str) -> String {
-    let mut lines = vec![format!("> {sql}")];
-    match client.simple_query(sql).await {
-        Ok(messages) => lines.extend(messages.iter().filter_map(line)),
-        Err(error) => {
-            let report = error
-                .as_db_error()
-                .map(|report| format!("{} {}", report.code().code(), report.message()));
-            lines.push(report.unwrap_or_else(|| error.to_string()));
-        }
-    }
-    lines.join("\n") + "\n"
-}
-
-fn line(message: &SimpleQueryMessage) -> Option<String> {
-    match message {
-        SimpleQueryMessage::Row(row) => {
-            let cells = (0..row.len()).map(|index| row.get(index).unwrap_or("null"));
-            Some(cells.collect::<Vec<_>>().join(" | "))
-        }
-        SimpleQueryMessage::CommandComplete(count) => Some(format!("({count})")),
-        _ => None,
-    }
-}
 
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn statements_through_every_node() {
--- /dev/null
+++ b/crates/agateport-node/tests/end_to_end/sessions.rs
@@ -0,0 +1,140 @@
+//! Sessions that roam between nodes.
+
+#![expect(clippy::unwrap_used, reason = "what can't be had fails the test")]
+
+use crate::support::Deployment;
+use crate::transcript::transcripts;
+use std::time::Duration;
+use test_case::test_case;
+use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
+
+const CREATE: &str = "CREATE TABLE stock (id BIGINT PRIMARY KEY, holder TEXT)";
+
+async fn value(client: &Client, sql: &str) -> Option<String> {
+    let messages = client.simple_query(sql).await.unwrap();
+    messages.iter().find_map(|message| match message {
+        SimpleQueryMessage::Row(row) => row.get(0).map(ToOwned::to_owned),
+        _ => None,
+    })
+}
+
+async fn connect_with(
+    deployment: &Deployment,
+    node: usize,
+    options: &str,
+) -> Result<Client, String> {
+    let address = deployment.nodes[node].callers;
+    let mut config = tokio_postgres::Config::new();
+    config
+        .host(address.ip().to_string())
+        .port(address.port())
+        .user("test")
+        .dbname("ledger")
+        .options(options);
+    match config.connect(NoTls).await {
+        Ok((client, connection)) => {
+            tokio::spawn(connection);
+            Ok(client)
+        }
+        Err(error) => Err(error.as_db_error().map_or(error.to_string(), |one| {
+            format!("{} {}", one.code().code(), one.message())
+        })),
+    }
+}
+
+#[test_case(true; "with the watermark handed over")]
+#[test_case(false; "with a read index")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn own_writes_are_read_at_another_node(is_handed_over: bool) {
+    let deployment = Deployment::start(3, Duration::from_millis(60)).await;
+    let writer = deployment.connect(0).await;
+    writer.batch_execute(CREATE).await.unwrap();
+    for id in 0..5 {
+        let insert = format!("INSERT INTO stock VALUES ({id}, 'Mombasa')");
+        writer.batch_execute(&insert).await.unwrap();
+        let watermark = value(&writer, "SHOW agateport.watermark").await.unwrap();
+        let handed_over = format!("-c agateport.watermark={watermark}");
+        let options = if is_handed_over { &handed_over } else { "" };
+        for node in 0..3 {
+            let reader = connect_with(&deployment, node, options).await.unwrap();
+            let select = format!("SELECT holder FROM stock WHERE id = {id}");
+            assert_eq!(value(&reader, &select).await.as_deref(), Some("Mombasa"));
+        }
+    }
+}
+
+#[test_case("-c agateport.watermark=nonsense", "garbled"; "garbled")]
+#[test_case("-c agateport.watermark=9/1", "of_the_future"; "of the future")]
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn wrong_watermark_at_startup(options: &str, name: &str) {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let writer = deployment.connect(0).await;
+    writer.batch_execute(CREATE).await.unwrap();
+    let error = connect_with(&deployment, 0, options).await.unwrap_err();
+    insta::assert_snapshot!(name, error);
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn watermark_by_statement() {
+    let deployment = Deployment::start(2, Duration::ZERO).await;
+    let client = deployment.connect(0).await;
+    let texts = [
+        "SHOW agateport.watermark",
+        CREATE,
+        "SET agateport.watermark = 'nonsense'",
+        "SET agateport.watermark = '9/1'",
+        "SET agateport.watermark = '1/1'",
+        "SET agateport.unknown = '1'",
+        "SHOW agateport.watermark",
+        "SELECT count(*) FROM stock",
+    ];
+    insta::assert_snapshot!(transcripts(&client, &texts).await);
+    let row = client
+        .query_one("SHOW agateport.watermark", &[])
+        .await
+        .unwrap();
+    assert_eq!(row.get::<_, String>(0), "1/1");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn one_poll_serves_all_who_wait() {
+    let deployment = Deployment::start(2, Duration::ZERO).await;
+    let writer = deployment.connect(0).await;
+    writer.batch_execute(CREATE).await.unwrap();
+    let mut readers = Vec::new();
+    for _ in 0..32 {
+        readers.push(deployment.connect(0).await);
+    }
+    let reads = readers
+        .iter()
+        .map(|reader| value(reader, "SELECT count(*) FROM stock"));
+    let counts = futures::future::join_all(reads).await;
+    assert!(counts.iter().all(|count| count.as_deref() == Some("0")));
+    let url = format!("http://{}/status", deployment.nodes[0].admin);
+    let status: serde_json::Value = reqwest::get(url).await.unwrap().json().await.unwrap();
+    let polls = status["counts"]["read_index.poll"].as_u64().unwrap();
+    assert!(polls < 8, "{polls} polls for 32 sessions");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn settings_stay_with_their_session() {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let first = deployment.connect(0).await;
+    let second = deployment.connect(0).await;
+    let mut text = transcripts(&first, &["SET work_mem = 'large'", "SHOW work_mem"]).await;
+    text.push_str(&transcripts(&second, &["SHOW work_mem"]).await);
+    let inside = [
+        "BEGIN",
+        "SET work_mem = 'small'",
+        "ROLLBACK",
+        "SHOW work_mem",
+        "BEGIN",
+        "SET work_mem = 'small'",
+        "COMMIT",
+        "SHOW work_mem",
+        "DISCARD ALL",
+        "SHOW work_mem",
+    ];
+    text.push_str(&transcripts(&first, &inside).await);
+    insta::assert_snapshot!(text);
+}
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -26,7 +26,7 @@
 /// A small deployment.
 pub struct Deployment {
     pub platform: platform::Running,
-    _servers: Vec<group::Running>,
+    servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
     directory: TempDir,
 }
@@ -57,7 +57,7 @@
         roll(&platform, &servers, &operator).await;
         let mut deployment = Self {
             platform,
-            _servers: servers,
+            servers,
             nodes: Vec::new(),
             directory,
         };
@@ -108,6 +108,11 @@
         toml::from_str(&text).unwrap()
     }
 
+    /// Stops a server at once.
+    pub fn stop_server(&mut self, index: usize) {
+        self.servers.remove(index);
+    }
+
     /// Connects a caller to a node.
     pub async fn connect(&self, node: usize) -> Client {
         let address = self.nodes[node].callers;
--- a/crates/agateport-standin/src/group/session.rs
+++ b/crates/agateport-standin/src/group/session.rs
@@ -3,6 +3,7 @@
 mod execute;
 mod extended;
 
+use super::command::Command;
 use super::server::Server;
 use crate::error::Error;
 use agateport_domain::session::Watermark;
@@ -142,6 +143,9 @@
         for statement in statements {
             match self.execution.run(&statement, Vec::new()).await {
                 Ok(result) => {
+                    if Command::parse(&statement) == Command::Discard {
+                        self.extended = Extended::default();
+                    }
                     for answer in result.messages(None) {
                         self.socket.feed(answer).await?;
                     }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -1,6 +1,9 @@
 //! The messages between nodes.
 
 use crate::Error;
+use agateport_domain::group::Status;
+use agateport_domain::id::{GroupId, ServerId};
+use agateport_domain::request::key::Outcome;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -25,6 +28,13 @@
     pub statements: Vec<Prepared>,
     /// Messages, as the PostgreSQL protocol encodes them.
     pub messages: Bytes,
+    /// Statements that bring the connection to the session's settings.
+    pub settings: Vec<String>,
+    /// Whether something may be left behind on the connection.
+    pub leaves_state: bool,
+    /// Number of answers that the caller waits for without an end of the
+    /// batch; none if the batch ends.
+    pub flush: Option<usize>,
 }
 
 /// A message between nodes.
@@ -45,6 +55,14 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+    /// Asks an owner what its server says of itself now.
+    Locate(GroupId, ServerId),
+    /// What the server says of itself, asked after the question came in.
+    Located(Status),
+    /// Asks a node to cancel what the caller with this secret runs.
+    CancelCaller(i32),
+    /// What became of a key.
+    Settled(Outcome),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -43,7 +43,8 @@
     error("ERROR", TRANSACTION_RESOLUTION_UNKNOWN, text.to_owned())
 }
 
-/// Returns the SQLSTATE of a refusal: all are of classes that clients retry.
+/// Returns the SQLSTATE of a refusal: of a class that clients retry, if another
+/// try may go better.
 #[must_use]
 pub fn sqlstate(reason: Reason) -> &'static str {
     match reason {
@@ -51,10 +52,16 @@
         Reason::UnknownServer => "3D000",
         Reason::NoBundle | Reason::Leaving => "57P03",
         Reason::Behind
+        | Reason::NoReadIndex
         | Reason::NotPrimary
         | Reason::OwnerUnreachable
         | Reason::Stale
+        | Reason::Unsettled
         | Reason::UpstreamUnreachable => "40001",
+        // Classes that no client retries: another try would go no better.
+        Reason::KeyReused | Reason::KeySettled => "23505",
+        Reason::KeyMisplaced => "0A000",
+        Reason::Setting => "22023",
     }
 }
 
@@ -77,3 +84,15 @@
         Transaction::Failed => TransactionStatus::Error,
     }))
 }
+
+/// Tells whether a message is the last answer to one of the caller's messages.
+#[must_use]
+pub fn is_last_answer(message: &Backend) -> bool {
+    !matches!(
+        message,
+        Backend::DataRow(_)
+            | Backend::NoticeResponse(_)
+            | Backend::ParameterDescription(_)
+            | Backend::ParameterStatus(_)
+    )
+}
--- a/crates/agateport-wire/src/postgres/mod.rs
+++ b/crates/agateport-wire/src/postgres/mod.rs
@@ -6,7 +6,7 @@
 mod upstream;
 
 pub use codec::{Client, Phase, Server};
-pub use convert::{encode, error, ready, refusal, sqlstate, transaction, unknown};
+pub use convert::{encode, error, is_last_answer, ready, refusal, sqlstate, transaction, unknown};
 pub use pgwire::messages::{PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend};
 pub use upstream::Upstream;
 
--- a/crates/agateport-wire/src/postgres/upstream.rs
+++ b/crates/agateport-wire/src/postgres/upstream.rs
@@ -6,8 +6,9 @@
 use agateport_domain::session::Watermark;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
+use pgwire::messages::cancel::CancelRequest;
 use pgwire::messages::simplequery::Query;
-use pgwire::messages::startup::{Authentication, Startup};
+use pgwire::messages::startup::{Authentication, BackendKeyData, Startup};
 use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use tokio::net::TcpStream;
@@ -20,8 +21,13 @@
     framed: Framed<TcpStream, Client>,
     prepared: BTreeSet<String>,
     seen: Option<Watermark>,
+    settings: Vec<String>,
+    key: Option<BackendKeyData>,
 }
 
+/// Most statements that are kept prepared on one connection.
+const MAXIMUM_PREPARED: usize = 200;
+
 impl Upstream {
     /// Connects and logs in.
     ///
@@ -40,6 +46,8 @@
             framed: Framed::new(stream, Client),
             prepared: BTreeSet::new(),
             seen: None,
+            settings: Vec::new(),
+            key: None,
         };
         upstream.log_in(user, database).await?;
         Ok(upstream)
@@ -105,6 +113,68 @@
         self.seen
     }
 
+    /// Tells whether the connection is still open, with nothing to be read.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let mut byte = [0];
+        let read = self.framed.get_ref().try_read(&mut byte);
+        read.is_err_and(|error| error.kind() == std::io::ErrorKind::WouldBlock)
+    }
+
+    /// Brings the connection to the settings that `statements` make.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the connection broke or the upstream refuses a setting.
+    pub async fn set(&mut self, statements: &[String]) -> Result<(), Error> {
+        if self.settings == statements {
+            return Ok(());
+        }
+        self.query("RESET ALL").await?;
+        self.settings.clear();
+        for statement in statements {
+            self.query(statement).await?;
+        }
+        self.settings = statements.to_vec();
+        Ok(())
+    }
+
+    /// Takes the connection back to its start.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the connection broke.
+    pub async fn reset(&mut self) -> Result<(), Error> {
+        self.query("DISCARD ALL").await?;
+        self.settings.clear();
+        self.prepared.clear();
+        Ok(())
+    }
+
+    /// Asks the upstream to cancel the statement that runs on this connection.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if the upstream can't be reached.
+    pub async fn cancel(&self) -> Result<(), Error> {
+        let Some(key) = &self.key else {
+            return Ok(());
+        };
+        let stream = TcpStream::connect(self.address).await?;
+        let request = CancelRequest::new(key.pid, key.secret_key.clone());
+        let mut framed = Framed::new(stream, Client);
+        framed.send(Frontend::CancelRequest(request)).await
+    }
+
+    /// Takes the least useful statement off if there are too many, and returns
+    /// its name.
+    pub fn evict(&mut self) -> Option<String> {
+        if self.prepared.len() < MAXIMUM_PREPARED {
+            return None;
+        }
+        self.prepared.pop_first()
+    }
+
     /// Tells whether the statement is prepared on this connection.
     #[must_use]
     pub fn is_prepared(&self, name: &str) -> bool {
@@ -126,6 +196,7 @@
         loop {
             match self.receive().await? {
                 Backend::ReadyForQuery(_) => return Ok(()),
+                Backend::BackendKeyData(key) => self.key = Some(key),
                 Backend::ErrorResponse(error) => {
                     return Err(Error::Refused {
                         address: self.address,
