--- a/crates/agateport-node/src/frontend/read_index.rs
+++ b/crates/agateport-node/src/frontend/read_index.rs
@@ -17,6 +17,9 @@
 /// Time that the servers may take to answer.
 const TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Polls after which a watermark is taken unchecked.
+const CHECKS: usize = 3;
+
 /// What became of a poll; none while it is under way.
 type Result = Option<Option<Watermark>>;
 
@@ -27,6 +30,17 @@
     result: watch::Receiver<Result>,
 }
 
+impl Round {
+    fn serves(&self, since: Instant) -> bool {
+        self.started >= since && matches!(*self.result.borrow(), Some(Some(_)))
+    }
+
+    fn is_under_way(&self) -> bool {
+        // A poll that was given up has dropped its sender.
+        self.result.borrow().is_none() && self.result.has_changed().is_ok()
+    }
+}
+
 /// Returns a place that covers every write acknowledged before `since`, or none
 /// if too few servers answer.
 pub async fn take<P>(
@@ -61,12 +75,16 @@
 where
     P: Policy + Send + Sync + 'static,
 {
-    let place = take(node, group, Instant::now()).await;
-    match place {
-        Some(last) if last < watermark => Err(Error::Ahead { watermark, last }),
-        // A watermark that can't be checked only asks for more.
-        _ => Ok(()),
+    let now = Instant::now();
+    for _ in 0..CHECKS {
+        match take(node, group, now).await {
+            Some(last) if last < watermark => return Err(Error::Ahead { watermark, last }),
+            Some(_) => return Ok(()),
+            None => {}
+        }
     }
+    // A watermark that can't be checked only asks for more.
+    Ok(())
 }
 
 /// Returns the poll to wait for: one that started late enough, else the one
@@ -79,8 +97,7 @@
     let mut is_new = false;
     let round = node.frontend.rounds.with(&group.name, |rounds| {
         let known = rounds.get(&group.name);
-        let usable =
-            known.filter(|round| round.started >= since || round.result.borrow().is_none());
+        let usable = known.filter(|round| round.is_under_way() || round.serves(since));
         if let Some(round) = usable {
             return round.clone();
         }
--- a/crates/agateport-node/src/frontend/route.rs
+++ b/crates/agateport-node/src/frontend/route.rs
@@ -88,10 +88,13 @@
         Floor::Known(watermark) => (Some(watermark), None),
         // A superseded primary can't acknowledge what such a statement saw.
         Floor::Unknown { .. } if is_lone_write(ask.work) => (None, None),
-        Floor::Unknown { arrived } => match read_index::take(node, group, arrived).await {
-            Some(place) => (Some(place), Some(place)),
-            None => return refused(Reason::NoReadIndex),
-        },
+        Floor::Unknown { arrived } => {
+            let due = Instant::now() + target(&bundle);
+            match take_read_index(node, group, arrived, due).await {
+                Some(place) => (Some(place), Some(place)),
+                None => return refused(Reason::NoReadIndex),
+            }
+        }
     };
     let is_repeatable = ask.key.is_some() || is_repeatable(&bundle, ask.work);
     let mut run = Run {
@@ -112,6 +115,34 @@
     }
 }
 
+/// Takes a read index, again and again until `due` if too few servers answer.
+async fn take_read_index<P>(
+    node: &Arc<Node<P>>,
+    group: &bundle::Group,
+    arrived: Instant,
+    due: Instant,
+) -> Option<Watermark>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let mut backoff = Backoff::new(node.next_id());
+    loop {
+        let place = read_index::take(node, group, arrived).await;
+        let pause = backoff.next_pause();
+        if place.is_some() || Instant::now() + pause >= due {
+            return place;
+        }
+        node.metrics.count("retried", Reason::NoReadIndex.name());
+        sleep(pause).await;
+    }
+}
+
+/// Returns the time within which an answer is due.
+fn target(bundle: &Bundle) -> Duration {
+    let priority = bundle.priority(&bundle.default_priority);
+    priority.map_or(Duration::ZERO, |priority| priority.target)
+}
+
 /// Tells whether a batch writes and leaves no transaction open.
 fn is_lone_write(work: &Work) -> bool {
     let is_write = matches!(work.statement.kind, Kind::Set | Kind::Write);
@@ -147,8 +178,7 @@
 
 impl<P: Policy + Send + Sync + 'static> Run<'_, P> {
     async fn until_due(&mut self) -> Attempt {
-        let target = self.target();
-        let due = Instant::now() + target;
+        let due = Instant::now() + target(self.bundle);
         let mut backoff = Backoff::new(self.node.next_id());
         self.node.frontend.budgets.with(&self.group.name, |all| {
             all.entry(self.group.name.clone()).or_default().earn();
@@ -209,7 +239,10 @@
                     self.request.lose();
                     return Attempt::Unknown;
                 }
-                attempt @ Attempt::Begun(_) => return attempt,
+                attempt @ Attempt::Begun(_) => {
+                    count_read(self.node, self.bundle, self.ask.work, need);
+                    return attempt;
+                }
             }
         }
         Attempt::Refused(refusal)
@@ -220,15 +253,26 @@
             group: self.group.name.clone(),
             server: server.name.clone(),
             priority: self.bundle.default_priority.clone(),
-            target: self.target(),
+            target: target(self.bundle),
             need,
             kind: self.ask.work.statement.kind,
             key: self.ask.key.clone(),
         }
     }
+}
 
-    fn target(&self) -> Duration {
-        let priority = self.bundle.priority(&self.bundle.default_priority);
-        priority.map_or(Duration::ZERO, |priority| priority.target)
+/// Counts who serves a read with a rule.
+fn count_read<P>(node: &Node<P>, bundle: &Bundle, work: &Work, need: Need)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let has_rule = bundle.maximum_staleness(&work.statement.tables).is_some();
+    if !work.is_read() || !has_rule {
+        return;
     }
+    let server = match need {
+        Need::Primary { .. } => "primary",
+        Need::Replica { .. } => "replica",
+    };
+    node.metrics.count("read", server);
 }
--- a/crates/agateport-node/src/owner/answer.rs
+++ b/crates/agateport-node/src/owner/answer.rs
@@ -35,6 +35,8 @@
     pub messages: Bytes,
     /// What the answer says of the transaction and the log.
     pub completion: Completion,
+    /// Whether the upstream ran nothing, as it isn't the primary any more.
+    pub is_refused: bool,
 }
 
 /// The confirmations that the caller must not see, in the order they come.
@@ -72,6 +74,15 @@
     Ok(added)
 }
 
+/// Why a batch failed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Failure {
+    /// The server isn't the primary any more, and ran nothing.
+    NotPrimary,
+    /// A statement is wrong.
+    Statement,
+}
+
 /// The answer to one batch, on its way from the upstream to the frontend.
 pub struct Answer<'a, P, E> {
     node: &'a Node<P>,
@@ -81,7 +92,9 @@
     held: BytesMut,
     /// Whether what the answer shows can't be lost in a failover.
     is_settled: bool,
-    is_failed: bool,
+    /// Whether a command was completed.
+    is_begun: bool,
+    failure: Option<Failure>,
     /// Answers left until the caller stops waiting; none for the whole batch.
     left: Option<usize>,
 }
@@ -106,7 +119,8 @@
             added,
             held: BytesMut::new(),
             is_settled: false,
-            is_failed: false,
+            is_begun: false,
+            failure: None,
             left: flush,
         }
     }
@@ -168,8 +182,9 @@
             completion: Completion {
                 seen,
                 transaction,
-                is_failed: self.is_failed,
+                is_failed: self.failure.is_some(),
             },
+            is_refused: self.failure == Some(Failure::NotPrimary),
         }
     }
 
@@ -193,7 +208,15 @@
 
     fn note(&mut self, message: &Backend) {
         let is_error = matches!(message, Backend::ErrorResponse(_));
-        self.is_failed |= is_error;
+        self.is_begun |= matches!(message, Backend::CommandComplete(_));
+        if is_error {
+            let is_refused = !self.is_begun && postgres::is_read_only(message);
+            self.failure = Some(if is_refused {
+                Failure::NotPrimary
+            } else {
+                Failure::Statement
+            });
+        }
         if let Some(left) = self.left.as_mut() {
             // After an error the upstream skips the rest of the batch.
             *left = match postgres::is_last_answer(message) {
@@ -225,7 +248,7 @@
                     cancel(self.node, upstream).await;
                     return Err(Error::Ended);
                 }
-                () = sleep(CHECK) => if is_lost(self.node, self.command) {
+                () = sleep(CHECK) => if is_lost(self.node, self.command).await {
                     self.node.metrics.count("lost", "upstream_silent");
                     return Err(Error::Ended);
                 },
@@ -244,7 +267,7 @@
 }
 
 /// Tells whether the server gives no sign of life, or was superseded.
-fn is_lost<P>(node: &Node<P>, command: &Command) -> bool
+async fn is_lost<P>(node: &Node<P>, command: &Command) -> bool
 where
     P: Policy + Send + Sync + 'static,
 {
@@ -260,5 +283,11 @@
     };
     let needs_primary = matches!(command.need, Need::Primary { .. });
     let is_superseded = needs_primary && (is_other || status.role != Role::Primary);
-    is_superseded || heard.elapsed() > SILENCE
+    if is_superseded || heard.elapsed() <= SILENCE {
+        return is_superseded;
+    }
+    // This node may have stopped to ask the server.
+    let now = Instant::now();
+    let report = settle::report_since(node, &command.group, &command.server, now).await;
+    report.is_none()
 }
--- a/crates/agateport-node/src/owner/key.rs
+++ b/crates/agateport-node/src/owner/key.rs
@@ -217,6 +217,7 @@
                 transaction: Transaction::Idle,
                 is_failed: false,
             },
+            is_refused: false,
         }),
     }
 }
--- a/crates/agateport-node/src/owner/need.rs
+++ b/crates/agateport-node/src/owner/need.rs
@@ -29,6 +29,7 @@
         Need::Primary { .. } => PRIMARY_PATIENCE,
         Need::Replica { patience, .. } => patience,
     };
+    let _interest = node.interest.raise(&command.group);
     let mut reports = node.reports.subscribe();
     let waiting = async {
         while is_behind() {
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -5,6 +5,7 @@
 use super::key;
 use super::lease::Lease;
 use super::need;
+use crate::control::status;
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -54,6 +55,7 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+    status::ensure(node, &command.group, &command.server).await;
     need::wait(node, command).await?;
     let mut lease = Lease::take(Arc::clone(node), command).await?;
     // The wait may have been long.
@@ -98,6 +100,7 @@
     let mut batch = first;
     let mut leaves_state = false;
     let mut is_read = command.kind == Kind::Read;
+    let mut is_first = true;
     loop {
         leaves_state |= batch.leaves_state;
         let upstream = lease.upstream().ok_or(Error::Ended)?;
@@ -108,12 +111,17 @@
         let Ok(tail) = answer.carry(upstream).await else {
             return exchange.send(Frame::Unknown).await;
         };
+        if tail.is_refused && is_first && tail.completion.transaction == Transaction::Idle {
+            keep(lease, leaves_state).await;
+            return refuse(node, exchange, Reason::NotPrimary).await;
+        }
         if tail.completion.transaction == Transaction::Idle {
             keep(lease, leaves_state).await;
             return finish(node, exchange, command, tail, is_read).await;
         }
         // What follows in the transaction may write.
         is_read = false;
+        is_first = false;
         send(exchange, tail).await?;
         let Frame::Batch(next) = exchange.receive().await? else {
             return Err(Error::Ended);
--- a/crates/agateport-node/src/owner/settle.rs
+++ b/crates/agateport-node/src/owner/settle.rs
@@ -45,6 +45,7 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+    let _interest = node.interest.raise(group);
     let mut reports = node.reports.subscribe();
     let waiting = async {
         loop {
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -26,7 +26,7 @@
 /// A small deployment.
 pub struct Deployment {
     pub platform: platform::Running,
-    servers: Vec<group::Running>,
+    pub servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
     directory: TempDir,
 }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -63,6 +63,10 @@
     CancelCaller(i32),
     /// What became of a key.
     Settled(Outcome),
+    /// Asks whether a server can't be reached from here either.
+    Suspect(GroupId, ServerId),
+    /// Whether the suspected server can't be reached.
+    Verdict(bool),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -10,6 +10,12 @@
 /// SQLSTATE for a request whose outcome isn't known.
 const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
 
+/// SQLSTATE of a write to a server that isn't the primary.
+const READ_ONLY_TRANSACTION: &str = "25006";
+
+/// Field of an error that holds its SQLSTATE.
+const CODE_FIELD: u8 = b'C';
+
 /// Encodes one message.
 #[must_use]
 pub fn encode(message: &Backend) -> Bytes {
@@ -85,6 +91,16 @@
     }))
 }
 
+/// Tells whether a message is the error of a server that takes no writes.
+#[must_use]
+pub fn is_read_only(message: &Backend) -> bool {
+    let Backend::ErrorResponse(error) = message else {
+        return false;
+    };
+    let mut fields = error.fields.iter();
+    fields.any(|(kind, text)| *kind == CODE_FIELD && text == READ_ONLY_TRANSACTION)
+}
+
 /// Tells whether a message is the last answer to one of the caller's messages.
 #[must_use]
 pub fn is_last_answer(message: &Backend) -> bool {
