--- a/crates/agateport-domain/src/request/error.rs
+++ b/crates/agateport-domain/src/request/error.rs
@@ -49,6 +49,10 @@
     NoReadIndex,
     /// The upstream refused a setting of the session.
     Setting,
+    /// The priority isn't in the bundle in force.
+    UnknownPriority,
+    /// The owner refuses most requests of the priority.
+    Flooded,
 }
 
 impl Reason {
@@ -72,6 +76,8 @@
             Self::KeyMisplaced => "key_misplaced",
             Self::NoReadIndex => "no_read_index",
             Self::Setting => "setting",
+            Self::UnknownPriority => "unknown_priority",
+            Self::Flooded => "flooded",
         }
     }
 
@@ -100,6 +106,8 @@
             | Self::QueueFull
             | Self::Setting
             | Self::TargetMissed
+            | Self::Flooded
+            | Self::UnknownPriority
             | Self::UnknownServer => false,
         }
     }
--- a/crates/agateport-domain/src/request/key.rs
+++ b/crates/agateport-domain/src/request/key.rs
@@ -2,8 +2,6 @@
 
 use serde::{Deserialize, Serialize};
 use sha2::{Digest, Sha256};
-use sqlparser::dialect::PostgreSqlDialect;
-use sqlparser::tokenizer::{Token, Tokenizer, Whitespace};
 
 /// Longest name of a key, in bytes.
 const MAXIMUM_NAME: usize = 200;
@@ -98,31 +96,6 @@
     !name.is_empty() && name.len() <= MAXIMUM_NAME && !name.contains('\0')
 }
 
-/// Returns the key in a comment of the form `/* key='name' */`, which may hold
-/// further pairs.
-#[must_use]
-pub fn in_comment(sql: &str) -> Option<String> {
-    if !sql.contains("/*") {
-        return None;
-    }
-    let tokens = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize().ok()?;
-    tokens.iter().find_map(|token| match token {
-        Token::Whitespace(Whitespace::MultiLineComment(text)) => pair(text),
-        _ => None,
-    })
-}
-
-fn pair(comment: &str) -> Option<String> {
-    comment.split(',').find_map(|pair| {
-        let (name, value) = pair.split_once('=')?;
-        if name.trim() != "key" {
-            return None;
-        }
-        let value = value.trim().strip_prefix('\'')?.strip_suffix('\'')?;
-        Some(value.to_owned())
-    })
-}
-
 /// Encodes bytes in hexadecimal.
 #[must_use]
 pub fn to_hex(bytes: &[u8]) -> String {
--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -5,11 +5,12 @@
 pub mod retry;
 pub mod setting;
 pub mod statement;
+pub mod tag;
 
 pub use error::{Error, Reason, Refusal};
 pub use key::Key;
 
-use crate::id::{GroupId, PriorityId, ServerId};
+use crate::id::{CallerId, GroupId, PriorityId, ServerId};
 use crate::session::{Transaction, Watermark};
 use serde::{Deserialize, Serialize};
 use statement::Kind;
@@ -66,6 +67,8 @@
     pub server: ServerId,
     /// Rank of the work.
     pub priority: PriorityId,
+    /// Who asks, for fairness among callers.
+    pub caller: CallerId,
     /// Time left to answer within the priority's target.
     pub target: Duration,
     /// What the server must be.
--- a/crates/agateport-domain/src/request/statement.rs
+++ b/crates/agateport-domain/src/request/statement.rs
@@ -1,7 +1,8 @@
 //! What a statement does, as far as it is certain.
 
-use super::key;
 use super::setting::Setting;
+use super::tag;
+use crate::id::PriorityId;
 use serde::{Deserialize, Serialize};
 use sqlparser::ast::{
     Expr, Query, SetExpr, Statement as Ast, TableFactor, visit_expressions, visit_relations,
@@ -56,6 +57,8 @@
     /// Whether something may be left behind on the connection, such as a
     /// setting, a lock or a temporary table.
     pub leaves_state: bool,
+    /// Priority that a comment names.
+    pub priority: Option<PriorityId>,
     /// Key under which the write is recorded.
     pub key: Option<String>,
 }
@@ -69,12 +72,14 @@
     /// Classifies a text of SQL; what isn't surely a read is a write.
     #[must_use]
     pub fn parse(sql: &str) -> Self {
-        let key = key::in_comment(sql);
+        let key = tag::value(sql, "key");
+        let priority = tag::value(sql, "priority").map(Into::into);
         let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
             return Self {
                 kind: Kind::Write,
                 count: 1,
                 leaves_state: true,
+                priority,
                 key,
                 ..Self::default()
             };
@@ -91,6 +96,7 @@
             settings: statements.iter().filter_map(Setting::of).collect(),
             count: statements.len(),
             leaves_state: statements.iter().any(leaves_state),
+            priority,
             key,
         }
     }
@@ -103,6 +109,9 @@
         self.settings.extend(other.settings.iter().cloned());
         self.count += other.count;
         self.leaves_state |= other.leaves_state;
+        if other.priority.is_some() {
+            self.priority.clone_from(&other.priority);
+        }
         if other.key.is_some() {
             self.key.clone_from(&other.key);
         }
--- a/crates/agateport-node/src/frontend/caller.rs
+++ b/crates/agateport-node/src/frontend/caller.rs
@@ -3,6 +3,7 @@
 use super::local::{self, Answer};
 use super::own::{self, Reply};
 use super::pipeline::Pipeline;
+use super::priority::Asked;
 use super::route::{self, Ask, Attempt, Begun, Start};
 use super::startup::{self, Socket};
 use super::state::Load;
@@ -65,6 +66,11 @@
         secret: login.secret,
         cancel,
         group: login.group,
+        asked: Asked {
+            user: Some(login.user),
+            session: login.priority,
+            tag: None,
+        },
         pipeline: Pipeline::default(),
         transaction: Transaction::Idle,
         link: None,
@@ -80,6 +86,7 @@
     secret: i32,
     cancel: Arc<Notify>,
     pub(super) group: GroupId,
+    asked: Asked,
     pipeline: Pipeline,
     transaction: Transaction,
     /// Link of the open transaction; a failed transaction has none if its
@@ -165,6 +172,10 @@
             return match reply {
                 Reply::Answer(answer) => self.reply(&work, &answer).await,
                 Reply::Error(error) => self.fail(&work, error).await,
+                Reply::Priority(priority) => {
+                    self.asked.session = priority;
+                    self.reply(&work, &Answer::Command("SET")).await
+                }
                 Reply::Resolve(name) => self.begin(work, Some(Use::Resolve(name))).await,
             };
         }
@@ -210,8 +221,10 @@
         });
         let (floor, settings) = needs.ok_or(Error::Ended)?;
         work.batch.settings = settings;
+        self.asked.tag.clone_from(&work.statement.priority);
         let ask = Ask {
             group: &self.group,
+            asked: &self.asked,
             floor,
             work: &work,
             key: key.clone(),
--- a/crates/agateport-node/src/frontend/own.rs
+++ b/crates/agateport-node/src/frontend/own.rs
@@ -2,6 +2,7 @@
 
 use super::caller::Caller;
 use super::local::Answer;
+use super::priority;
 use super::read_index;
 use super::work::Work;
 use agateport_domain::owner::Policy;
@@ -23,6 +24,8 @@
     Answer(Answer),
     /// It is wrong.
     Error(Backend),
+    /// The session's priority is another from now on.
+    Priority(Option<PriorityId>),
     /// What became of the key of this name has to be settled.
     Resolve(String),
 }
@@ -49,6 +52,8 @@
         Setting::Set { name, value, .. } if name == WATERMARK => observe(caller, value).await,
         Setting::Set { name, value, .. } if name == KEY => set_key(caller, value),
         Setting::Reset { name } if name == KEY => set_key(caller, ""),
+        Setting::Set { name, value, .. } if name == priority::SETTING => prioritize(caller, value),
+        Setting::Reset { name } if name == priority::SETTING => Reply::Priority(None),
         _ => wrong("42704", "there is no such setting, or it can't be set"),
     }
 }
@@ -128,6 +133,17 @@
     Reply::Answer(Answer::Command("SET"))
 }
 
+fn prioritize<P>(caller: &Caller<P>, name: &str) -> Reply
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let bundle = caller.node.bundle();
+    if bundle.is_some_and(|bundle| bundle.priority(name).is_some()) {
+        return Reply::Priority(Some(name.into()));
+    }
+    wrong("22023", &priority::unknown(name))
+}
+
 fn wrong(code: &str, text: &str) -> Reply {
     Reply::Error(postgres::error("ERROR", code, text.to_owned()))
 }
--- a/crates/agateport-node/src/frontend/route.rs
+++ b/crates/agateport-node/src/frontend/route.rs
@@ -2,11 +2,12 @@
 
 use super::candidate;
 use super::forward;
+use super::priority::Asked;
 use super::read_index;
 use super::state::Load;
 use super::work::Work;
 use crate::node::Node;
-use agateport_domain::bundle::{self, Bundle};
+use agateport_domain::bundle::{self, Bundle, Priority};
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_domain::request::key::Use;
@@ -43,6 +44,8 @@
 pub struct Ask<'a> {
     /// Group that the caller is connected to.
     pub group: &'a GroupId,
+    /// What the caller says of the request's priority.
+    pub asked: &'a Asked,
     /// What the server must hold.
     pub floor: Floor,
     /// The batch.
@@ -84,12 +87,17 @@
     let Some(group) = bundle.group(ask.group) else {
         return refused(Reason::UnknownServer);
     };
+    let tables = &ask.work.statement.tables;
+    let priority = match ask.asked.choose(&bundle, &group.name, tables) {
+        Ok(priority) => priority,
+        Err(refusal) => return refused(refusal.reason),
+    };
     let (watermark, read_index) = match ask.floor {
         Floor::Known(watermark) => (Some(watermark), None),
         // A superseded primary can't acknowledge what such a statement saw.
         Floor::Unknown { .. } if is_lone_write(ask.work) => (None, None),
         Floor::Unknown { arrived } => {
-            let due = Instant::now() + target(&bundle);
+            let due = Instant::now() + priority.target;
             match take_read_index(node, group, arrived, due).await {
                 Some(place) => (Some(place), Some(place)),
                 None => return refused(Reason::NoReadIndex),
@@ -101,6 +109,7 @@
         node,
         bundle: &bundle,
         group,
+        priority,
         watermark,
         ask: &ask,
         request: Request::new(is_repeatable),
@@ -137,12 +146,6 @@
     }
 }
 
-/// Returns the time within which an answer is due.
-fn target(bundle: &Bundle) -> Duration {
-    let priority = bundle.priority(&bundle.default_priority);
-    priority.map_or(Duration::ZERO, |priority| priority.target)
-}
-
 /// Tells whether a batch writes and leaves no transaction open.
 fn is_lone_write(work: &Work) -> bool {
     let is_write = matches!(work.statement.kind, Kind::Set | Kind::Write);
@@ -170,6 +173,7 @@
     node: &'a Arc<Node<P>>,
     bundle: &'a Bundle,
     group: &'a bundle::Group,
+    priority: &'a Priority,
     watermark: Option<Watermark>,
     ask: &'a Ask<'a>,
     request: Request,
@@ -178,7 +182,7 @@
 
 impl<P: Policy + Send + Sync + 'static> Run<'_, P> {
     async fn until_due(&mut self) -> Attempt {
-        let due = Instant::now() + target(self.bundle);
+        let due = Instant::now() + self.priority.target;
         let mut backoff = Backoff::new(self.node.next_id());
         self.node.frontend.budgets.with(&self.group.name, |all| {
             all.entry(self.group.name.clone()).or_default().earn();
@@ -252,8 +256,9 @@
         Command {
             group: self.group.name.clone(),
             server: server.name.clone(),
-            priority: self.bundle.default_priority.clone(),
-            target: target(self.bundle),
+            priority: self.priority.name.clone(),
+            caller: self.ask.asked.caller(),
+            target: self.priority.target,
             need,
             kind: self.ask.work.statement.kind,
             key: self.ask.key.clone(),
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -4,7 +4,7 @@
 use crate::control;
 use crate::control::status::Interest;
 use crate::error::Error;
-use crate::frontend;
+use crate::frontend::{self, gates::Gates};
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
@@ -59,6 +59,8 @@
     pub interest: Interest,
     /// This process's number in the terms that it opens.
     pub promoter: PromoterId,
+    /// What owners say of each priority at their servers.
+    pub gates: Gates,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
@@ -102,6 +104,13 @@
             Pcg64Mcg::from_rng(&mut rand::rng()),
             Instant::now(),
         );
+        let view = View::new(
+            config.name.clone(),
+            config.zone.clone(),
+            addresses.peers,
+            rand::random(),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
@@ -111,11 +120,12 @@
             spread: Mutex::new(spread),
             accepted: watch::Sender::new(None),
             bundle: watch::Sender::new(None),
-            view: Mutex::default(),
+            view: Mutex::new(view),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
             interest: Interest::default(),
             promoter: rand::random(),
+            gates: Gates::default(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
             frontend: Arc::default(),
--- a/crates/agateport-node/src/owner/mod.rs
+++ b/crates/agateport-node/src/owner/mod.rs
@@ -10,6 +10,7 @@
 mod serve;
 pub mod server;
 mod settle;
+pub mod upkeep;
 
 pub use locate::locate;
 pub use serve::serve;
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -34,7 +34,12 @@
     let Frame::Batch(first) = exchange.receive().await? else {
         return Err(Error::Ended);
     };
-    let lease = match admit(node, &command, &first).await {
+    let admitted = tokio::select! {
+        admitted = admit(node, &command, &first) => admitted,
+        // The frontend has nothing to say here: it is gone, or gives up.
+        _ = exchange.receive() => return Err(Error::Ended),
+    };
+    let lease = match admitted {
         Ok(lease) => lease,
         Err(refusal) => return refuse(node, &mut exchange, refusal).await,
     };
@@ -105,12 +110,15 @@
         leaves_state |= batch.leaves_state;
         let upstream = lease.upstream().ok_or(Error::Ended)?;
         let Ok(added) = answer::send(upstream, &batch).await else {
+            lease.record(false);
             return exchange.send(Frame::Unknown).await;
         };
         let answer = Answer::new(node, command, exchange, added, batch.flush);
         let Ok(tail) = answer.carry(upstream).await else {
+            lease.record(false);
             return exchange.send(Frame::Unknown).await;
         };
+        lease.record(true);
         if tail.is_refused && is_first && tail.completion.transaction == Transaction::Idle {
             keep(lease, leaves_state).await;
             return refuse(node, exchange, Reason::NotPrimary).await;
@@ -123,9 +131,11 @@
         is_read = false;
         is_first = false;
         send(exchange, tail).await?;
+        lease.pause();
         let Frame::Batch(next) = exchange.receive().await? else {
             return Err(Error::Ended);
         };
+        lease.resume().await;
         batch = next;
     }
 }
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -4,6 +4,7 @@
 use agateport_domain::bundle::Revision;
 use agateport_domain::group::Status;
 use agateport_domain::id::{GroupId, NodeId, ServerId};
+use agateport_domain::membership::Gossip;
 use agateport_domain::request::key::Outcome;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
@@ -74,6 +75,12 @@
     Bundle(Bytes),
     /// The sender takes no new work from now on.
     Leaving(NodeId),
+    /// Asks whether the peer is live.
+    Probe(Gossip),
+    /// Asks the peer to probe another node.
+    ProbeFor(NodeId, Gossip),
+    /// The peer, or the node that it probed, is live.
+    Alive(Gossip),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -54,7 +54,7 @@
 #[must_use]
 pub fn sqlstate(reason: Reason) -> &'static str {
     match reason {
-        Reason::QueueFull | Reason::TargetMissed => "53300",
+        Reason::Flooded | Reason::QueueFull | Reason::TargetMissed => "53300",
         Reason::UnknownServer => "3D000",
         Reason::NoBundle | Reason::Leaving => "57P03",
         Reason::Behind
@@ -67,7 +67,7 @@
         // Classes that no client retries: another try would go no better.
         Reason::KeyReused | Reason::KeySettled => "23505",
         Reason::KeyMisplaced => "0A000",
-        Reason::Setting => "22023",
+        Reason::Setting | Reason::UnknownPriority => "22023",
     }
 }
 
