--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -5,12 +5,14 @@
 mod error;
 mod health;
 pub mod promotion;
+mod read_index;
 
 pub use ballot::{Ballot, PromoterId};
 pub use damper::Damper;
 pub use error::Error;
 pub use health::Cause;
 pub use promotion::Promotion;
+pub use read_index::ReadIndex;
 
 use crate::id::{ServerId, Term};
 use crate::session::Watermark;
--- a/crates/agateport-node/src/control/promotion/attempt.rs
+++ b/crates/agateport-node/src/control/promotion/attempt.rs
@@ -127,10 +127,12 @@
         let address = address(self.group, &server);
         async move {
             let address = address.ok_or(Error::Ended)?;
+            // The status is at least as new as the call.
+            let called = Instant::now();
             let result = timeout(CALL_TIMEOUT, run(address, call)).await;
             let status = result.map_err(|_| Error::Ended)??;
             node.groups.update(&group, |group| {
-                group.report(&server, status, Instant::now());
+                group.report(&server, status, called);
             });
             node.reports.send_modify(|count| *count += 1);
             Ok(status)
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -1,13 +1,22 @@
 //! The frontend's side: takes callers and routes their requests to owners.
 
 mod caller;
+mod cancel;
 mod candidate;
 mod forward;
 pub mod gates;
+mod local;
+mod options;
+mod own;
 mod pipeline;
 mod priority;
+mod read_index;
 mod route;
 pub mod startup;
+pub mod state;
+mod work;
+
+pub use cancel::cancel;
 
 use crate::node::Node;
 use agateport_domain::owner::Policy;
--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -1,17 +1,16 @@
 //! The first messages of a caller's connection.
 
-use super::priority;
+use super::{cancel, options, priority, read_index};
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_domain::session;
 use agateport_wire::Error;
 use agateport_wire::postgres::{self, Backend, Frontend, Phase, Server};
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::SslNegotiationMetaMessage;
 use pgwire::messages::response::SslResponse;
-use pgwire::messages::startup::{
-    Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
-};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
@@ -19,9 +18,6 @@
 /// A caller's connection.
 pub type Socket = Framed<TcpStream, Server>;
 
-/// Startup option that hands a watermark over.
-const WATERMARK_OPTION: &str = "agateport.watermark";
-
 /// What a caller asks for when it connects.
 #[derive(Debug)]
 pub struct Login {
@@ -33,6 +29,8 @@
     pub priority: Option<PriorityId>,
     /// What it has seen of the group through other connections.
     pub watermark: Option<Watermark>,
+    /// Secret that its cancel requests carry.
+    pub secret: i32,
 }
 
 /// Callers that may be logging in at once.
@@ -47,7 +45,7 @@
 /// # Errors
 ///
 /// [`Error`] if the connection broke or a message can't be read.
-pub async fn negotiate<P>(node: &Node<P>, socket: &mut Socket) -> Result<Option<Login>, Error>
+pub async fn negotiate<P>(node: &Arc<Node<P>>, socket: &mut Socket) -> Result<Option<Login>, Error>
 where
     P: Policy + Send + Sync + 'static,
 {
@@ -66,7 +64,7 @@
     }
 }
 
-async fn exchange<P>(node: &Node<P>, socket: &mut Socket) -> Result<Option<Login>, Error>
+async fn exchange<P>(node: &Arc<Node<P>>, socket: &mut Socket) -> Result<Option<Login>, Error>
 where
     P: Policy + Send + Sync + 'static,
 {
@@ -83,6 +81,10 @@
                 socket.codec_mut().set_phase(Phase::Ready);
                 return log_in(node, socket, &startup).await;
             }
+            Frontend::CancelRequest(request) => {
+                cancel::forward(node, &request).await;
+                return Ok(None);
+            }
             _ => return Ok(None),
         }
     }
@@ -90,7 +92,7 @@
 }
 
 async fn log_in<P>(
-    node: &Node<P>,
+    node: &Arc<Node<P>>,
     socket: &mut Socket,
     startup: &Startup,
 ) -> Result<Option<Login>, Error>
@@ -104,7 +106,11 @@
             return Ok(None);
         }
     };
-    greet(socket).await?;
+    if let Err(refusal) = check_watermark(node, &login).await {
+        socket.send(refusal).await?;
+        return Ok(None);
+    }
+    greet(socket, cancel::key(node, login.secret)).await?;
     Ok(Some(login))
 }
 
@@ -124,17 +130,8 @@
         );
         return Err(postgres::error("FATAL", "3D000", text));
     };
-    let watermark = match startup.parameters.get(WATERMARK_OPTION) {
-        None => None,
-        Some(text) => {
-            let parsed = text
-                .parse()
-                .map_err(|error: agateport_domain::session::Error| {
-                    postgres::error("FATAL", "22023", error.to_string())
-                });
-            Some(parsed?)
-        }
-    };
+    let parsed = options::watermark(&startup.parameters);
+    let watermark = parsed.map_err(|error| wrong_watermark(&error))?;
     let text = |name| startup.parameters.get(name).map(String::as_str);
     let priority = text(priority::SETTING);
     if let Some(name) = priority.filter(|name| bundle.priority(name).is_none()) {
@@ -146,10 +143,29 @@
         user: text("user").unwrap_or_default().into(),
         priority: priority.map(Into::into),
         watermark,
+        secret: rand::random(),
     })
 }
 
-async fn greet(socket: &mut Socket) -> Result<(), Error> {
+async fn check_watermark<P>(node: &Arc<Node<P>>, login: &Login) -> Result<(), Backend>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let (Some(bundle), Some(watermark)) = (node.bundle(), login.watermark) else {
+        return Ok(());
+    };
+    let Some(group) = bundle.group(&login.group) else {
+        return Ok(());
+    };
+    let checked = read_index::check(node, group, watermark).await;
+    checked.map_err(|error| wrong_watermark(&error))
+}
+
+fn wrong_watermark(error: &session::Error) -> Backend {
+    postgres::error("FATAL", "22023", error.to_string())
+}
+
+async fn greet(socket: &mut Socket, key: BackendKeyData) -> Result<(), Error> {
     socket
         .feed(Backend::Authentication(Authentication::Ok))
         .await?;
@@ -165,8 +181,7 @@
         let status = ParameterStatus::new(name.to_owned(), value.to_owned());
         socket.feed(Backend::ParameterStatus(status)).await?;
     }
-    let key = BackendKeyData::new(1, SecretKey::I32(0));
     socket.feed(Backend::BackendKeyData(key)).await?;
-    let ready = postgres::ready(agateport_domain::session::Transaction::Idle);
+    let ready = postgres::ready(session::Transaction::Idle);
     socket.send(ready).await
 }
--- a/crates/agateport-node/src/owner/mod.rs
+++ b/crates/agateport-node/src/owner/mod.rs
@@ -3,9 +3,14 @@
 
 mod acknowledge;
 mod answer;
+mod key;
 mod lease;
+mod locate;
+mod need;
 mod serve;
 pub mod server;
+mod settle;
 pub mod upkeep;
 
+pub use locate::locate;
 pub use serve::serve;
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -1,6 +1,7 @@
 //! Connections to peers, and the streams that come from them.
 
 use crate::control;
+use crate::frontend;
 use crate::node::Node;
 use crate::owner;
 use agateport_domain::membership::Member;
@@ -174,6 +175,11 @@
             exchange.send(Frame::Refused(refusal)).await
         }
         Ok(Frame::Open(command)) => owner::serve(&node, exchange, command).await,
+        Ok(Frame::Locate(group, server)) => owner::locate(&node, exchange, &group, &server).await,
+        Ok(Frame::CancelCaller(secret)) => {
+            frontend::cancel(&node, secret);
+            Ok(())
+        }
         Ok(frame) => control::answer(&node, &peer, exchange, frame).await,
         Err(error) => Err(error),
     };
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -119,6 +119,11 @@
         toml::from_str(&text).unwrap()
     }
 
+    /// Stops a server at once.
+    pub fn stop_server(&mut self, index: usize) {
+        self.servers.remove(index);
+    }
+
     /// Connects a caller to a node.
     pub async fn connect(&self, node: usize) -> Client {
         self.try_connect(node).await.unwrap()
