frontend: TLS to callers, SCRAM passwords from the bundle's users

Cause: any caller could log in, in clear text, and take as long as it liked. Change: the bundle's users with SCRAM verifiers, checked by the library; TLS with the settings' certificate; with both, no password goes in clear text. Proof: end-to-end tests of right, wrong and unknown users, of clear text ahead of the handshake, of a startup message of 2 GB, and of peers' names.

--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -22,6 +22,7 @@
   agatectl history --platform IP:PORT
   agatectl status [--json] [--watch] IP:PORT...
   agatectl drain NODE IP:PORT --key FILE
+  agatectl verifier
 
 Commands:
   check      check a bundle
@@ -33,6 +34,7 @@
   history    show the last bundles in force
   status     show what nodes say of themselves, by their admin addresses
   drain      make a node finish what it does and end
+  verifier   read a password from standard input, print what a bundle holds
 
 Exit codes: 1 file, 2 command line, 3 bundle, 4 another bundle is in force,
 5 no answer and nothing changed, 6 no answer and the bundle may be in force,
@@ -111,6 +113,8 @@
         /// File of the operator's private key.
         key: PathBuf,
     },
+    /// Print the verifier of a password.
+    Verifier,
     /// Show the last bundles in force.
     History {
         /// Address of the platform.
@@ -257,6 +261,7 @@
                 watch: options.watch,
             },
         },
+        "verifier" => Command::Verifier,
         other => return Err(Error::Surplus(other.to_owned())),
     };
     Ok(command)
--- a/crates/agateport-ctl/src/keygen.rs
+++ b/crates/agateport-ctl/src/keygen.rs
@@ -1,6 +1,7 @@
 //! Makes keys and certificates.
 
 use crate::error::Error;
+use agateport_wire::postgres::scram;
 use ed25519_dalek::SigningKey;
 use rcgen::{
     BasicConstraints, CertificateParams, DnType, ExtendedKeyUsagePurpose, IsCa, Issuer, KeyPair,
@@ -59,6 +60,28 @@
     write(&directory.join(format!("{name}.public")), &public)
 }
 
+/// Reads a password from standard input and prints its verifier.
+///
+/// # Errors
+///
+/// [`Error`] if standard input can't be read or holds no password.
+pub fn verifier() -> Result<(), Error> {
+    let path = Path::new("standard input");
+    let mut password = String::new();
+    std::io::stdin()
+        .read_line(&mut password)
+        .map_err(Error::file(path))?;
+    let password = password.trim_end_matches(['\r', '\n']);
+    let salt: [u8; 16] = rand::random();
+    let verifier = scram::verifier(password, &salt).filter(|_| !password.is_empty());
+    let verifier = verifier.ok_or_else(|| Error::Content {
+        path: path.to_owned(),
+        expected: "a password",
+    })?;
+    println!("{verifier}");
+    Ok(())
+}
+
 fn authority_params() -> Result<CertificateParams, Error> {
     let mut params = CertificateParams::new(Vec::new())?;
     params
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -65,6 +65,7 @@
         } => history::diff(&bundle, platform, json).await,
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
+        Command::Verifier => keygen::verifier(),
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
 }
--- a/crates/agateport-node/src/config.rs
+++ b/crates/agateport-node/src/config.rs
@@ -4,6 +4,7 @@
 use agateport_domain::bundle::{Operator, Trust};
 use agateport_domain::membership::{Member, State};
 use agateport_domain::prelude::*;
+use agateport_wire::secure::Acceptor;
 use ed25519_dalek::VerifyingKey;
 use serde::{Deserialize, Serialize};
 use std::fmt::{self, Display, Formatter};
@@ -33,6 +34,16 @@
     pub key: PathBuf,
 }
 
+/// Files of the certificate that callers see.
+#[derive(Clone, Debug, Deserialize, Serialize)]
+#[serde(deny_unknown_fields)]
+pub struct CallerTls {
+    /// Certificate, and those between it and an authority.
+    pub certificate: PathBuf,
+    /// Private key of the certificate.
+    pub key: PathBuf,
+}
+
 /// A peer to ask while the platform's list can't be read.
 #[derive(Clone, Debug, Deserialize, Serialize)]
 #[serde(deny_unknown_fields)]
@@ -95,6 +106,8 @@
     pub drain: Duration,
     /// Files of the node's identity.
     pub tls: Tls,
+    /// Files of the certificate that callers see; none refuses TLS.
+    pub caller_tls: Option<CallerTls>,
 }
 
 /// Time that requests get to finish when the settings don't say.
@@ -128,6 +141,17 @@
         Ok(config)
     }
 
+    /// Returns the node's side of callers' TLS connections.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if a certificate or key can't be used.
+    pub fn acceptor(&self) -> Result<Option<Acceptor>, Error> {
+        let files = self.caller_tls.as_ref();
+        let acceptor = files.map(|files| Acceptor::load(&files.certificate, &files.key));
+        acceptor.transpose().map_err(Error::Identity)
+    }
+
     /// Returns the operators whose signatures count.
     ///
     /// # Errors
--- a/crates/agateport-node/src/frontend/caller.rs
+++ b/crates/agateport-node/src/frontend/caller.rs
@@ -13,6 +13,7 @@
 use agateport_wire::frame::Frame;
 use agateport_wire::link::{Exchange, Link};
 use agateport_wire::postgres::{self, Backend, Frontend, Server, WATERMARK};
+use agateport_wire::secure::Stream;
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::startup::ParameterStatus;
 use tokio::net::TcpStream;
@@ -37,7 +38,7 @@
     P: Policy + Send + Sync + 'static,
 {
     stream.set_nodelay(true)?;
-    let mut socket = Framed::new(stream, Server::default());
+    let mut socket = Framed::new(Stream::Plain(stream), Server::default());
     let Some(login) = startup::negotiate(&node, &mut socket).await? else {
         return Ok(());
     };
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -3,6 +3,7 @@
 mod caller;
 mod candidate;
 mod forward;
+mod login;
 mod pipeline;
 mod route;
 pub mod startup;
--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -1,22 +1,22 @@
 //! The first messages of a caller's connection.
 
+use super::login;
 use crate::node::Node;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_wire::Error;
 use agateport_wire::postgres::{self, Backend, Frontend, Phase, Server};
+use agateport_wire::secure::Stream;
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::SslNegotiationMetaMessage;
-use pgwire::messages::response::SslResponse;
 use pgwire::messages::startup::{
     Authentication, BackendKeyData, ParameterStatus, SecretKey, Startup,
 };
-use tokio::net::TcpStream;
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 /// A caller's connection.
-pub type Socket = Framed<TcpStream, Server>;
+pub type Socket = Framed<Stream, Server>;
 
 /// Startup option that hands a watermark over.
 const WATERMARK_OPTION: &str = "agateport.watermark";
@@ -70,9 +70,10 @@
             Frontend::SslNegotiation(SslNegotiationMetaMessage::None) => {
                 socket.codec_mut().set_phase(Phase::Startup);
             }
-            Frontend::SslNegotiation(_) => {
-                let refuse = Backend::SslResponse(SslResponse::Refuse);
-                socket.send(refuse).await?;
+            Frontend::SslNegotiation(request) => {
+                if !login::secure(node, socket, &request).await? {
+                    return Ok(None);
+                }
             }
             Frontend::Startup(startup) => {
                 socket.codec_mut().set_phase(Phase::Ready);
@@ -99,6 +100,11 @@
             return Ok(None);
         }
     };
+    if let Some(bundle) = node.bundle()
+        && !login::prove(node, &bundle, socket, startup).await?
+    {
+        return Ok(None);
+    }
     greet(socket).await?;
     Ok(Some(login))
 }
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -17,6 +17,7 @@
 use agateport_domain::session::Session;
 use agateport_wire::peer::Endpoint;
 use agateport_wire::platform::Platform;
+use agateport_wire::secure::Acceptor;
 use agateport_wire::tls::Identity;
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -76,6 +77,8 @@
     pub stopping: CancellationToken,
     /// Callers' tasks.
     pub callers: TaskTracker,
+    /// Takes callers' TLS connections; none refuses them.
+    pub acceptor: Option<Acceptor>,
     /// Places for callers that haven't logged in yet.
     pub logins: Semaphore,
     /// Streams that this node serves, its own callers' among them.
@@ -135,6 +138,7 @@
             leaving: CancellationToken::new(),
             stopping: CancellationToken::new(),
             callers: TaskTracker::new(),
+            acceptor: config.acceptor()?,
             logins: Semaphore::new(startup::MAXIMUM_LOGINS),
             streams: TaskTracker::new(),
             draining: CancellationToken::new(),
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -3,4 +3,5 @@
 mod failover;
 mod operation;
 mod path;
+mod security;
 mod support;
--- a/crates/agateport-wire/src/lib.rs
+++ b/crates/agateport-wire/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod peer;
 pub mod platform;
 pub mod postgres;
+pub mod secure;
 pub mod signed;
 pub mod tls;
 
--- a/crates/agateport-wire/src/postgres/mod.rs
+++ b/crates/agateport-wire/src/postgres/mod.rs
@@ -3,6 +3,7 @@
 mod codec;
 pub mod control;
 mod convert;
+pub mod scram;
 mod upstream;
 
 pub use codec::{Client, Phase, Server};
--- a/crates/agateport-wire/src/tls.rs
+++ b/crates/agateport-wire/src/tls.rs
@@ -40,7 +40,7 @@
     }
 }
 
-fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
+pub(crate) fn certificates(path: &Path) -> Result<Vec<CertificateDer<'static>>, Error> {
     let unreadable = |source| Error::Certificate {
         path: path.display().to_string(),
         source,
