--- a/crates/agateport-domain/src/bundle/check.rs
+++ b/crates/agateport-domain/src/bundle/check.rs
@@ -102,6 +102,13 @@
         if bundle.groups.is_empty() {
             self.fault("no group is declared", &[]);
         }
+        for (index, rank) in bundle.ranks.iter().enumerate() {
+            if bundle.priority(&rank.priority).is_none() {
+                let message = format!("the priority {} is not declared", rank.priority);
+                let steps = [Step::Key("rank"), Step::Index(index), Step::Key("priority")];
+                self.fault(message, &steps);
+            }
+        }
     }
 
     /// Finds names that are empty or stand twice.
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -10,6 +10,7 @@
 mod watcher;
 
 use crate::node::Node;
+use crate::owner::upkeep;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
 use agateport_wire::Error;
@@ -24,6 +25,7 @@
 {
     tokio::spawn(membership::run(Arc::clone(node)));
     bundle::start(node);
+    tokio::spawn(upkeep::run(Arc::clone(node)));
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
@@ -54,6 +56,10 @@
             let verdict = suspicion::judge(node, &group, &server).await;
             exchange.send(Frame::Verdict(verdict)).await
         }
+        Frame::Probe(gossip) => membership::answer(node, &mut exchange, gossip).await,
+        Frame::ProbeFor(target, gossip) => {
+            membership::relay(node, &mut exchange, &target, gossip).await
+        }
         first => {
             // The peer is of another version.
             tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
--- a/crates/agateport-node/src/drain.rs
+++ b/crates/agateport-node/src/drain.rs
@@ -14,6 +14,9 @@
 /// Time after which a peer that is told of the end is given up.
 const FAREWELL: Duration = Duration::from_secs(1);
 
+/// Peers that are told at once; others hear of it with the next probes.
+const FAREWELLS: usize = 64;
+
 /// Time that the last answers get to reach the peers.
 const LINGER: Duration = Duration::from_millis(250);
 
@@ -47,7 +50,7 @@
     node.streams.wait().await;
 }
 
-/// Tells all peers at once that this node gets no new work.
+/// Tells peers at once that this node gets no new work.
 async fn say_farewell<P>(node: &Arc<Node<P>>)
 where
     P: Policy + Send + Sync + 'static,
@@ -55,7 +58,7 @@
     let peers: Vec<Member> = {
         let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
         let others = view.live().filter(|one| one.name != node.config.name);
-        others.cloned().collect()
+        others.take(FAREWELLS).cloned().collect()
     };
     let mut farewells = JoinSet::new();
     for peer in peers {
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -21,6 +21,10 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+    if let Err(refusal) = node.gates.pass(&command) {
+        node.metrics.count("gate_refused", &command.priority);
+        return Attempt::Refused(refusal);
+    }
     let owners = {
         let view = node
             .view
@@ -47,13 +51,17 @@
                 node.metrics.count("retried", "owner_leaving");
                 continue;
             }
-            Ok(Frame::Refused(refusal)) => Attempt::Refused(refusal),
+            Ok(Frame::Refused(refusal)) => {
+                node.gates.refuse(&command, &refusal);
+                Attempt::Refused(refusal)
+            }
             Ok(Frame::Unknown) | Err(_) => Attempt::Unknown,
             Ok(first) => {
                 if command.need == Need::Primary {
                     node.groups
                         .update(&command.group, |group| group.set_hint(&command.server));
                 }
+                node.gates.accept(&command);
                 Attempt::Begun(Begun { link, first })
             }
         };
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -3,8 +3,10 @@
 mod caller;
 mod candidate;
 mod forward;
+pub mod gates;
 mod login;
 mod pipeline;
+mod priority;
 mod route;
 pub mod startup;
 
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -5,6 +5,7 @@
 use crate::control::status::Interest;
 use crate::drain;
 use crate::error::Error;
+use crate::frontend::gates::Gates;
 use crate::frontend::{self, startup};
 use crate::metrics::Metrics;
 use crate::owner::server;
@@ -65,6 +66,8 @@
     pub interest: Interest,
     /// This process's number in the terms that it opens.
     pub promoter: PromoterId,
+    /// What owners say of each priority at their servers.
+    pub gates: Gates,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
@@ -118,6 +121,13 @@
             Pcg64Mcg::from_rng(&mut rand::rng()),
             Instant::now(),
         );
+        let view = View::new(
+            config.name.clone(),
+            config.zone.clone(),
+            addresses.peers,
+            rand::random(),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
@@ -127,11 +137,12 @@
             spread: Mutex::new(spread),
             accepted: watch::Sender::new(None),
             bundle: watch::Sender::new(None),
-            view: Mutex::default(),
+            view: Mutex::new(view),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
             interest: Interest::default(),
             promoter: rand::random(),
+            gates: Gates::default(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
             metrics: Metrics::new(config.statsd)?,
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -2,7 +2,8 @@
 
 use crate::Error;
 use agateport_domain::bundle::Revision;
-use agateport_domain::id::{GroupId, ServerId};
+use agateport_domain::id::{GroupId, NodeId, ServerId};
+use agateport_domain::membership::Gossip;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -57,6 +58,12 @@
     Suspect(GroupId, ServerId),
     /// Whether the suspected server can't be reached.
     Verdict(bool),
+    /// Asks whether the peer is live.
+    Probe(Gossip),
+    /// Asks the peer to probe another node.
+    ProbeFor(NodeId, Gossip),
+    /// The peer, or the node that it probed, is live.
+    Alive(Gossip),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
