bundle: a removed group finishes its transactions

Cause: a new bundle replaced what was known of groups whose servers changed, and stopped asking removed servers, so that a write to them stayed unknown. Change: a group keeps what is known of the servers that stay; removed servers are asked and kept until nobody uses them, and status names them. Proof: an end-to-end test commits a transaction of a group that was removed in its middle.

--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -96,6 +96,28 @@
         })
     }
 
+    /// Goes by another declaration; what is known of the servers that stay is
+    /// kept.
+    ///
+    /// # Errors
+    ///
+    /// [`Error`] if there is no server.
+    pub fn change(
+        &mut self,
+        acknowledge: Acknowledge,
+        servers: impl IntoIterator<Item = ServerId>,
+    ) -> Result<(), Error> {
+        let mut changed = Self::new(acknowledge, servers)?;
+        for (server, report) in &mut changed.reports {
+            *report = self.reports.get(server).copied().flatten();
+        }
+        let hint = self.hint.take();
+        changed.hint = hint.filter(|hint| changed.reports.contains_key(hint));
+        changed.trouble = self.trouble;
+        *self = changed;
+        Ok(())
+    }
+
     /// Records what a server said of itself at `now`.
     pub fn report(&mut self, server: &ServerId, status: Status, now: Instant) {
         if let Some(report) = self.reports.get_mut(server) {
--- a/crates/agateport-node/src/control/bundle/apply.rs
+++ b/crates/agateport-node/src/control/bundle/apply.rs
@@ -2,10 +2,14 @@
 
 use crate::node::Node;
 use crate::owner::server;
-use agateport_domain::bundle::Bundle;
+use agateport_domain::bundle::{self, Bundle};
 use agateport_domain::group::Group;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use tokio::time::sleep;
+
+/// Interval between two looks at servers that are to be forgotten.
+const RETIREMENT_INTERVAL: Duration = Duration::from_secs(1);
 
 /// Goes by each bundle that was taken over.
 pub async fn run<P>(node: Arc<Node<P>>)
@@ -45,26 +49,49 @@
     retiring
 }
 
-/// Adds what is new and changes what differs; what is unchanged keeps its state.
+/// Adds what is new and changes what differs; what is unchanged keeps its state,
+/// and what is gone keeps it until its work has finished.
 fn apply<P>(node: &Node<P>, bundle: &Arc<Bundle>)
 where
     P: Policy + Send + Sync + 'static,
 {
-    let before = node.bundle();
     for group in &bundle.groups {
-        let old = before.as_ref().and_then(|before| before.group(&group.name));
-        let names = |group: &agateport_domain::bundle::Group| {
-            let names = group.servers.iter().map(|server| server.name.clone());
-            names.collect::<BTreeSet<_>>()
-        };
-        let is_same = old
-            .is_some_and(|old| old.acknowledge == group.acknowledge && names(old) == names(group));
-        if !is_same && let Ok(known) = Group::new(group.acknowledge, names(group)) {
-            node.groups.insert(group.name.clone(), known);
-        }
+        node.groups
+            .with(&group.name, |groups| change_group(groups, group));
         for server in &group.servers {
             server::apply(node, server, bundle);
         }
     }
     node.bundle.send_replace(Some(Arc::clone(bundle)));
 }
+
+/// Makes a group what the bundle declares, with what is known of the servers
+/// that stay.
+fn change_group(groups: &mut BTreeMap<GroupId, Group>, group: &bundle::Group) {
+    let names = group.servers.iter().map(|server| server.name.clone());
+    let result = match groups.get_mut(&group.name) {
+        Some(known) => known.change(group.acknowledge, names),
+        None => Group::new(group.acknowledge, names)
+            .map(|known| drop(groups.insert(group.name.clone(), known))),
+    };
+    if let Err(error) = result {
+        tracing::warn!(group = %group.name, %error, "the group can't be used");
+    }
+}
+
+/// Forgets servers that the bundle no longer declares once nobody uses them.
+pub async fn retire<P>(node: Arc<Node<P>>)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        sleep(RETIREMENT_INTERVAL).await;
+        for name in retiring(&node) {
+            node.servers.with(&name, |servers| {
+                if servers.get(&name).is_some_and(server::State::is_unused) {
+                    servers.remove(&name);
+                }
+            });
+        }
+    }
+}
--- a/crates/agateport-node/src/control/bundle/mod.rs
+++ b/crates/agateport-node/src/control/bundle/mod.rs
@@ -27,6 +27,8 @@
     tokio::spawn(stopping.clone().run_until_cancelled_owned(gossiping));
     let announcing = exchange::announce(Arc::clone(node));
     tokio::spawn(stopping.clone().run_until_cancelled_owned(announcing));
+    let retiring = apply::retire(Arc::clone(node));
+    tokio::spawn(stopping.clone().run_until_cancelled_owned(retiring));
     let applying = apply::run(Arc::clone(node));
     tokio::spawn(stopping.clone().run_until_cancelled_owned(applying));
 }
--- a/crates/agateport-node/src/control/status.rs
+++ b/crates/agateport-node/src/control/status.rs
@@ -100,11 +100,15 @@
     P: Policy + Send + Sync + 'static,
 {
     let mut bundles = node.bundle.subscribe();
+    let mut before: Option<Arc<Bundle>> = None;
     loop {
         let round = node.stopping.child_token();
         let bundle = bundles.borrow_and_update().clone();
         if let Some(bundle) = bundle {
             start(&node, &bundle, &round);
+            if let Some(before) = before.replace(Arc::clone(&bundle)) {
+                go_on(&node, &before, &bundle);
+            }
         }
         tokio::select! {
             changed = bundles.changed() => if changed.is_err() { return },
@@ -129,6 +133,41 @@
     }
 }
 
+/// Goes on with servers that the bundle no longer declares while they have work
+/// to finish, since writes wait for their positions.
+fn go_on<P>(node: &Arc<Node<P>>, before: &Arc<Bundle>, after: &Bundle)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    for group in &before.groups {
+        let is_gone = |server: &&Server| after.server(&server.name).is_none();
+        for server in group.servers.iter().filter(is_gone) {
+            let (node, before) = (Arc::clone(node), Arc::clone(before));
+            let (group, server) = (group.name.clone(), server.clone());
+            tokio::spawn(async move {
+                tokio::select! {
+                    () = ask(&node, &before, &group, &server) => {}
+                    () = retired(&node, &server.name) => {}
+                    () = node.stopping.cancelled() => {}
+                }
+            });
+        }
+    }
+}
+
+/// Waits until a server has no more work.
+async fn retired<P>(node: &Node<P>, server: &ServerId)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    loop {
+        sleep(LOOK).await;
+        if node.servers.update(server, |_| ()).is_none() {
+            return;
+        }
+    }
+}
+
 /// Asks one server again and again, while this node watches its group.
 async fn ask<P>(node: &Node<P>, bundle: &Bundle, group: &GroupId, server: &Server)
 where
--- a/crates/agateport-node/src/owner/server.rs
+++ b/crates/agateport-node/src/owner/server.rs
@@ -238,6 +238,12 @@
         self.queue.held() + self.idle.len()
     }
 
+    /// Tells whether nobody waits for the server or holds a connection to it.
+    #[must_use]
+    pub fn is_unused(&self) -> bool {
+        self.queue.held() == 0 && self.queue.waiting() == 0
+    }
+
     /// Takes an idle connection.
     pub fn take_idle(&mut self) -> Option<Upstream> {
         self.idle.pop().map(|idle| idle.upstream)
--- a/crates/agateport-node/tests/end_to_end/operation.rs
+++ b/crates/agateport-node/tests/end_to_end/operation.rs
@@ -191,6 +191,41 @@
     assert_eq!(rows.len(), 4, "a description, two rows and an end");
 }
 
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_removed_group_finishes_its_transactions() {
+    let deployment = Deployment::start(2, Duration::ZERO).await;
+    let caller = deployment.connect(0).await;
+    run(&caller, "CREATE TABLE stock (id BIGINT PRIMARY KEY)").await;
+    run(&caller, "BEGIN").await;
+    run(&caller, "INSERT INTO stock VALUES (1)").await;
+    deployment
+        .roll(2, |text| text.replace("\"ledger", "\"books"))
+        .await;
+    for node in 0..2 {
+        deployment.wait(node, |status| version(status) == 2).await;
+    }
+    let is_retiring = |status: &Value| {
+        status["retiring"]
+            .as_array()
+            .is_some_and(|one| !one.is_empty())
+    };
+    let mut retiring = 0;
+    for node in 0..2 {
+        retiring += usize::from(is_retiring(&deployment.status(node).await.unwrap()));
+    }
+    assert_ne!(retiring, 0, "a node tells of the server that is in use");
+    run(&caller, "INSERT INTO stock VALUES (2)").await;
+    run(&caller, "COMMIT").await;
+    for node in 0..2 {
+        deployment.wait(node, |status| !is_retiring(status)).await;
+    }
+    let error = caller
+        .simple_query("SELECT id FROM stock")
+        .await
+        .unwrap_err();
+    assert!(is_not_run(&error), "{error:?}");
+}
+
 #[tokio::test(flavor = "multi_thread", worker_threads = 2)]
 async fn only_an_operator_drains_a_node() {
     let mut deployment = Deployment::start(1, Duration::ZERO).await;
