--- /dev/null
+++ b/crates/agateport-domain/tests/spread.rs
@@ -0,0 +1,180 @@
+//! How fast a bundle spreads, and what it costs, in simulated time.
+
+#![expect(
+    clippy::cast_precision_loss,
+    reason = "counts of a simulation are small"
+)]
+
+use agateport_domain::bundle::Spread;
+use agateport_domain::bundle::spread::{FANOUT, PERIOD};
+use agateport_domain::membership::{Member, State, View};
+use agateport_domain::prelude::*;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
+use test_case::test_case;
+
+/// Time that an exchange takes, with the check of the signatures.
+const EXCHANGE: Duration = Duration::from_millis(20);
+
+/// Interval between two looks at the platform.
+const LOOK: Duration = Duration::from_millis(500);
+
+/// Time that is simulated after the bundle was accepted.
+const SIMULATED: Duration = Duration::from_secs(10);
+
+/// What happens to a node at a time.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+enum Event {
+    /// It has the bundle, from a peer or the platform.
+    Take,
+    /// It looks at the platform, if that is its part.
+    Look,
+    /// It exchanges with a random peer.
+    Exchange,
+}
+
+struct Simulation {
+    start: Instant,
+    view: View,
+    nodes: Vec<Spread>,
+    index: BTreeMap<NodeId, usize>,
+    taken: BTreeMap<usize, Duration>,
+    events: BTreeSet<(Duration, usize, Event)>,
+    /// Zones whose nodes can't reach the platform.
+    cut: BTreeSet<Zone>,
+    zones: Vec<Zone>,
+    reads: usize,
+    exchanges: usize,
+    transfers: usize,
+}
+
+impl Simulation {
+    fn new(nodes: usize, zones: usize, cut: usize) -> Self {
+        let start = Instant::now();
+        let zones: Vec<Zone> = (0..nodes)
+            .map(|node| format!("zone-{}", node % zones).into())
+            .collect();
+        let member = |node: usize| Member {
+            name: format!("node-{node}").into(),
+            zone: zones[node].clone(),
+            address: ([127, 0, 0, 1], 1).into(),
+            state: State::Live,
+            incarnation: 0,
+        };
+        let members: Vec<_> = (0..nodes).map(member).collect();
+        let first = &members[0];
+        let mut view = View::new(
+            first.name.clone(),
+            first.zone.clone(),
+            first.address,
+            1,
+            start,
+        );
+        view.seed(members.clone(), start);
+        let spread = |(seed, member): (u64, &Member)| {
+            let random = Pcg64Mcg::seed_from_u64(seed);
+            let mut spread = Spread::new(
+                member.name.clone(),
+                member.zone.clone(),
+                Vec::new(),
+                random,
+                start,
+            );
+            spread.hear(start + SIMULATED);
+            spread
+        };
+        let names = members.iter().map(|member| member.name.clone());
+        let phase = |node: usize| PERIOD.mul_f64(node as f64 / nodes as f64);
+        let events = (0..nodes).flat_map(|node| {
+            [Event::Look, Event::Exchange].map(|event| (phase(node), node, event))
+        });
+        Self {
+            start,
+            view,
+            nodes: (0..).zip(&members).map(spread).collect(),
+            index: names.zip(0..).collect(),
+            taken: BTreeMap::new(),
+            events: events.collect(),
+            cut: (0..cut).map(|zone| format!("zone-{zone}").into()).collect(),
+            zones,
+            reads: 0,
+            exchanges: 0,
+            transfers: 0,
+        }
+    }
+
+    fn run(&mut self) {
+        while let Some((now, node, event)) = self.events.pop_first() {
+            if now > SIMULATED {
+                return;
+            }
+            match event {
+                Event::Take => self.take(now, node),
+                Event::Look => self.look(now, node),
+                Event::Exchange => {
+                    self.exchange(now, node, 1);
+                    self.events.insert((now + PERIOD, node, Event::Exchange));
+                }
+            }
+        }
+    }
+
+    fn take(&mut self, now: Duration, node: usize) {
+        if self.taken.contains_key(&node) {
+            return;
+        }
+        self.taken.insert(node, now);
+        self.exchange(now, node, FANOUT);
+    }
+
+    fn look(&mut self, now: Duration, node: usize) {
+        let is_reader = self.nodes[node].is_reader(&self.view, self.start + now);
+        if is_reader && !self.cut.contains(&self.zones[node]) {
+            self.reads += 1;
+            self.events.insert((now + EXCHANGE, node, Event::Take));
+        }
+        if is_reader {
+            self.events.insert((now + LOOK, node, Event::Look));
+        }
+    }
+
+    fn exchange(&mut self, now: Duration, node: usize, count: usize) {
+        for peer in self.nodes[node].peers(&self.view, count) {
+            self.exchanges += 1;
+            let peer = self.index[&peer.name];
+            match (
+                self.taken.contains_key(&node),
+                self.taken.contains_key(&peer),
+            ) {
+                (true, false) => self.transfer(now, peer),
+                (false, true) => self.transfer(now, node),
+                _ => {}
+            }
+        }
+    }
+
+    fn transfer(&mut self, now: Duration, node: usize) {
+        self.transfers += 1;
+        self.events.insert((now + EXCHANGE, node, Event::Take));
+    }
+}
+
+#[test_case(7, 3, 0; "7 nodes")]
+#[test_case(7, 3, 2; "7 nodes, two of three zones without the platform")]
+#[test_case(200, 15, 0; "200 nodes")]
+#[test_case(200, 15, 14; "200 nodes, one of 15 zones with the platform")]
+fn a_bundle_spreads(nodes: usize, zones: usize, cut: usize) {
+    let mut simulation = Simulation::new(nodes, zones, cut);
+    simulation.run();
+    let last = simulation.taken.values().max().copied().unwrap_or_default();
+    assert_eq!(simulation.taken.len(), nodes);
+    let seconds = SIMULATED.as_secs_f64();
+    let text = format!(
+        "in force on {nodes} nodes after {last:?}\nplatform reads a second: {:.1}\n\
+         exchanges of a node a second: {:.2}\nbundles sent for each node: {:.2}",
+        simulation.reads as f64 / seconds,
+        simulation.exchanges as f64 / seconds / nodes as f64,
+        simulation.transfers as f64 / nodes as f64,
+    );
+    insta::assert_snapshot!(format!("spread_{nodes}_{cut}"), text);
+}
