--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -194,6 +194,7 @@
 where
     P: Policy + Send + Sync + 'static,
 {
+<<<<<<< HEAD
     with_view(node, |view| {
         let Ok(member) = view.member(peer).cloned() else {
             return;
@@ -209,6 +210,9 @@
         };
         view.merge(gossip, Instant::now());
     });
+=======
+    with_view(node, |view| view.set_leaving(peer, Instant::now()));
+>>>>>>> main
 }
 
 fn member(vm: Vm) -> Member {
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -48,16 +48,26 @@
     Refused(Refusal),
     /// The batch was sent, and the answer is lost.
     Unknown,
+<<<<<<< HEAD
+=======
+    /// Asks whether a server can't be reached from here either.
+    Suspect(GroupId, ServerId),
+    /// Whether the suspected server can't be reached.
+    Verdict(bool),
+>>>>>>> main
     /// The revision of the bundle in force at the sender; none if it has none.
     Revision(Option<Revision>),
     /// A signed bundle, as `signed` encodes it.
     Bundle(Bytes),
     /// The sender takes no new work from now on.
     Leaving,
+<<<<<<< HEAD
     /// Asks whether a server can't be reached from here either.
     Suspect(GroupId, ServerId),
     /// Whether the suspected server can't be reached.
     Verdict(bool),
+=======
+>>>>>>> main
     /// Asks whether the peer is live.
     Probe(Gossip),
     /// Asks the peer to probe another node.
