--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -6,6 +6,7 @@
 mod forward;
 pub mod gates;
 mod local;
+mod login;
 mod options;
 mod own;
 mod pipeline;
