group: silence is a question without an answer

Cause: a node that stood still itself took its primary for silent; a replica of a hung primary waited for it and never followed the next one; a write of an older term waited for its whole target. Change: silence counts only once a question stayed open, and the promoter tries once more itself; the stand-in's replica lets go of a primary that it no longer follows; the wait ends when a majority has a higher term; a request at a server that is lost ends as unknown, or as not run before it was sent.

--- a/crates/agateport-domain/src/group/health.rs
+++ b/crates/agateport-domain/src/group/health.rs
@@ -1,8 +1,9 @@
 //! What is wrong with a group, and what mends it.
 
 use super::promotion::Effect;
-use super::{Group, Role};
+use super::{Acknowledge, Group, Reply, Role};
 use crate::id::{ServerId, Term};
+use crate::session::Watermark;
 use std::time::{Duration, Instant};
 
 /// Silence of a primary whose connections are refused.
@@ -10,7 +11,7 @@
 
 /// Silence of a primary that neither answers nor refuses; a slow one answers
 /// within this time.
-pub const SILENCE: Duration = Duration::from_millis(800);
+pub const SILENCE: Duration = Duration::from_millis(600);
 
 /// Time that another promoter has to finish before its work is taken over.
 pub const TAKEOVER: Duration = Duration::from_secs(1);
@@ -69,19 +70,29 @@
         Some(now.saturating_duration_since(since))
     }
 
-    /// Tells whether `server` hasn't been heard for too long.
+    /// Tells whether `server` left a question without an answer, and hasn't been
+    /// heard for too long. The time alone says nothing: this node may have been
+    /// the one that stood still.
     #[must_use]
     pub fn is_silent(&self, server: &ServerId, now: Instant) -> bool {
         let Some(Some(report)) = self.reports.get(server) else {
             return true;
         };
         let silence = now.saturating_duration_since(report.heard);
-        let limit = if report.is_refused {
-            REFUSED_SILENCE
-        } else {
-            SILENCE
-        };
-        silence >= limit
+        match report.last {
+            Reply::Answer => false,
+            Reply::Refusal => silence >= REFUSED_SILENCE,
+            Reply::Timeout => silence >= SILENCE,
+        }
+    }
+
+    /// Tells whether the write at `written` can't be acknowledged any more,
+    /// since a majority of the servers has gone on to a higher term.
+    #[must_use]
+    pub fn is_superseded(&self, written: Watermark) -> bool {
+        let reports = self.reports.values().flatten();
+        let higher = reports.filter(|report| report.status.term > written.term);
+        self.acknowledge == Acknowledge::Majority && higher.count() > self.reports.len() / 2
     }
 
     /// Returns what points stray servers at the primary.
@@ -145,7 +156,7 @@
     fn has_majority(&self, now: Instant) -> bool {
         let fresh = self.reports.values().flatten().filter(|report| {
             let age = now.saturating_duration_since(report.heard);
-            age < FRESH && !report.is_refused
+            age < FRESH && report.last == Reply::Answer
         });
         fresh.count() > self.reports.len() / 2
     }
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -59,8 +59,16 @@
 struct Report {
     status: Status,
     heard: Instant,
-    /// Whether the last try to reach the server was refused.
-    is_refused: bool,
+    /// How the last question ended.
+    last: Reply,
+}
+
+/// How a question to a server ended.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Reply {
+    Answer,
+    Refusal,
+    Timeout,
 }
 
 /// One database group, as one node knows it.
@@ -102,7 +110,7 @@
             *report = Some(Report {
                 status,
                 heard: now,
-                is_refused: false,
+                last: Reply::Answer,
             });
         }
     }
@@ -110,7 +118,14 @@
     /// Records that a server refused a connection, or broke one off.
     pub fn refuse(&mut self, server: &ServerId) {
         if let Some(Some(report)) = self.reports.get_mut(server) {
-            report.is_refused = true;
+            report.last = Reply::Refusal;
+        }
+    }
+
+    /// Records that a server did not answer in time.
+    pub fn miss(&mut self, server: &ServerId) {
+        if let Some(Some(report)) = self.reports.get_mut(server) {
+            report.last = Reply::Timeout;
         }
     }
 
@@ -146,7 +161,7 @@
     #[must_use]
     pub fn status(&self, server: &ServerId) -> Option<(Status, Instant)> {
         let report = self.reports.get(server)?.as_ref()?;
-        (!report.is_refused).then_some((report.status, report.heard))
+        (report.last != Reply::Refusal).then_some((report.status, report.heard))
     }
 
     /// Tells whether anything was heard of a server.
--- a/crates/agateport-domain/tests/fake/language.rs
+++ b/crates/agateport-domain/tests/fake/language.rs
@@ -75,6 +75,10 @@
                 self.group.refuse(&ServerId::from(*server));
                 Vec::new()
             }
+            ["miss", server] => {
+                self.group.miss(&ServerId::from(*server));
+                Vec::new()
+            }
             ["diagnose"] => {
                 let cause = self.group.diagnose(self.now);
                 vec![cause.map_or("well", |cause| cause.name()).to_owned()]
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -41,8 +41,8 @@
 {
     match first {
         Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
-        Frame::Suspect(group, server) => {
-            let verdict = suspicion::judge(node, &group, &server).await;
+        Frame::Suspect(server) => {
+            let verdict = suspicion::judge(node, &server).await;
             exchange.send(Frame::Verdict(verdict)).await
         }
         first => {
--- a/crates/agateport-node/src/control/status.rs
+++ b/crates/agateport-node/src/control/status.rs
@@ -27,10 +27,10 @@
 const LOOK: Duration = Duration::from_millis(500);
 
 /// Time after which an answer is given up; slower servers are still heard.
-const TIMEOUT: Duration = Duration::from_millis(800);
+const TIMEOUT: Duration = Duration::from_millis(500);
 
 /// Time for a first answer of a server that this node doesn't watch.
-const FIRST: Duration = Duration::from_millis(100);
+const FIRST: Duration = Duration::from_millis(500);
 
 /// Counts who waits for the positions of each group.
 #[derive(Debug, Default)]
@@ -158,6 +158,7 @@
             }
         } else {
             control = None;
+            node.groups.update(group, |group| group.miss(&server.name));
         }
         match control {
             Some(_) => pause(HEARTBEAT, &mut waiting).await,
--- a/crates/agateport-node/src/control/suspicion.rs
+++ b/crates/agateport-node/src/control/suspicion.rs
@@ -33,45 +33,33 @@
 {
     let witnesses = watcher::witnesses(node, group, WITNESSES);
     let asking = witnesses.iter().map(|witness| async move {
-        let asked = timeout(ANSWER_TIMEOUT, ask(node, witness, &group.name, server));
+        let asked = timeout(ANSWER_TIMEOUT, ask(node, witness, server));
         asked.await.ok().and_then(Result::ok)
     });
-    let answers = join_all(asking).await;
+    // This node may have stood still itself: it tries once more too.
+    let (own, answers) = tokio::join!(judge(node, server), join_all(asking));
     let answers: Vec<bool> = answers.into_iter().flatten().collect();
-    let silent = 1 + answers.iter().filter(|is_silent| **is_silent).count();
-    2 * silent > 1 + answers.len()
+    let silent = answers.iter().filter(|is_silent| **is_silent).count();
+    own && 2 * (1 + silent) > 1 + answers.len()
 }
 
-async fn ask<P>(
-    node: &Arc<Node<P>>,
-    witness: &NodeId,
-    group: &GroupId,
-    server: &ServerId,
-) -> Result<bool, Error>
+async fn ask<P>(node: &Arc<Node<P>>, witness: &NodeId, server: &ServerId) -> Result<bool, Error>
 where
     P: Policy + Send + Sync + 'static,
 {
     let mut link = peers::link(node, witness).await?;
-    let question = Frame::Suspect(Arc::clone(group), Arc::clone(server));
-    link.send(question).await?;
+    link.send(Frame::Suspect(server.clone())).await?;
     match link.receive().await? {
         Frame::Verdict(is_silent) => Ok(is_silent),
         _ => Err(Error::Ended),
     }
 }
 
-/// Tells whether this node can't reach the server either.
-pub async fn judge<P>(node: &Node<P>, group: &GroupId, server: &ServerId) -> bool
+/// Tells whether this node can't reach the server at this moment.
+pub async fn judge<P>(node: &Node<P>, server: &ServerId) -> bool
 where
     P: Policy + Send + Sync + 'static,
 {
-    let now = Instant::now();
-    let known = node.groups.update(group, |group| {
-        group.is_known(server) && group.is_silent(server, now)
-    });
-    if known == Some(true) {
-        return true;
-    }
     let Some(bundle) = node.bundle() else {
         return false;
     };
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -46,7 +46,12 @@
 {
     status::ensure(node, &command.group, &command.server).await;
     check_need(node, command)?;
-    let lease = Lease::take(Arc::clone(node), command).await?;
+    let lease = tokio::select! {
+        lease = Lease::take(Arc::clone(node), command) => lease?,
+        () = acknowledge::lost(node, command) => {
+            return Err(Reason::UpstreamUnreachable.into());
+        }
+    };
     // The wait may have been long.
     check_need(node, command)?;
     Ok(lease)
@@ -99,7 +104,11 @@
         let Ok(added) = answer::send(upstream, batch).await else {
             return exchange.send(Frame::Unknown).await;
         };
-        let Ok(tail) = answer::carry(upstream, exchange, added).await else {
+        let carried = tokio::select! {
+            carried = answer::carry(upstream, exchange, added) => carried,
+            () = acknowledge::lost(node, command) => Err(Error::Ended),
+        };
+        let Ok(tail) = carried else {
             return exchange.send(Frame::Unknown).await;
         };
         if answer::is_reusable(&tail.completion) {
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -21,13 +21,32 @@
 use tokio_postgres::{Client, NoTls};
 
 /// Zones of the nodes and servers, in turn.
-const ZONES: [&str; 3] = ["a", "b", "c"];
+const ZONES: [&str; 4] = ["a", "b", "c", "d"];
+
+/// Servers of the group.
+const SERVERS: usize = 3;
+
+/// What a deployment is made of.
+#[derive(Clone, Copy, Debug)]
+pub struct Plan {
+    /// Number of nodes.
+    pub nodes: usize,
+    /// Number of availability zones.
+    pub zones: usize,
+    /// Time by which replicas lag.
+    pub lag: Duration,
+    /// Acknowledge rule of the group, as the bundle names it.
+    pub acknowledge: &'static str,
+    /// Time that a new connection to a server takes.
+    pub connect_cost: Duration,
+}
 
 /// A small deployment.
 pub struct Deployment {
     pub platform: platform::Running,
     pub servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
+    plan: Plan,
     directory: TempDir,
 }
 
@@ -43,25 +62,38 @@
 impl Deployment {
     /// Starts `nodes` nodes before one group of three servers.
     pub async fn start(nodes: usize, lag: Duration) -> Self {
+        let plan = Plan {
+            nodes,
+            zones: 3,
+            lag,
+            acknowledge: "majority",
+            connect_cost: Duration::ZERO,
+        };
+        Self::launch(plan).await
+    }
+
+    /// Starts what a plan says.
+    pub async fn launch(plan: Plan) -> Self {
         let directory = TempDir::new().unwrap();
         let operator = SigningKey::from_bytes(&[7; 32]);
         let public = hex(&operator.verifying_key().to_bytes());
         fs::write(directory.path().join("operator.public"), public).unwrap();
-        write_certificates(directory.path(), nodes);
+        write_certificates(directory.path(), plan.nodes);
         let platform = platform::Running::start(platform::Config {
             address: anywhere(),
             admin: anywhere(),
         });
         let platform = platform.await.unwrap();
-        let servers = start_servers(lag).await;
-        roll(&platform, &servers, &operator).await;
+        let servers = start_servers(plan).await;
+        roll(&platform, &servers, plan, &operator).await;
         let mut deployment = Self {
             platform,
             servers,
             nodes: Vec::new(),
+            plan,
             directory,
         };
-        deployment.start_nodes(nodes).await;
+        deployment.start_nodes(plan.nodes).await;
         deployment
     }
 
@@ -102,7 +134,7 @@
             certificate = "{directory}/node-{index}.pem"
             key = "{directory}/node-{index}.key"
             "#,
-            zone = ZONES[index % ZONES.len()],
+            zone = ZONES[index % self.plan.zones],
             platform = self.platform.address,
         );
         toml::from_str(&text).unwrap()
@@ -123,15 +155,15 @@
     }
 }
 
-async fn start_servers(lag: Duration) -> Vec<group::Running> {
+async fn start_servers(plan: Plan) -> Vec<group::Running> {
     let mut servers: Vec<group::Running> = Vec::new();
-    for index in 0..3 {
+    for index in 0..SERVERS {
         let config = group::Config {
             name: format!("ledger-{index}"),
             follow: servers.first().map(|primary| primary.address),
-            connect_cost: Duration::ZERO,
+            connect_cost: plan.connect_cost,
             statement_time: Duration::ZERO,
-            lag,
+            lag: plan.lag,
             ..group::Config::default()
         };
         servers.push(group::Running::start(config).await.unwrap());
@@ -139,13 +171,20 @@
     servers
 }
 
-async fn roll(platform: &platform::Running, servers: &[group::Running], key: &SigningKey) {
+async fn roll(
+    platform: &platform::Running,
+    servers: &[group::Running],
+    plan: Plan,
+    key: &SigningKey,
+) {
     let mut text = String::from(
         "version = 1\ndefault_priority = \"counter\"\n\
          [[priority]]\nname = \"counter\"\ntarget = \"5s\"\nworth = 1\n\
          [[read]]\ntable = \"stock\"\nmaximum_staleness = \"10s\"\n\
          [[group]]\nname = \"ledger\"\n",
     );
+    let acknowledge = format!("acknowledge = \"{}\"\n", plan.acknowledge);
+    text.push_str(&acknowledge);
     for (index, server) in servers.iter().enumerate() {
         let server = format!(
             "[[group.server]]\nname = \"ledger-{index}\"\nzone = \"{}\"\naddress = \"{}\"\n\
@@ -167,14 +206,17 @@
     client.commit(&[operation]).await.unwrap();
 }
 
-/// Waits until the node knows all nodes, the bundle and the group's primary.
+/// Waits until the node knows all nodes, the bundle and the group's primary; a
+/// node that owns no server of the group doesn't know that.
 async fn wait_until_ready(client: &reqwest::Client, admin: SocketAddr, nodes: usize) {
     let url = format!("http://{admin}/status");
     loop {
         let response = client.get(&url).send().await.unwrap();
         let status: serde_json::Value = response.json().await.unwrap();
         let members = status["members"].as_array().map_or(0, Vec::len);
-        if members == nodes && status["primaries"]["ledger"].is_string() {
+        let is_owner = nodes <= SERVERS;
+        let has_primary = !is_owner || status["primaries"]["ledger"].is_string();
+        if members == nodes && status["bundle"].is_number() && has_primary {
             return;
         }
         tokio::time::sleep(Duration::from_millis(10)).await;
--- a/crates/agateport-standin/src/group/replication.rs
+++ b/crates/agateport-standin/src/group/replication.rs
@@ -37,15 +37,27 @@
     let mut connection = server.connect()?;
     loop {
         if let Some(source) = server.followed() {
-            match follow_primary(&server, &mut connection, source).await {
-                Ok(()) => {}
-                Err(error) => tracing::debug!(?source, %error, "replication stopped"),
+            tokio::select! {
+                followed = follow_primary(&server, &mut connection, source) => {
+                    if let Err(error) = followed {
+                        tracing::debug!(?source, %error, "replication stopped");
+                    }
+                }
+                // A primary that hangs must not keep the replica.
+                () = unfollowed(&server, source) => {}
             }
         }
         sleep(RETRY_PAUSE).await;
     }
 }
 
+/// Waits until the server no longer follows `source`.
+async fn unfollowed(server: &Server, source: Followed) {
+    while server.followed() == Some(source) {
+        sleep(RETRY_PAUSE).await;
+    }
+}
+
 async fn follow_primary(
     server: &Server,
     connection: &mut Connection,
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -2,7 +2,7 @@
 
 use crate::Error;
 use agateport_domain::bundle::Revision;
-use agateport_domain::id::{GroupId, NodeId, ServerId};
+use agateport_domain::id::{NodeId, ServerId};
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
 use serde::{Deserialize, Serialize};
@@ -48,7 +48,7 @@
     /// The batch was sent, and the answer is lost.
     Unknown,
     /// Asks whether a server can't be reached from here either.
-    Suspect(GroupId, ServerId),
+    Suspect(ServerId),
     /// Whether the suspected server can't be reached.
     Verdict(bool),
     /// The revision of the bundle in force at the sender; none if it has none.
