--- a/crates/agateport-node/src/control/bundle/apply.rs
+++ b/crates/agateport-node/src/control/bundle/apply.rs
@@ -26,6 +26,25 @@
     }
 }
 
+/// Returns the servers that the bundle no longer declares.
+pub fn retiring<P>(node: &Node<P>) -> BTreeSet<ServerId>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let bundle = node.bundle();
+    let is_declared = |name: &ServerId| {
+        let bundle = bundle.as_ref();
+        bundle.is_some_and(|bundle| bundle.server(name).is_some())
+    };
+    let mut retiring = BTreeSet::new();
+    node.servers.for_each(|name, _| {
+        if !is_declared(name) {
+            retiring.insert(name.clone());
+        }
+    });
+    retiring
+}
+
 /// Adds what is new and changes what differs; what is unchanged keeps its state.
 fn apply<P>(node: &Node<P>, bundle: &Arc<Bundle>)
 where
@@ -44,15 +63,7 @@
             node.groups.insert(group.name.clone(), known);
         }
         for server in &group.servers {
-            let old = before
-                .as_ref()
-                .and_then(|before| before.server(&server.name));
-            if old.is_some_and(|(_, old)| old == server) {
-                continue;
-            }
-            if let Ok(state) = server::State::new(server, &bundle.limits) {
-                node.servers.insert(server.name.clone(), state);
-            }
+            server::apply(node, server, bundle);
         }
     }
     node.bundle.send_replace(Some(Arc::clone(bundle)));
--- a/crates/agateport-node/src/control/bundle/mod.rs
+++ b/crates/agateport-node/src/control/bundle/mod.rs
@@ -5,6 +5,7 @@
 mod exchange;
 mod read;
 
+pub use apply::retiring;
 pub use exchange::answer;
 
 use crate::node::Node;
--- a/crates/agateport-node/src/control/status.rs
+++ b/crates/agateport-node/src/control/status.rs
@@ -191,9 +191,11 @@
         *control = Some(Control::connect(server.address).await?);
     }
     if let Some(connected) = control.as_mut() {
+        // The status is at least as new as the question.
+        let asked = Instant::now();
         let status = connected.status().await?;
         node.groups.update(group, |group| {
-            group.report(&server.name, status, Instant::now());
+            group.report(&server.name, status, asked);
         });
         node.reports.send_modify(|count| *count += 1);
     }
--- a/crates/agateport-node/src/owner/acknowledge.rs
+++ b/crates/agateport-node/src/owner/acknowledge.rs
@@ -48,7 +48,7 @@
     let is_lost = || {
         let lost = node.groups.update(&command.group, |group| {
             let is_silent = group.is_silent(&command.server, Instant::now());
-            let is_replaced = command.need == Need::Primary
+            let is_replaced = matches!(command.need, Need::Primary { .. })
                 && group
                     .primary()
                     .is_some_and(|primary| *primary != command.server);
--- a/crates/agateport-node/src/peers.rs
+++ b/crates/agateport-node/src/peers.rs
@@ -1,21 +1,40 @@
 //! Connections to peers, and the streams that come from them.
 
 use crate::control;
+use crate::frontend;
 use crate::node::Node;
 use crate::owner;
 use agateport_domain::membership::Member;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_domain::request::Reason;
 use agateport_wire::Error;
 use agateport_wire::frame::Frame;
 use agateport_wire::link::{Exchange, Link, Local};
 use agateport_wire::peer::{Connection, Endpoint};
+use std::io;
+use std::net::SocketAddr;
+use tokio::sync::Mutex;
+use tokio::time::timeout;
+
+/// Time after a failure during which no other attempt to connect is made.
+const PAUSE: Duration = Duration::from_millis(200);
+
+/// Time after which a link to an owner is given up.
+const LINK_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// The connection to one peer.
+#[derive(Debug, Default)]
+struct Slot {
+    connection: Option<Connection>,
+    failed: Option<Instant>,
+}
 
 /// Connections to peers, one each.
 #[derive(Debug)]
 pub struct Peers {
     endpoint: Endpoint,
-    connections: Sharded<NodeId, Connection>,
+    slots: Sharded<NodeId, Arc<Mutex<Slot>>>,
 }
 
 impl Peers {
@@ -24,31 +43,63 @@
     pub fn new(endpoint: Endpoint) -> Self {
         Self {
             endpoint,
-            connections: Sharded::new(),
+            slots: Sharded::new(),
         }
     }
 
     /// Returns a connection to a peer, a new one if need be.
     ///
+    /// An attempt to connect goes on when the caller of this function gives up,
+    /// so that a slow handshake isn't begun again and again.
+    ///
     /// # Errors
     ///
     /// [`Error::Unreachable`] if the peer can't be reached.
     pub async fn connection(&self, member: &Member) -> Result<Connection, Error> {
-        if let Some(connection) = self.connections.get(&member.name)
-            && !connection.is_closed()
-        {
+        let slot = self.slots.with(&member.name, |slots| {
+            Arc::clone(slots.entry(member.name.clone()).or_default())
+        });
+        let endpoint = self.endpoint.clone();
+        let (name, address) = (member.name.clone(), member.address);
+        let connecting = tokio::spawn(async move {
+            let mut slot = slot.lock().await;
+            slot.connect(&endpoint, &name, address).await
+        });
+        connecting.await.map_err(|error| Error::Unreachable {
+            peer: member.name.to_string(),
+            source: io::Error::other(error),
+        })?
+    }
+
+    /// Closes all connections and waits until the peers were told.
+    pub async fn close(&self) {
+        self.endpoint.close().await;
+    }
+}
+
+impl Slot {
+    async fn connect(
+        &mut self,
+        endpoint: &Endpoint,
+        name: &NodeId,
+        address: SocketAddr,
+    ) -> Result<Connection, Error> {
+        let open = self.connection.clone().filter(|one| !one.is_closed());
+        if let Some(connection) = open {
             return Ok(connection);
         }
-        let connection = self.endpoint.connect(&member.name, member.address).await?;
-        self.connections
-            .insert(member.name.clone(), connection.clone());
+        if self.failed.is_some_and(|failed| failed.elapsed() < PAUSE) {
+            return Err(Error::Unreachable {
+                peer: name.to_string(),
+                source: io::ErrorKind::NotConnected.into(),
+            });
+        }
+        let connected = endpoint.connect(name, address).await;
+        self.failed = connected.is_err().then(Instant::now);
+        let connection = connected?;
+        self.connection = Some(connection.clone());
         Ok(connection)
     }
-
-    /// Closes all connections.
-    pub fn close(&self) {
-        self.endpoint.close();
-    }
 }
 
 /// Opens a link to the owner named `name`, which may be this node itself.
@@ -62,7 +113,8 @@
 {
     if *name == node.config.name {
         let (near, far) = Local::pair();
-        tokio::spawn(dispatch(Arc::clone(node), far));
+        let own = node.config.name.clone();
+        node.streams.spawn(dispatch(Arc::clone(node), own, far));
         return Ok(Link::Local(near));
     }
     let member = {
@@ -74,10 +126,15 @@
     };
     let member = member.map_err(|error| Error::Unreachable {
         peer: name.to_string(),
-        source: std::io::Error::other(error),
+        source: io::Error::other(error),
     })?;
-    let connection = node.peers.connection(&member).await?;
-    Ok(Link::Remote(Box::new(connection.open().await?)))
+    let opening = async { node.peers.connection(&member).await?.open().await };
+    let opened = timeout(LINK_TIMEOUT, opening).await;
+    let stream = opened.map_err(|error| Error::Unreachable {
+        peer: name.to_string(),
+        source: error.into(),
+    })?;
+    Ok(Link::Remote(Box::new(stream?)))
 }
 
 /// Takes connections of peers until the node ends.
@@ -89,31 +146,41 @@
         let node = Arc::clone(&node);
         tokio::spawn(async move {
             match Connection::admit(incoming).await {
-                Ok(connection) => serve(node, connection).await,
+                Ok((peer, connection)) => serve(node, peer, connection).await,
                 Err(error) => tracing::warn!(%error, "a peer was turned away"),
             }
         });
     }
 }
 
-async fn serve<P>(node: Arc<Node<P>>, connection: Connection)
+async fn serve<P>(node: Arc<Node<P>>, peer: NodeId, connection: Connection)
 where
     P: Policy + Send + Sync + 'static,
 {
     while let Ok(stream) = connection.accept().await {
-        tokio::spawn(dispatch(Arc::clone(&node), stream));
+        node.streams
+            .spawn(dispatch(Arc::clone(&node), peer.clone(), stream));
     }
 }
 
 /// Hands a stream to whom its first frame is for.
-async fn dispatch<P, E>(node: Arc<Node<P>>, mut exchange: E)
+async fn dispatch<P, E>(node: Arc<Node<P>>, peer: NodeId, mut exchange: E)
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
     let result = match exchange.receive().await {
+        Ok(Frame::Open(_)) if node.closing.is_cancelled() => {
+            let refusal = Reason::Leaving.into();
+            exchange.send(Frame::Refused(refusal)).await
+        }
         Ok(Frame::Open(command)) => owner::serve(&node, exchange, command).await,
-        Ok(frame) => control::answer(&node, exchange, frame).await,
+        Ok(Frame::Locate(group, server)) => owner::locate(&node, exchange, &group, &server).await,
+        Ok(Frame::CancelCaller(secret)) => {
+            frontend::cancel(&node, secret);
+            Ok(())
+        }
+        Ok(frame) => control::answer(&node, &peer, exchange, frame).await,
         Err(error) => Err(error),
     };
     if let Err(error) = result {
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -8,7 +8,7 @@
 use agateport_domain::bundle::Signed;
 use agateport_domain::owner::Rendezvous;
 use agateport_node::config::Config;
-use agateport_node::node::{Addresses, Node};
+use agateport_node::node::{Addresses, Node, Running};
 use agateport_standin::{group, platform};
 use agateport_wire::platform::{Operation, Platform};
 use ed25519_dalek::SigningKey;
@@ -18,7 +18,9 @@
 use std::path::Path;
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::task::JoinHandle;
 use tokio_postgres::{Client, NoTls};
+use tokio_util::sync::CancellationToken;
 
 /// Zones of the nodes and servers, in turn.
 const ZONES: [&str; 4] = ["a", "b", "c", "d"];
@@ -47,7 +49,9 @@
     pub servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
     plan: Plan,
-    directory: TempDir,
+    /// What ends each node, and its task.
+    pub tasks: Vec<(CancellationToken, JoinHandle<()>)>,
+    pub directory: TempDir,
 }
 
 fn hex(bytes: &[u8]) -> String {
@@ -55,6 +59,11 @@
     digits.collect::<Vec<_>>().concat()
 }
 
+/// Returns the key of the operator whom all nodes trust.
+pub fn operator() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
 fn anywhere() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
@@ -75,7 +84,7 @@
     /// Starts what a plan says.
     pub async fn launch(plan: Plan) -> Self {
         let directory = TempDir::new().unwrap();
-        let operator = SigningKey::from_bytes(&[7; 32]);
+        let operator = operator();
         let public = hex(&operator.verifying_key().to_bytes());
         fs::write(directory.path().join("operator.public"), public).unwrap();
         write_certificates(directory.path(), plan.nodes);
@@ -91,6 +100,7 @@
             servers,
             nodes: Vec::new(),
             plan,
+            tasks: Vec::new(),
             directory,
         };
         deployment.start_nodes(plan.nodes).await;
@@ -108,7 +118,7 @@
                 "name": format!("node-{index}"), "zone": &*zone, "address": addresses.peers,
             }));
             self.nodes.push(addresses);
-            tokio::spawn(running.run());
+            self.tasks.push(spawn(running));
         }
         let url = format!("http://{}/vms", self.platform.admin);
         let client = reqwest::Client::new();
@@ -118,7 +128,8 @@
         }
     }
 
-    fn config(&self, index: usize) -> Config {
+    /// Returns the settings of a node.
+    pub fn config(&self, index: usize) -> Config {
         let directory = self.directory.path().display();
         let text = format!(
             r#"
@@ -140,8 +151,18 @@
         toml::from_str(&text).unwrap()
     }
 
+    /// Stops a server at once.
+    pub fn stop_server(&mut self, index: usize) {
+        self.servers.remove(index);
+    }
+
     /// Connects a caller to a node.
     pub async fn connect(&self, node: usize) -> Client {
+        self.try_connect(node).await.unwrap()
+    }
+
+    /// Connects a caller to a node, which may refuse it.
+    pub async fn try_connect(&self, node: usize) -> Result<Client, tokio_postgres::Error> {
         let address = self.nodes[node].callers;
         let mut config = tokio_postgres::Config::new();
         config
@@ -149,12 +170,19 @@
             .port(address.port())
             .user("test")
             .dbname("ledger");
-        let (client, connection) = config.connect(NoTls).await.unwrap();
+        let (client, connection) = config.connect(NoTls).await?;
         tokio::spawn(connection);
-        client
+        Ok(client)
     }
 }
 
+/// Runs a node; returns what ends it, and its task.
+pub fn spawn(running: Running<Rendezvous>) -> (CancellationToken, JoinHandle<()>) {
+    let draining = running.draining();
+    let task = tokio::spawn(async move { running.run().await.unwrap() });
+    (draining, task)
+}
+
 async fn start_servers(plan: Plan) -> Vec<group::Running> {
     let mut servers: Vec<group::Running> = Vec::new();
     for index in 0..SERVERS {
@@ -177,14 +205,40 @@
     plan: Plan,
     key: &SigningKey,
 ) {
+    let group = "name = \"ledger\"\n";
+    let rule = format!("{group}acknowledge = \"{}\"\n", plan.acknowledge);
+    let text = bundle(servers).replacen(group, &rule, 1);
+    let signed = Signed::new(text, key);
+    put_in_force(platform, &signed, 1, 0).await;
+}
+
+/// Stores a signed bundle and sets the row, whose version must be `expected`.
+pub async fn put_in_force(
+    platform: &platform::Running,
+    signed: &Signed,
+    version: u64,
+    expected: u64,
+) {
+    let client = Platform::new(platform.address).unwrap();
+    let object = format!("bundle/{}", signed.digest());
+    let bytes = serde_json::to_vec(signed).unwrap();
+    client.put_object(&object, bytes).await.unwrap();
+    let operation = Operation {
+        key: "bundle".to_owned(),
+        expected,
+        value: format!("{version}:{}", signed.digest()),
+    };
+    client.commit(&[operation]).await.unwrap();
+}
+
+/// Returns the text of the first bundle.
+pub fn bundle(servers: &[group::Running]) -> String {
     let mut text = String::from(
         "version = 1\ndefault_priority = \"counter\"\n\
          [[priority]]\nname = \"counter\"\ntarget = \"5s\"\nworth = 1\n\
          [[read]]\ntable = \"stock\"\nmaximum_staleness = \"10s\"\n\
          [[group]]\nname = \"ledger\"\n",
     );
-    let acknowledge = format!("acknowledge = \"{}\"\n", plan.acknowledge);
-    text.push_str(&acknowledge);
     for (index, server) in servers.iter().enumerate() {
         let server = format!(
             "[[group.server]]\nname = \"ledger-{index}\"\nzone = \"{}\"\naddress = \"{}\"\n\
@@ -193,17 +247,7 @@
         );
         text.push_str(&server);
     }
-    let signed = Signed::new(text, key);
-    let client = Platform::new(platform.address).unwrap();
-    let object = format!("bundle/{}", signed.digest());
-    let bytes = serde_json::to_vec(&signed).unwrap();
-    client.put_object(&object, bytes).await.unwrap();
-    let operation = Operation {
-        key: "bundle".to_owned(),
-        expected: 0,
-        value: format!("1:{}", signed.digest()),
-    };
-    client.commit(&[operation]).await.unwrap();
+    text
 }
 
 /// Waits until the node knows all nodes, the bundle and the group's primary; a
--- a/crates/agateport-wire/src/peer.rs
+++ b/crates/agateport-wire/src/peer.rs
@@ -3,9 +3,11 @@
 use crate::Error;
 use crate::link::Remote;
 use crate::tls::Identity;
+use agateport_domain::id::NodeId;
 use quinn::crypto::rustls::{QuicClientConfig, QuicServerConfig};
 use quinn::{ClientConfig, IdleTimeout, ServerConfig, TransportConfig, VarInt};
 use rustls::crypto::ring;
+use rustls::pki_types::CertificateDer;
 use rustls::server::WebPkiClientVerifier;
 use std::io;
 use std::net::SocketAddr;
@@ -83,9 +85,10 @@
         self.endpoint.accept().await
     }
 
-    /// Closes all connections.
-    pub fn close(&self) {
+    /// Closes all connections and waits until the peers were told.
+    pub async fn close(&self) {
         self.endpoint.close(VarInt::from_u32(0), b"leaving");
+        self.endpoint.wait_idle().await;
     }
 }
 
@@ -94,10 +97,12 @@
     ///
     /// # Errors
     ///
-    /// [`Error`] if its certificate isn't signed by an authority.
-    pub async fn admit(incoming: quinn::Incoming) -> Result<Self, Error> {
+    /// [`Error`] if its certificate isn't signed by an authority or doesn't name
+    /// it.
+    pub async fn admit(incoming: quinn::Incoming) -> Result<(NodeId, Self), Error> {
         let connection = incoming.await.map_err(io::Error::from)?;
-        Ok(Self { connection })
+        let name = name(&connection).ok_or(Error::Unnamed(connection.remote_address()))?;
+        Ok((name, Self { connection }))
     }
 
     /// Opens a stream.
@@ -134,6 +139,15 @@
     }
 }
 
+/// Returns the name in the certificate of the other side.
+fn name(connection: &quinn::Connection) -> Option<NodeId> {
+    let identity = connection.peer_identity()?;
+    let chain = identity.downcast::<Vec<CertificateDer<'static>>>().ok()?;
+    let certificate = webpki::EndEntityCert::try_from(chain.first()?).ok()?;
+    let mut names = certificate.valid_dns_names();
+    names.next().map(NodeId::from)
+}
+
 fn configs(identity: Identity) -> Result<(ServerConfig, ClientConfig), Error> {
     let provider = Arc::new(ring::default_provider());
     let authorities = Arc::new(identity.authorities);
