--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -62,7 +62,12 @@
 {
     status::ensure(node, &command.group, &command.server).await;
     need::wait(node, command).await?;
-    let mut lease = Lease::take(Arc::clone(node), command).await?;
+    let mut lease = tokio::select! {
+        lease = Lease::take(Arc::clone(node), command) => lease?,
+        () = acknowledge::lost(node, command) => {
+            return Err(Reason::UpstreamUnreachable.into());
+        }
+    };
     // The wait may have been long.
     need::check(node, command)?;
     let upstream = lease.upstream().ok_or(Reason::UpstreamUnreachable)?;
@@ -114,7 +119,11 @@
             return exchange.send(Frame::Unknown).await;
         };
         let answer = Answer::new(node, command, exchange, added, batch.flush);
-        let Ok(tail) = answer.carry(upstream).await else {
+        let carried = tokio::select! {
+            carried = answer.carry(upstream) => carried,
+            () = acknowledge::lost(node, command) => Err(Error::Ended),
+        };
+        let Ok(tail) = carried else {
             lease.record(false);
             return exchange.send(Frame::Unknown).await;
         };
