--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -10,6 +10,7 @@
 pub use error::{Error, Reason, Refusal};
 pub use key::Key;
 
+use crate::group::{Role, Status};
 use crate::id::{CallerId, GroupId, PriorityId, ServerId};
 use crate::session::{Transaction, Watermark};
 use serde::{Deserialize, Serialize};
@@ -56,6 +57,34 @@
             Self::Primary { watermark } | Self::Replica { watermark, .. } => *watermark,
         }
     }
+
+    /// Checks that a server is what the request needs, by what it said of
+    /// itself and the age of its data, if it is known.
+    ///
+    /// # Errors
+    ///
+    /// The reason why it isn't.
+    pub fn check(&self, status: Status, age: Option<Duration>) -> Result<(), Reason> {
+        let needs_primary = matches!(self, Self::Primary { .. });
+        if needs_primary && status.role != Role::Primary {
+            return Err(Reason::NotPrimary);
+        }
+        // A superseded primary is behind what the session has seen.
+        let watermark = self.watermark();
+        if watermark.is_some_and(|watermark| status.last < watermark) {
+            return Err(Reason::Behind);
+        }
+        let Self::Replica {
+            maximum_staleness, ..
+        } = self
+        else {
+            return Ok(());
+        };
+        match age {
+            Some(age) if age <= *maximum_staleness => Ok(()),
+            _ => Err(Reason::Stale),
+        }
+    }
 }
 
 /// A request as a frontend hands it to a server's owner.
--- /dev/null
+++ b/crates/agateport-domain/tests/history/fake.rs
@@ -0,0 +1,157 @@
+//! A fake database group: logs of writes, terms, replication by hand.
+
+use agateport_domain::group::{Role, Status};
+use agateport_domain::prelude::*;
+
+/// Number of one write that a caller asked for.
+pub type WriteId = u32;
+
+/// One entry of a log; the first of a term holds no write.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Entry {
+    pub term: Term,
+    pub write: Option<WriteId>,
+}
+
+/// One server.
+#[derive(Clone, Debug)]
+pub struct Server {
+    pub term: Term,
+    pub role: Role,
+    pub log: Vec<Entry>,
+    /// Whether the other servers and promoters can't reach it; callers can.
+    pub is_cut_off: bool,
+}
+
+impl Server {
+    pub fn last(&self) -> Watermark {
+        Watermark {
+            term: self.log.last().map_or(0, |entry| entry.term),
+            position: self.log.len() as Position,
+        }
+    }
+
+    pub fn status(&self) -> Status {
+        Status {
+            term: self.term,
+            last: self.last(),
+            role: self.role,
+            age: Some(Duration::ZERO),
+        }
+    }
+
+    pub fn writes(&self) -> BTreeSet<WriteId> {
+        self.log.iter().filter_map(|entry| entry.write).collect()
+    }
+
+    /// Commits a write; none if the server isn't a primary. A write with a key
+    /// that is recorded runs no second time.
+    pub fn commit(&mut self, write: WriteId, is_keyed: bool) -> Option<Watermark> {
+        if self.role != Role::Primary {
+            return None;
+        }
+        if !is_keyed || !self.writes().contains(&write) {
+            let term = self.term;
+            let write = Some(write);
+            self.log.push(Entry { term, write });
+        }
+        Some(self.last())
+    }
+}
+
+/// A group of three servers.
+#[derive(Clone, Debug)]
+pub struct Servers {
+    pub all: Vec<Server>,
+    highest: Term,
+}
+
+impl Servers {
+    pub fn new() -> Self {
+        let server = |role| Server {
+            term: 1,
+            role,
+            log: vec![Entry {
+                term: 1,
+                write: None,
+            }],
+            is_cut_off: false,
+        };
+        Self {
+            all: vec![
+                server(Role::Primary),
+                server(Role::Replica),
+                server(Role::Replica),
+            ],
+            highest: 1,
+        }
+    }
+
+    /// Returns the primary of a term, if it can be reached by the others.
+    fn primary(&self, term: Term) -> Option<&Server> {
+        let mut primaries = self.all.iter();
+        primaries.find(|one| one.role == Role::Primary && one.term == term && !one.is_cut_off)
+    }
+
+    /// Copies one entry to a replica.
+    pub fn replicate(&mut self, index: usize) {
+        let replica = &self.all[index];
+        if replica.role != Role::Replica || replica.is_cut_off {
+            return;
+        }
+        let next = self
+            .primary(replica.term)
+            .and_then(|primary| primary.log.get(replica.log.len()).copied());
+        self.all[index].log.extend(next);
+    }
+
+    /// Makes a server that was cut off a replica of the primary in force.
+    pub fn rejoin(&mut self, index: usize) {
+        self.all[index].is_cut_off = false;
+        let Some(primary) = self.primary(self.highest).cloned() else {
+            return;
+        };
+        if self.all[index].term < primary.term {
+            self.follow(index, &primary);
+        }
+    }
+
+    fn follow(&mut self, index: usize, primary: &Server) {
+        let server = &mut self.all[index];
+        let pairs = server.log.iter().zip(&primary.log);
+        let common = pairs.take_while(|(ours, theirs)| ours == theirs).count();
+        server.log.truncate(common);
+        server.term = primary.term;
+        server.role = Role::Replica;
+    }
+
+    /// Fences all that can be reached, and promotes the most advanced; false if
+    /// they are no majority.
+    pub fn promote(&mut self) -> bool {
+        let reached = (0..3).filter(|index| !self.all[*index].is_cut_off);
+        let reached: Vec<usize> = reached.collect();
+        if reached.len() < 2 {
+            return false;
+        }
+        self.highest += 1;
+        let best = reached
+            .iter()
+            .copied()
+            .max_by_key(|one| self.all[*one].last());
+        let best = best.unwrap_or_default();
+        let winner = &mut self.all[best];
+        winner.term = self.highest;
+        winner.role = Role::Primary;
+        winner.log.push(Entry {
+            term: self.highest,
+            write: None,
+        });
+        let winner = winner.clone();
+        for index in reached {
+            if index != best {
+                self.follow(index, &winner);
+            }
+        }
+        true
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/tests/history/world.rs
@@ -0,0 +1,394 @@
+//! Sessions, nodes and servers, with the model of what must hold.
+
+use super::fake::{Servers, WriteId};
+use agateport_domain::group::{Acknowledge, Group, ReadIndex, Status};
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Need, Reason, Request};
+use agateport_domain::session::{Floor, Session};
+
+/// What goes wrong with one request.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Fault {
+    None,
+    RequestLost,
+    RequestLate,
+    AnswerLost,
+}
+
+/// One step of a schedule.
+#[derive(Clone, Copy, Debug)]
+pub enum Step {
+    Write {
+        session: usize,
+        node: usize,
+        is_keyed: bool,
+        fault: Fault,
+    },
+    Read {
+        session: usize,
+        node: usize,
+        server: usize,
+        heard: u8,
+    },
+    Replicate {
+        server: usize,
+    },
+    Report {
+        node: usize,
+        server: usize,
+    },
+    ReportLate {
+        node: usize,
+        server: usize,
+    },
+    ReportArrives,
+    RequestArrives,
+    GiveUp {
+        session: usize,
+    },
+    Retry {
+        session: usize,
+        node: usize,
+        fault: Fault,
+    },
+    Arrive {
+        session: usize,
+    },
+    HandOver {
+        from: usize,
+        to: usize,
+    },
+    CutOff {
+        server: usize,
+    },
+    Rejoin {
+        server: usize,
+    },
+    Promote,
+}
+
+/// A write that a session waits for.
+#[derive(Clone, Debug)]
+struct Pending {
+    write: WriteId,
+    is_keyed: bool,
+    request: Request,
+    /// Node and place, once the primary has answered.
+    answered: Option<(usize, Watermark)>,
+}
+
+/// A session with what it must see.
+struct Caller {
+    session: Session,
+    must_see: BTreeSet<WriteId>,
+    pending: Option<Pending>,
+}
+
+/// Everything.
+pub struct World {
+    servers: Servers,
+    nodes: Vec<Group>,
+    callers: Vec<Caller>,
+    late_reports: Vec<(usize, usize, Status)>,
+    late_requests: Vec<(usize, WriteId, bool)>,
+    acknowledged: BTreeSet<WriteId>,
+    shown: BTreeSet<WriteId>,
+    not_run: BTreeSet<WriteId>,
+    next_write: WriteId,
+    now: Instant,
+}
+
+fn name(server: usize) -> ServerId {
+    format!("server-{server}").into()
+}
+
+fn group() -> GroupId {
+    "ledger".into()
+}
+
+impl World {
+    pub fn new() -> Self {
+        let now = Instant::now();
+        let node = || Group::new(Acknowledge::Majority, (0..3).map(name)).expect("it has servers");
+        let caller = || Caller {
+            session: Session::new(now),
+            must_see: BTreeSet::new(),
+            pending: None,
+        };
+        Self {
+            servers: Servers::new(),
+            nodes: vec![node(), node()],
+            callers: vec![caller(), caller(), caller()],
+            late_reports: Vec::new(),
+            late_requests: Vec::new(),
+            acknowledged: BTreeSet::new(),
+            shown: BTreeSet::new(),
+            not_run: BTreeSet::new(),
+            next_write: 0,
+            now,
+        }
+    }
+
+    pub fn take(&mut self, step: Step) {
+        match step {
+            Step::Write {
+                session,
+                node,
+                is_keyed,
+                fault,
+            } => {
+                self.write(session, node, is_keyed, fault);
+            }
+            Step::Read {
+                session,
+                node,
+                server,
+                heard,
+            } => self.read(session, node, server, heard),
+            Step::Replicate { server } => self.servers.replicate(server),
+            Step::Report { node, server } => self.report(node, server),
+            Step::ReportLate { node, server } => {
+                let status = self.servers.all[server].status();
+                self.late_reports.push((node, server, status));
+            }
+            Step::ReportArrives => {
+                if let Some((node, server, status)) = self.late_reports.pop() {
+                    self.nodes[node].report(&name(server), status, self.now);
+                }
+            }
+            Step::RequestArrives => {
+                if let Some((server, write, is_keyed)) = self.late_requests.pop() {
+                    // Nobody waits for the answer any more.
+                    self.servers.all[server].commit(write, is_keyed);
+                }
+            }
+            Step::GiveUp { session } => self.give_up(session),
+            Step::Retry {
+                session,
+                node,
+                fault,
+            } => self.retry(session, node, fault),
+            Step::Arrive { session } => self.arrive(session),
+            Step::HandOver { from, to } => self.hand_over(from, to),
+            Step::CutOff { server } => self.servers.all[server].is_cut_off = true,
+            Step::Rejoin { server } => self.servers.rejoin(server),
+            Step::Promote => drop(self.servers.promote()),
+        }
+        self.acknowledge();
+    }
+
+    fn report(&mut self, node: usize, server: usize) {
+        let status = self.servers.all[server].status();
+        self.nodes[node].report(&name(server), status, self.now);
+    }
+
+    fn write(&mut self, session: usize, node: usize, is_keyed: bool, fault: Fault) {
+        if self.callers[session].pending.is_some() {
+            return;
+        }
+        self.next_write += 1;
+        self.callers[session].pending = Some(Pending {
+            write: self.next_write,
+            is_keyed,
+            request: Request::new(is_keyed),
+            answered: None,
+        });
+        self.send(session, node, fault);
+    }
+
+    fn retry(&mut self, session: usize, node: usize, fault: Fault) {
+        let pending = self.callers[session].pending.as_ref();
+        if pending.is_some_and(|pending| pending.request.may_send()) {
+            self.send(session, node, fault);
+        }
+    }
+
+    /// Sends a session's write to the primary that the node knows.
+    fn send(&mut self, session: usize, node: usize, fault: Fault) {
+        let caller = &mut self.callers[session];
+        let Some(pending) = caller.pending.as_mut() else {
+            return;
+        };
+        let primary = self.nodes[node].primary();
+        let Some(server) = (0..3).find(|one| Some(&name(*one)) == primary) else {
+            // Nothing was sent.
+            self.refused(session);
+            return;
+        };
+        pending.request.send().expect("the request may be sent");
+        let place = match fault {
+            Fault::RequestLost => None,
+            Fault::RequestLate => {
+                let late = (server, pending.write, pending.is_keyed);
+                self.late_requests.push(late);
+                None
+            }
+            Fault::None | Fault::AnswerLost => {
+                let server = &mut self.servers.all[server];
+                match server.commit(pending.write, pending.is_keyed) {
+                    Some(place) => Some(place),
+                    None if fault == Fault::None => {
+                        let refused = pending.request.refuse(Reason::NotPrimary);
+                        refused.expect("the request was sent");
+                        self.refused(session);
+                        return;
+                    }
+                    None => None,
+                }
+            }
+        };
+        match (fault, place) {
+            (Fault::None, Some(place)) => pending.answered = Some((node, place)),
+            _ => pending.request.lose(),
+        }
+    }
+
+    /// Tells a caller that its write did not run, if that is certain.
+    fn refused(&mut self, session: usize) {
+        let pending = self.callers[session].pending.as_ref();
+        let Some(pending) = pending.filter(|pending| pending.request.is_not_run()) else {
+            return;
+        };
+        self.not_run.insert(pending.write);
+        self.callers[session].pending = None;
+    }
+
+    /// Acknowledges the writes that are certain.
+    fn acknowledge(&mut self) {
+        for caller in &mut self.callers {
+            let Some(pending) = caller.pending.as_mut() else {
+                continue;
+            };
+            let Some((node, place)) = pending.answered else {
+                continue;
+            };
+            if self.nodes[node].is_acknowledged(place) {
+                pending.request.answer();
+                caller.session.observe(&group(), place);
+                caller.must_see.insert(pending.write);
+                self.acknowledged.insert(pending.write);
+                caller.pending = None;
+            }
+        }
+    }
+
+    /// Ends the wait for an acknowledgement: the outcome is unknown.
+    fn give_up(&mut self, session: usize) {
+        let pending = &mut self.callers[session].pending;
+        let Some(waiting) = pending else {
+            return;
+        };
+        waiting.request.lose();
+        waiting.answered = None;
+        if !waiting.is_keyed {
+            *pending = None;
+        }
+    }
+
+    /// A session comes without a watermark: it must see what anybody was told.
+    fn arrive(&mut self, session: usize) {
+        self.now += Duration::from_millis(1);
+        self.callers[session] = Caller {
+            session: Session::new(self.now),
+            must_see: self.acknowledged.clone(),
+            pending: None,
+        };
+    }
+
+    /// A session goes on at another node with the watermark of another.
+    fn hand_over(&mut self, from: usize, to: usize) {
+        let Some(watermark) = self.callers[from].session.watermark(&group()) else {
+            return;
+        };
+        let must_see = self.callers[from].must_see.clone();
+        let caller = &mut self.callers[to];
+        caller.session.observe(&group(), watermark);
+        caller.must_see.extend(must_see);
+    }
+
+    /// Reads at one of the servers that may serve the session; `heard` are those
+    /// that answer questions meanwhile.
+    fn read(&mut self, session: usize, node: usize, server: usize, heard: u8) {
+        let answering = (0..3).filter(|one| heard & (1 << one) != 0);
+        let answering: Vec<usize> = answering.collect();
+        let Some(floor) = self.floor(session, &answering) else {
+            return;
+        };
+        if !self.may_serve(node, server, floor) {
+            return;
+        }
+        let visible = self.servers.all[server].writes();
+        let seen = self.servers.all[server].last();
+        for one in answering {
+            self.report(node, one);
+        }
+        if !self.nodes[node].is_acknowledged(seen) {
+            return;
+        }
+        let caller = &mut self.callers[session];
+        let missing: Vec<_> = caller.must_see.difference(&visible).collect();
+        assert!(
+            missing.is_empty(),
+            "the session doesn't see {missing:?} any more"
+        );
+        caller.session.observe(&group(), seen);
+        caller.must_see.extend(&visible);
+        self.shown.extend(visible);
+    }
+
+    /// Returns what a server must hold, by a read index if need be.
+    fn floor(&mut self, session: usize, answering: &[usize]) -> Option<Watermark> {
+        let caller = &mut self.callers[session];
+        if let Floor::Known(watermark) = caller.session.floor(&group()) {
+            return Some(watermark);
+        }
+        let mut index = ReadIndex::new(Acknowledge::Majority, 3);
+        for one in answering {
+            index.add(self.servers.all[*one].status());
+        }
+        let place = index.place()?;
+        caller.session.observe(&group(), place);
+        Some(place)
+    }
+
+    /// Tells whether the node would send a read of this floor to the server.
+    fn may_serve(&self, node: usize, server: usize, floor: Watermark) -> bool {
+        let Some((status, _)) = self.nodes[node].status(&name(server)) else {
+            return false;
+        };
+        let need = if self.nodes[node].primary() == Some(&name(server)) {
+            Need::Primary {
+                watermark: Some(floor),
+            }
+        } else {
+            Need::Replica {
+                watermark: Some(floor),
+                maximum_staleness: Duration::ZERO,
+                patience: Duration::ZERO,
+            }
+        };
+        need.check(status, status.age).is_ok()
+    }
+
+    /// Heals everything and looks at what is left.
+    pub fn end(mut self) {
+        for server in 0..3 {
+            self.servers.all[server].is_cut_off = false;
+        }
+        assert!(self.servers.promote());
+        let primary = self.servers.all.iter().max_by_key(|one| one.last());
+        let primary = primary.expect("there are servers");
+        let writes: Vec<_> = primary.log.iter().filter_map(|entry| entry.write).collect();
+        let distinct = primary.writes();
+        assert_eq!(writes.len(), distinct.len(), "a write ran twice");
+        let lost: Vec<_> = self.acknowledged.difference(&distinct).collect();
+        assert!(lost.is_empty(), "the acknowledged writes {lost:?} are lost");
+        let unshown: Vec<_> = self.shown.difference(&distinct).collect();
+        assert!(unshown.is_empty(), "{unshown:?} were shown and are lost");
+        let false_refusals: Vec<_> = self.not_run.intersection(&distinct).collect();
+        assert!(
+            false_refusals.is_empty(),
+            "{false_refusals:?} ran after all"
+        );
+    }
+}
--- a/crates/agateport-node/src/owner/need.rs
+++ b/crates/agateport-node/src/owner/need.rs
@@ -1,7 +1,6 @@
 //! Checks that a server is what a request needs.
 
 use crate::node::Node;
-use agateport_domain::group::Role;
 use agateport_domain::owner::Policy;
 use agateport_domain::request::{Command, Need, Reason, Refusal};
 use std::time::Duration;
@@ -55,24 +54,6 @@
         .groups
         .update(&command.group, |group| group.status(&command.server));
     let (status, asked) = status.flatten().ok_or(Reason::UpstreamUnreachable)?;
-    let needs_primary = matches!(command.need, Need::Primary { .. });
-    if needs_primary && status.role != Role::Primary {
-        return Err(Reason::NotPrimary.into());
-    }
-    // A superseded primary is behind what the session has seen.
-    let watermark = command.need.watermark();
-    if watermark.is_some_and(|watermark| status.last < watermark) {
-        return Err(Reason::Behind.into());
-    }
-    let Need::Replica {
-        maximum_staleness, ..
-    } = command.need
-    else {
-        return Ok(());
-    };
     let age = status.age.map(|age| age + asked.elapsed());
-    match age {
-        Some(age) if age <= maximum_staleness => Ok(()),
-        _ => Err(Reason::Stale.into()),
-    }
+    Ok(command.need.check(status, age)?)
 }
