--- a/crates/agateport-ctl/src/resolve.rs
+++ b/crates/agateport-ctl/src/resolve.rs
@@ -15,10 +15,12 @@
 ///
 /// [`Error`] if the node gives no answer, or can't tell.
 pub async fn resolve(key: &str, group: &str, node: SocketAddr) -> Result<(), Error> {
-    let outcome = ask(key, group, node).await.map_err(|source| Error::Resolve {
-        key: key.to_owned(),
-        source,
-    })?;
+    let outcome = ask(key, group, node)
+        .await
+        .map_err(|source| Error::Resolve {
+            key: key.to_owned(),
+            source,
+        })?;
     println!("{outcome}");
     Ok(())
 }
--- a/crates/agateport-domain/src/membership/view.rs
+++ b/crates/agateport-domain/src/membership/view.rs
@@ -249,6 +249,20 @@
         }
     }
 
+    /// Takes in that a peer says itself that it is leaving.
+    pub fn set_leaving(&mut self, name: &NodeId, now: Instant) {
+        let Some(entry) = self.entries.get(name) else {
+            return;
+        };
+        let member = Member {
+            state: State::Leaving,
+            ..entry.member.clone()
+        };
+        if member.overrules(&entry.member) {
+            self.put(member, now);
+        }
+    }
+
     /// Overrules what others say of this node.
     fn refute(&mut self, claim: &Member, now: Instant) {
         let mut own = self.own_member();
--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -189,6 +189,14 @@
     action(&mut view)
 }
 
+/// Records that a peer said it is leaving.
+pub fn set_leaving<P>(node: &Node<P>, peer: &NodeId)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    with_view(node, |view| view.set_leaving(peer, Instant::now()));
+}
+
 fn member(vm: Vm) -> Member {
     Member {
         name: vm.name.into(),
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -36,13 +36,22 @@
 /// # Errors
 ///
 /// [`Error`] if the peer is gone or sent what isn't due.
-pub async fn answer<P, E>(node: &Arc<Node<P>>, mut exchange: E, first: Frame) -> Result<(), Error>
+pub async fn answer<P, E>(
+    node: &Arc<Node<P>>,
+    peer: &NodeId,
+    mut exchange: E,
+    first: Frame,
+) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
     match first {
         Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        Frame::Leaving => {
+            membership::set_leaving(node, peer);
+            exchange.send(Frame::Leaving).await
+        }
         Frame::Suspect(group, server) => {
             let verdict = suspicion::judge(node, &group, &server).await;
             exchange.send(Frame::Verdict(verdict)).await
--- a/crates/agateport-node/src/frontend/caller.rs
+++ b/crates/agateport-node/src/frontend/caller.rs
@@ -124,9 +124,11 @@
         loop {
             let limit = self.node.config.idle_in_transaction;
             let message = tokio::select! {
+                // What the caller has sent already goes first.
+                biased;
                 message = self.socket.next() => message,
                 () = self.node.leaving.cancelled(), if self.is_idle() => {
-                    let text = "the node is leaving".to_owned();
+                    let text = "not run: the node is leaving".to_owned();
                     return self.socket.send(postgres::error("FATAL", "57P01", text)).await;
                 }
                 () = sleep(limit), if self.link.is_some() => {
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -47,6 +47,10 @@
             return Attempt::Unknown;
         }
         return match link.receive().await {
+            Ok(Frame::Refused(refusal)) if refusal.reason == Reason::Leaving => {
+                node.metrics.count("retried", "owner_leaving");
+                continue;
+            }
             Ok(Frame::Refused(refusal)) => {
                 node.gates.refuse(&command, &refusal);
                 Attempt::Refused(refusal)
--- a/crates/agateport-node/src/frontend/mod.rs
+++ b/crates/agateport-node/src/frontend/mod.rs
@@ -12,7 +12,7 @@
 mod priority;
 mod read_index;
 mod route;
-mod startup;
+pub mod startup;
 pub mod state;
 mod work;
 
--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -12,6 +12,7 @@
 use pgwire::messages::response::SslResponse;
 use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
 /// A caller's connection.
@@ -32,12 +33,38 @@
     pub secret: i32,
 }
 
-/// Goes through the first messages; none if the caller asks for nothing more.
+/// Callers that may be logging in at once.
+pub const MAXIMUM_LOGINS: usize = 512;
+
+/// Time that a caller gets to log in.
+const LOGIN_LIMIT: Duration = Duration::from_secs(10);
+
+/// Goes through the first messages; none if the caller asks for nothing more,
+/// takes too long, or the node leaves meanwhile.
 ///
 /// # Errors
 ///
 /// [`Error`] if the connection broke or a message can't be read.
 pub async fn negotiate<P>(node: &Arc<Node<P>>, socket: &mut Socket) -> Result<Option<Login>, Error>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let Ok(_place) = node.logins.try_acquire() else {
+        node.metrics.count("login", "too_many");
+        return Ok(None);
+    };
+    let login = timeout(LOGIN_LIMIT, exchange(node, socket));
+    match node.leaving.run_until_cancelled(login).await {
+        Some(Ok(login)) => login,
+        Some(Err(_)) => {
+            node.metrics.count("login", "too_slow");
+            Ok(None)
+        }
+        None => Ok(None),
+    }
+}
+
+async fn exchange<P>(node: &Arc<Node<P>>, socket: &mut Socket) -> Result<Option<Login>, Error>
 where
     P: Policy + Send + Sync + 'static,
 {
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -2,6 +2,7 @@
 
 mod failover;
 mod keys;
+mod operation;
 mod path;
 mod sessions;
 mod support;
--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -8,7 +8,7 @@
 use agateport_domain::bundle::Signed;
 use agateport_domain::owner::Rendezvous;
 use agateport_node::config::Config;
-use agateport_node::node::{Addresses, Node};
+use agateport_node::node::{Addresses, Node, Running};
 use agateport_standin::{group, platform};
 use agateport_wire::platform::{Operation, Platform};
 use ed25519_dalek::SigningKey;
@@ -18,7 +18,9 @@
 use std::path::Path;
 use std::time::Duration;
 use tempfile::TempDir;
+use tokio::task::JoinHandle;
 use tokio_postgres::{Client, NoTls};
+use tokio_util::sync::CancellationToken;
 
 /// Zones of the nodes and servers, in turn.
 const ZONES: [&str; 3] = ["a", "b", "c"];
@@ -28,7 +30,9 @@
     pub platform: platform::Running,
     pub servers: Vec<group::Running>,
     pub nodes: Vec<Addresses>,
-    directory: TempDir,
+    /// What ends each node, and its task.
+    pub tasks: Vec<(CancellationToken, JoinHandle<()>)>,
+    pub directory: TempDir,
 }
 
 fn hex(bytes: &[u8]) -> String {
@@ -36,6 +40,11 @@
     digits.collect::<Vec<_>>().concat()
 }
 
+/// Returns the key of the operator whom all nodes trust.
+pub fn operator() -> SigningKey {
+    SigningKey::from_bytes(&[7; 32])
+}
+
 fn anywhere() -> SocketAddr {
     (Ipv4Addr::LOCALHOST, 0).into()
 }
@@ -44,7 +53,7 @@
     /// Starts `nodes` nodes before one group of three servers.
     pub async fn start(nodes: usize, lag: Duration) -> Self {
         let directory = TempDir::new().unwrap();
-        let operator = SigningKey::from_bytes(&[7; 32]);
+        let operator = operator();
         let public = hex(&operator.verifying_key().to_bytes());
         fs::write(directory.path().join("operator.public"), public).unwrap();
         write_certificates(directory.path(), nodes);
@@ -59,6 +68,7 @@
             platform,
             servers,
             nodes: Vec::new(),
+            tasks: Vec::new(),
             directory,
         };
         deployment.start_nodes(nodes).await;
@@ -76,7 +86,7 @@
                 "name": format!("node-{index}"), "zone": &*zone, "address": addresses.peers,
             }));
             self.nodes.push(addresses);
-            tokio::spawn(running.run());
+            self.tasks.push(spawn(running));
         }
         let url = format!("http://{}/vms", self.platform.admin);
         let client = reqwest::Client::new();
@@ -86,7 +96,8 @@
         }
     }
 
-    fn config(&self, index: usize) -> Config {
+    /// Returns the settings of a node.
+    pub fn config(&self, index: usize) -> Config {
         let directory = self.directory.path().display();
         let text = format!(
             r#"
@@ -115,6 +126,11 @@
 
     /// Connects a caller to a node.
     pub async fn connect(&self, node: usize) -> Client {
+        self.try_connect(node).await.unwrap()
+    }
+
+    /// Connects a caller to a node, which may refuse it.
+    pub async fn try_connect(&self, node: usize) -> Result<Client, tokio_postgres::Error> {
         let address = self.nodes[node].callers;
         let mut config = tokio_postgres::Config::new();
         config
@@ -122,12 +138,19 @@
             .port(address.port())
             .user("test")
             .dbname("ledger");
-        let (client, connection) = config.connect(NoTls).await.unwrap();
+        let (client, connection) = config.connect(NoTls).await?;
         tokio::spawn(connection);
-        client
+        Ok(client)
     }
 }
 
+/// Runs a node; returns what ends it, and its task.
+pub fn spawn(running: Running<Rendezvous>) -> (CancellationToken, JoinHandle<()>) {
+    let draining = running.draining();
+    let task = tokio::spawn(async move { running.run().await.unwrap() });
+    (draining, task)
+}
+
 async fn start_servers(lag: Duration) -> Vec<group::Running> {
     let mut servers: Vec<group::Running> = Vec::new();
     for index in 0..3 {
@@ -145,6 +168,31 @@
 }
 
 async fn roll(platform: &platform::Running, servers: &[group::Running], key: &SigningKey) {
+    let signed = Signed::new(bundle(servers), key);
+    put_in_force(platform, &signed, 1, 0).await;
+}
+
+/// Stores a signed bundle and sets the row, whose version must be `expected`.
+pub async fn put_in_force(
+    platform: &platform::Running,
+    signed: &Signed,
+    version: u64,
+    expected: u64,
+) {
+    let client = Platform::new(platform.address).unwrap();
+    let object = format!("bundle/{}", signed.digest());
+    let bytes = serde_json::to_vec(signed).unwrap();
+    client.put_object(&object, bytes).await.unwrap();
+    let operation = Operation {
+        key: "bundle".to_owned(),
+        expected,
+        value: format!("{version}:{}", signed.digest()),
+    };
+    client.commit(&[operation]).await.unwrap();
+}
+
+/// Returns the text of the first bundle.
+pub fn bundle(servers: &[group::Running]) -> String {
     let mut text = String::from(
         "version = 1\ndefault_priority = \"counter\"\n\
          [[priority]]\nname = \"counter\"\ntarget = \"5s\"\nworth = 1\n\
@@ -159,17 +207,7 @@
         );
         text.push_str(&server);
     }
-    let signed = Signed::new(text, key);
-    let client = Platform::new(platform.address).unwrap();
-    let object = format!("bundle/{}", signed.digest());
-    let bytes = serde_json::to_vec(&signed).unwrap();
-    client.put_object(&object, bytes).await.unwrap();
-    let operation = Operation {
-        key: "bundle".to_owned(),
-        expected: 0,
-        value: format!("1:{}", signed.digest()),
-    };
-    client.commit(&[operation]).await.unwrap();
+    text
 }
 
 /// Waits until the node knows all nodes, the bundle and the group's primary.
