--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -23,6 +23,7 @@
   agatectl status [--json] [--watch] IP:PORT...
   agatectl drain NODE IP:PORT --key FILE
   agatectl verifier
+  agatectl resolve KEY GROUP IP:PORT
 
 Commands:
   check      check a bundle
@@ -35,6 +36,7 @@
   status     show what nodes say of themselves, by their admin addresses
   drain      make a node finish what it does and end
   verifier   read a password from standard input, print what a bundle holds
+  resolve    settle what became of a write's key, at a node's address for callers
 
 Exit codes: 1 file, 2 command line, 3 bundle, 4 another bundle is in force,
 5 no answer and nothing changed, 6 no answer and the bundle may be in force,
@@ -46,6 +48,15 @@
 pub enum Command {
     /// Print the help.
     Help,
+    /// Settle what became of a key.
+    Resolve {
+        /// Name of the key.
+        key: String,
+        /// Group that the write was for.
+        group: String,
+        /// Address for callers of any node.
+        node: SocketAddr,
+    },
     /// Check a bundle.
     Check {
         /// File of the bundle.
@@ -246,6 +257,11 @@
             operators: options.operators,
             threshold: options.threshold.unwrap_or(1),
         },
+        "resolve" => Command::Resolve {
+            key: words.next("KEY")?,
+            group: words.next("GROUP")?,
+            node: words.address()?,
+        },
         "servers" => Command::Servers {
             bundle: words.path("BUNDLE")?,
         },
--- a/crates/agateport-ctl/src/error.rs
+++ b/crates/agateport-ctl/src/error.rs
@@ -69,6 +69,15 @@
     /// A node doesn't carry an order out.
     #[error("the node refused: {0}")]
     Refused(String),
+    /// What became of a key can't be told.
+    #[error("what became of the key {key:?} can't be told")]
+    #[diagnostic(help("ask again, or ask another node: the answer stays the same"))]
+    Resolve {
+        /// Name of the key.
+        key: String,
+        /// What went wrong.
+        source: agateport_wire::Error,
+    },
     /// A node gave no answer.
     #[error("the node at {address} gives no answer")]
     Node {
--- a/crates/agateport-ctl/src/exit_codes.rs
+++ b/crates/agateport-ctl/src/exit_codes.rs
@@ -39,7 +39,9 @@
             Error::Unsettled => Self::Unsettled,
             Error::Bundle(_) => Self::Bundle,
             Error::NotHigher(_) => Self::NotHigher,
-            Error::Node { .. } | Error::Platform(_) | Error::Unread => Self::Unreachable,
+            Error::Node { .. } | Error::Platform(_) | Error::Resolve { .. } | Error::Unread => {
+                Self::Unreachable
+            }
         }
     }
 }
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -6,6 +6,7 @@
 mod exit_codes;
 mod history;
 mod keygen;
+mod resolve;
 mod roll;
 mod show;
 mod sign;
@@ -66,6 +67,7 @@
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
         Command::Verifier => keygen::verifier(),
+        Command::Resolve { key, group, node } => resolve::resolve(&key, &group, node).await,
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
 }
