--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -194,21 +194,7 @@
 where
     P: Policy + Send + Sync + 'static,
 {
-    with_view(node, |view| {
-        let Ok(member) = view.member(peer).cloned() else {
-            return;
-        };
-        let member = Member {
-            state: State::Leaving,
-            incarnation: member.incarnation + 1,
-            ..member
-        };
-        let gossip = Gossip {
-            from: peer.clone(),
-            members: vec![member],
-        };
-        view.merge(gossip, Instant::now());
-    });
+    with_view(node, |view| view.set_leaving(peer, Instant::now()));
 }
 
 fn member(vm: Vm) -> Member {
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -72,6 +72,8 @@
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
     pub sessions: Sharded<SessionId, Session>,
+    /// What the frontend keeps beside the sessions.
+    pub frontend: Arc<frontend::state::State>,
     /// Counters.
     pub metrics: Metrics,
     /// Cancelled when the node takes no new work.
@@ -145,6 +147,7 @@
             gates: Gates::default(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
+            frontend: Arc::default(),
             metrics: Metrics::new(config.statsd)?,
             leaving: CancellationToken::new(),
             stopping: CancellationToken::new(),
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -1,7 +1,11 @@
 //! Tests of several nodes and stand-ins in one process.
 
 mod failover;
+mod keys;
 mod operation;
 mod path;
 mod security;
+mod sessions;
 mod support;
+mod transactions;
+mod transcript;
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -10,6 +10,12 @@
 /// SQLSTATE for a request whose outcome isn't known.
 const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
 
+/// SQLSTATE of a write to a server that isn't the primary.
+const READ_ONLY_TRANSACTION: &str = "25006";
+
+/// Field of an error that holds its SQLSTATE.
+const CODE_FIELD: u8 = b'C';
+
 /// Encodes one message.
 #[must_use]
 pub fn encode(message: &Backend) -> Bytes {
@@ -43,20 +49,25 @@
     error("ERROR", TRANSACTION_RESOLUTION_UNKNOWN, text.to_owned())
 }
 
-/// Returns the SQLSTATE of a refusal: all are of classes that clients retry, but
-/// for a priority that the bundle doesn't know.
+/// Returns the SQLSTATE of a refusal: of a class that clients retry, if another
+/// try may go better.
 #[must_use]
 pub fn sqlstate(reason: Reason) -> &'static str {
     match reason {
         Reason::Flooded | Reason::QueueFull | Reason::TargetMissed => "53300",
-        Reason::UnknownPriority => "22023",
         Reason::UnknownServer => "3D000",
         Reason::NoBundle | Reason::Leaving => "57P03",
         Reason::Behind
+        | Reason::NoReadIndex
         | Reason::NotPrimary
         | Reason::OwnerUnreachable
         | Reason::Stale
+        | Reason::Unsettled
         | Reason::UpstreamUnreachable => "40001",
+        // Classes that no client retries: another try would go no better.
+        Reason::KeyReused | Reason::KeySettled => "23505",
+        Reason::KeyMisplaced => "0A000",
+        Reason::Setting | Reason::UnknownPriority => "22023",
     }
 }
 
@@ -79,3 +90,25 @@
         Transaction::Failed => TransactionStatus::Error,
     }))
 }
+
+/// Tells whether a message is the error of a server that takes no writes.
+#[must_use]
+pub fn is_read_only(message: &Backend) -> bool {
+    let Backend::ErrorResponse(error) = message else {
+        return false;
+    };
+    let mut fields = error.fields.iter();
+    fields.any(|(kind, text)| *kind == CODE_FIELD && text == READ_ONLY_TRANSACTION)
+}
+
+/// Tells whether a message is the last answer to one of the caller's messages.
+#[must_use]
+pub fn is_last_answer(message: &Backend) -> bool {
+    !matches!(
+        message,
+        Backend::DataRow(_)
+            | Backend::NoticeResponse(_)
+            | Backend::ParameterDescription(_)
+            | Backend::ParameterStatus(_)
+    )
+}
