--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -52,8 +52,8 @@
             membership::set_leaving(node, peer);
             exchange.send(Frame::Leaving).await
         }
-        Frame::Suspect(group, server) => {
-            let verdict = suspicion::judge(node, &group, &server).await;
+        Frame::Suspect(server) => {
+            let verdict = suspicion::judge(node, &server).await;
             exchange.send(Frame::Verdict(verdict)).await
         }
         Frame::Probe(gossip) => membership::answer(node, &mut exchange, gossip).await,
