--- a/crates/agateport-domain/tests/history.rs
+++ b/crates/agateport-domain/tests/history.rs
@@ -43,8 +43,8 @@
         2 => session.clone().prop_map(|session| Step::GiveUp { session }),
         2 => (session.clone(), node.clone(), fault())
             .prop_map(|(session, node, fault)| Step::Retry { session, node, fault }),
-        1 => session.clone().prop_map(|session| Step::Arrive { session }),
-        1 => (session.clone(), session).prop_map(|(from, to)| Step::HandOver { from, to }),
+        3 => session.clone().prop_map(|session| Step::Arrive { session }),
+        2 => (session.clone(), session).prop_map(|(from, to)| Step::HandOver { from, to }),
         1 => server.clone().prop_map(|server| Step::CutOff { server }),
         2 => server.prop_map(|server| Step::Rejoin { server }),
         1 => Just(Step::Promote),
--- a/crates/agateport-domain/tests/history/world.rs
+++ b/crates/agateport-domain/tests/history/world.rs
@@ -115,7 +115,7 @@
             must_see: BTreeSet::new(),
             pending: None,
         };
-        Self {
+        let mut world = Self {
             servers: Servers::new(),
             nodes: vec![node(), node()],
             callers: vec![caller(), caller(), caller()],
@@ -126,7 +126,12 @@
             not_run: BTreeSet::new(),
             next_write: 0,
             now,
+        };
+        for server in 0..3 {
+            world.report(0, server);
+            world.report(1, server);
         }
+        world
     }
 
     pub fn take(&mut self, step: Step) {
