--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -23,6 +23,7 @@
   agatectl status [--json] [--watch] IP:PORT...
   agatectl drain NODE IP:PORT --key FILE
   agatectl resolve KEY GROUP IP:PORT
+  agatectl verifier
 
 Commands:
   check      check a bundle
@@ -35,6 +36,7 @@
   status     show what nodes say of themselves, by their admin addresses
   drain      make a node finish what it does and end
   resolve    settle what became of a write's key, at a node's address for callers
+  verifier   read a password from standard input, print what a bundle holds
 
 Exit codes: 1 file, 2 command line, 3 bundle, 4 another bundle is in force,
 5 no answer and nothing changed, 6 no answer and the bundle may be in force,
@@ -122,6 +124,8 @@
         /// File of the operator's private key.
         key: PathBuf,
     },
+    /// Print the verifier of a password.
+    Verifier,
     /// Show the last bundles in force.
     History {
         /// Address of the platform.
@@ -273,6 +277,7 @@
                 watch: options.watch,
             },
         },
+        "verifier" => Command::Verifier,
         other => return Err(Error::Surplus(other.to_owned())),
     };
     Ok(command)
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -67,6 +67,7 @@
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
         Command::Resolve { key, group, node } => resolve::resolve(&key, &group, node).await,
+        Command::Verifier => keygen::verifier(),
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
 }
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -4,6 +4,7 @@
 mod keys;
 mod operation;
 mod path;
+mod security;
 mod sessions;
 mod support;
 mod transactions;
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -66,7 +66,7 @@
     /// What became of a key.
     Settled(Outcome),
     /// Asks whether a server can't be reached from here either.
-    Suspect(GroupId, ServerId),
+    Suspect(ServerId),
     /// Whether the suspected server can't be reached.
     Verdict(bool),
     /// The revision of the bundle in force at the sender; none if it has none.
