--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -22,8 +22,8 @@
   agatectl history --platform IP:PORT
   agatectl status [--json] [--watch] IP:PORT...
   agatectl drain NODE IP:PORT --key FILE
-  agatectl verifier
   agatectl resolve KEY GROUP IP:PORT
+  agatectl verifier
 
 Commands:
   check      check a bundle
@@ -35,8 +35,8 @@
   history    show the last bundles in force
   status     show what nodes say of themselves, by their admin addresses
   drain      make a node finish what it does and end
-  verifier   read a password from standard input, print what a bundle holds
   resolve    settle what became of a write's key, at a node's address for callers
+  verifier   read a password from standard input, print what a bundle holds
 
 Exit codes: 1 file, 2 command line, 3 bundle, 4 another bundle is in force,
 5 no answer and nothing changed, 6 no answer and the bundle may be in force,
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -66,8 +66,8 @@
         } => history::diff(&bundle, platform, json).await,
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
-        Command::Verifier => keygen::verifier(),
         Command::Resolve { key, group, node } => resolve::resolve(&key, &group, node).await,
+        Command::Verifier => keygen::verifier(),
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
 }
