--- /dev/null
+++ b/crates/agateport-node/benches/memory.rs
@@ -0,0 +1,132 @@
+//! Memory of idle callers, and bytes and processor time of an idle node's
+//! control; prints a table.
+//!
+//! The callers are in a process of their own, so that only the node's side of
+//! each connection counts.
+
+mod support;
+
+use mimalloc::MiMalloc;
+use std::fs;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::process::{Command, Stdio};
+use std::time::{Duration, Instant};
+use support::{Deployment, GROUP, node_name, processor_time};
+
+#[global_allocator]
+static ALLOCATOR: MiMalloc = MiMalloc;
+
+/// Argument of the process that holds the callers.
+const CALLERS: &str = "callers";
+
+/// Numbers of idle callers.
+const COUNTS: [u32; 4] = [0, 2_000, 4_000, 8_000];
+
+/// Time over which an idle node's control is watched.
+const WATCH: Duration = Duration::from_secs(3);
+
+/// Version of the PostgreSQL protocol.
+const PROTOCOL: i32 = 196_608;
+
+fn main() {
+    let mut arguments = std::env::args().skip(1);
+    if arguments.next().as_deref() == Some(CALLERS) {
+        let address = arguments.next().and_then(|text| text.parse().ok());
+        hold(address.expect("the address comes first"));
+        return;
+    }
+    let deployment = Deployment::start();
+    let address = deployment.nodes[0].callers;
+    println!("server at {}, node at {address}", deployment.server);
+    watch_control();
+    let program = std::env::current_exe().expect("the program has a path");
+    let mut child = Command::new(program)
+        .args([CALLERS, &address.to_string()])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .spawn()
+        .expect("the program starts again");
+    let mut orders = child.stdin.take().expect("it has an input");
+    let mut answers = BufReader::new(child.stdout.take().expect("it has an output"));
+    let mut before: Option<(u32, u64)> = None;
+    for count in COUNTS {
+        writeln!(orders, "{count}").expect("the callers' process reads");
+        let mut line = String::new();
+        answers
+            .read_line(&mut line)
+            .expect("the callers' process answers");
+        let memory = resident_memory();
+        let each = before.map(|(count_before, memory_before)| {
+            (memory - memory_before) / u64::from(count - count_before)
+        });
+        println!("{count:>6} idle callers: {memory:>10} bytes, {each:?} each more");
+        before = Some((count, memory));
+    }
+    drop(orders);
+    child.wait().expect("the callers' process ends");
+}
+
+/// Opens as many connections as each line says, and keeps them.
+fn hold(address: SocketAddr) {
+    let mut open = Vec::new();
+    for line in std::io::stdin().lines() {
+        let count: usize = line.ok().and_then(|text| text.parse().ok()).unwrap_or(0);
+        while open.len() < count {
+            open.push(log_in(address).expect("the node takes the caller"));
+        }
+        println!("{}", open.len());
+    }
+}
+
+fn log_in(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let mut stream = TcpStream::connect(address)?;
+    let text = format!("user\0bench\0database\0{GROUP}\0\0");
+    let length = i32::try_from(text.len() + 8).unwrap_or(0);
+    stream.write_all(&length.to_be_bytes())?;
+    stream.write_all(&PROTOCOL.to_be_bytes())?;
+    stream.write_all(text.as_bytes())?;
+    let mut header = [0; 5];
+    loop {
+        stream.read_exact(&mut header)?;
+        let length = u32::from_be_bytes([header[1], header[2], header[3], header[4]]);
+        let mut body = vec![0; length as usize - 4];
+        stream.read_exact(&mut body)?;
+        if header[0] == b'Z' {
+            return Ok(stream);
+        }
+    }
+}
+
+/// Prints what an idle node spends for control, callers aside.
+fn watch_control() {
+    let (start, processor, bytes) = (Instant::now(), processor_time(&node_name(0)), loopback());
+    std::thread::sleep(WATCH);
+    let seconds = start.elapsed().as_secs_f64();
+    let spent = processor_time(&node_name(0)).saturating_sub(processor);
+    let share = 100.0 * spent.as_secs_f64() / seconds;
+    let received = loopback().saturating_sub(bytes);
+    println!("idle node, one server: {share:.2}% of a core");
+    println!(
+        "loopback, all processes: {} bytes a second",
+        received / WATCH.as_secs()
+    );
+}
+
+/// Returns the resident memory of the process, in bytes.
+fn resident_memory() -> u64 {
+    let status = fs::read_to_string("/proc/self/status").expect("the process has a status");
+    let line = status.lines().find(|line| line.starts_with("VmRSS:"));
+    let kibibytes = line.and_then(|line| line.split_whitespace().nth(1)?.parse::<u64>().ok());
+    kibibytes.unwrap_or(0) * 1024
+}
+
+/// Returns the bytes that went over loopback since the machine's start.
+fn loopback() -> u64 {
+    let text = fs::read_to_string("/proc/net/dev").expect("the machine has a network");
+    let line = text
+        .lines()
+        .find(|line| line.trim_start().starts_with("lo:"));
+    let received = line.and_then(|line| line.split_whitespace().nth(1)?.parse().ok());
+    received.unwrap_or(0)
+}
