--- a/crates/agateport-domain/benches/slopes.rs
+++ b/crates/agateport-domain/benches/slopes.rs
@@ -213,7 +213,7 @@
 fn filled(count: u32, group: &GroupId) -> Sharded<SessionId, Session> {
     let sessions = Sharded::new();
     for id in 0..u64::from(count) {
-        let mut session = Session::default();
+        let mut session = Session::new(Instant::now());
         session.observe(group, Watermark::default());
         sessions.insert(id, session);
     }
@@ -235,7 +235,7 @@
     let group: GroupId = "ledger-1".into();
     let sessions: Sharded<SessionId, Session> = Sharded::new();
     for id in 0..100_000 {
-        sessions.insert(id, Session::default());
+        sessions.insert(id, Session::new(Instant::now()));
     }
     let mut points = vec![];
     for count in THREADS {
