--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -2,8 +2,12 @@
 
 mod admin;
 mod bundle;
+mod claim;
 mod membership;
-mod status;
+mod promotion;
+pub mod status;
+mod suspicion;
+mod watcher;
 
 use crate::node::Node;
 use crate::owner::upkeep;
@@ -21,8 +25,9 @@
 {
     tokio::spawn(membership::run(Arc::clone(node)));
     tokio::spawn(upkeep::run(Arc::clone(node)));
-    tokio::spawn(bundle::run(Arc::clone(node)));
+    bundle::start(node);
     tokio::spawn(status::run(Arc::clone(node)));
+    tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
 }
 
@@ -41,6 +46,11 @@
         Frame::ProbeFor(target, gossip) => {
             membership::relay(node, &mut exchange, &target, gossip).await
         }
+        Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        Frame::Suspect(group, server) => {
+            let verdict = suspicion::judge(node, &group, &server).await;
+            exchange.send(Frame::Verdict(verdict)).await
+        }
         first => {
             // The peer is of another version.
             tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -1,14 +1,15 @@
 //! One node: the state that its tasks share, its start and its end.
 
-use crate::config::Config;
+use crate::config::{Config, Seed};
 use crate::control;
+use crate::control::status::Interest;
 use crate::error::Error;
 use crate::frontend::{self, gates::Gates};
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
-use agateport_domain::bundle::Bundle;
-use agateport_domain::group::Group;
+use agateport_domain::bundle::{Accepted, Bundle, Force, Spread, Trust};
+use agateport_domain::group::{Group, PromoterId};
 use agateport_domain::membership::View;
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -16,6 +17,8 @@
 use agateport_wire::peer::Endpoint;
 use agateport_wire::platform::Platform;
 use agateport_wire::tls::Identity;
+use rand::SeedableRng;
+use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
 use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -36,7 +39,15 @@
     pub platform: Platform,
     /// Connections to peers.
     pub peers: Peers,
-    /// Bundle in force; none until the first is known.
+    /// Operators whose signatures count.
+    pub trust: Trust,
+    /// What is known of the bundle in force.
+    pub force: Mutex<Force>,
+    /// This node's part in spreading bundles.
+    pub spread: Mutex<Spread>,
+    /// Last bundle taken over; none until the first is known.
+    pub accepted: watch::Sender<Option<Accepted>>,
+    /// Bundle that the node goes by; none until the first is known.
     pub bundle: watch::Sender<Option<Arc<Bundle>>>,
     /// What is known of the other nodes.
     pub view: Mutex<View>,
@@ -46,6 +57,10 @@
     pub reports: watch::Sender<u64>,
     /// What owners say of each priority at their servers.
     pub gates: Gates,
+    /// Who waits for the groups' positions.
+    pub interest: Interest,
+    /// This process's number in the terms that it opens.
+    pub promoter: PromoterId,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
@@ -86,15 +101,29 @@
             rand::random(),
             Instant::now(),
         );
+        let seeds = config.seeds.iter().map(Seed::member).collect();
+        let spread = Spread::new(
+            config.name.clone(),
+            config.zone.clone(),
+            seeds,
+            Pcg64Mcg::from_rng(&mut rand::rng()),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
             peers: Peers::new(endpoint),
+            trust: config.trust()?,
+            force: Mutex::default(),
+            spread: Mutex::new(spread),
+            accepted: watch::Sender::new(None),
             bundle: watch::Sender::new(None),
             view: Mutex::new(view),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
             gates: Gates::default(),
+            interest: Interest::default(),
+            promoter: rand::random(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
             metrics: Metrics::new(config.statsd)?,
--- a/crates/agateport-wire/src/frame.rs
+++ b/crates/agateport-wire/src/frame.rs
@@ -1,7 +1,8 @@
 //! The messages between nodes.
 
 use crate::Error;
-use agateport_domain::id::NodeId;
+use agateport_domain::bundle::Revision;
+use agateport_domain::id::{GroupId, NodeId, ServerId};
 use agateport_domain::membership::Gossip;
 use agateport_domain::request::{Command, Completion, Refusal};
 use bytes::{Bytes, BytesMut};
@@ -53,6 +54,16 @@
     ProbeFor(NodeId, Gossip),
     /// The peer, or the node that it probed, is live.
     Alive(Gossip),
+    /// Asks whether a server can't be reached from here either.
+    Suspect(GroupId, ServerId),
+    /// Whether the suspected server can't be reached.
+    Verdict(bool),
+    /// The revision of the bundle in force at the sender; none if it has none.
+    Revision(Option<Revision>),
+    /// A signed bundle, as `signed` encodes it.
+    Bundle(Bytes),
+    /// The sender takes no new work from now on.
+    Leaving(NodeId),
     /// The first frame of a stream isn't one that this version serves.
     Unsupported,
 }
