--- a/crates/agateport-domain/src/admission/error.rs
+++ b/crates/agateport-domain/src/admission/error.rs
@@ -6,7 +6,7 @@
 #[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
 pub enum Error {
     /// Nothing could ever run.
-    #[error("a queue needs at least one slot and one connection")]
+    #[error("a queue needs at least one slot")]
     NoSlot,
     /// More than the whole is promised.
     #[error("the minimum shares add up to {0} percent")]
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -13,8 +13,9 @@
 struct Running {
     priority: PriorityId,
     since: Instant,
-    /// Slot-seconds that were charged when it started.
-    charged: f64,
+    /// Slot-seconds that its priority's minimum share was charged when it
+    /// started; none if it was its turn anyway.
+    charged: Option<f64>,
 }
 
 /// The queue of one upstream server.
@@ -38,15 +39,15 @@
     ///
     /// # Errors
     ///
-    /// [`Error`] if there is no slot or connection, or if the minimum shares
-    /// are more than the whole.
+    /// [`Error`] if there is no slot, or if the minimum shares are more than the
+    /// whole.
     pub fn new(
         share: Share,
         capacity: usize,
         priorities: &[Priority],
         now: Instant,
     ) -> Result<Self, Error> {
-        if share.slots == 0 || share.connections == 0 {
+        if share.slots == 0 {
             return Err(Error::NoSlot);
         }
         let total = priorities.iter().map(|one| one.minimum_share).sum();
@@ -81,11 +82,15 @@
             .get(&ticket.priority)
             .ok_or(Reason::UnknownPriority)?;
         let held = rank.held.high();
+        if self.connections == 0 {
+            // Nodes that come earlier in the order have all of them.
+            return Err(refuse(Reason::QueueFull, held));
+        }
         if self.is_idle() && self.has_room() {
             if now + rank.held.mean() > ticket.due {
                 return Err(refuse(Reason::TargetMissed, held));
             }
-            self.start(ticket.request, ticket.priority, now);
+            self.start(ticket.request, ticket.priority, false, now);
             return Ok(Offer::Started);
         }
         let wait = self.wait(&ticket);
@@ -140,7 +145,7 @@
         self.grant(now);
         if self.running.len() < self.limit.slots() && self.resuming.is_empty() {
             if let Some(priority) = self.paused.remove(&request) {
-                self.start(request, priority, now);
+                self.start(request, priority, false, now);
             }
             return true;
         }
@@ -156,7 +161,7 @@
         }
         while let Some(request) = self.resuming.pop_front() {
             if let Some(priority) = self.paused.remove(&request) {
-                self.start(request, priority, now);
+                self.start(request, priority, false, now);
                 return Some(Decision::Start(request));
             }
         }
@@ -165,12 +170,13 @@
         }
         let priority = self.choose()?;
         let rank = self.ranks.get_mut(&priority)?;
+        let is_owed = rank.is_owed();
         let ticket = rank.pop()?;
         if now + rank.held.mean() > ticket.due || now >= ticket.due {
             let refusal = refuse(Reason::TargetMissed, rank.held.high());
             return Some(Decision::Refuse(ticket.request, refusal));
         }
-        self.start(ticket.request, priority, now);
+        self.start(ticket.request, priority, is_owed, now);
         Some(Decision::Start(ticket.request))
     }
 
@@ -238,12 +244,12 @@
         self.running.len() < self.limit.slots() && self.held() < self.connections
     }
 
-    fn start(&mut self, request: RequestId, priority: PriorityId, now: Instant) {
-        let slots = to_f64(self.limit.slots());
-        let mut charged = 0.0;
-        if let Some(rank) = self.ranks.get_mut(&priority) {
-            charged = rank.held.mean().as_secs_f64();
-            rank.charge(charged, slots);
+    fn start(&mut self, request: RequestId, priority: PriorityId, is_owed: bool, now: Instant) {
+        let mut charged = None;
+        if let Some(rank) = self.ranks.get_mut(&priority).filter(|_| is_owed) {
+            let expected = rank.held.mean().as_secs_f64();
+            rank.charge(expected);
+            charged = Some(expected);
         }
         let running = Running {
             priority,
@@ -257,10 +263,11 @@
         let running = self.running.remove(&request)?;
         let held = now.saturating_duration_since(running.since);
         self.limit.record(held);
-        let slots = to_f64(self.limit.slots());
         if let Some(rank) = self.ranks.get_mut(&running.priority) {
             rank.held.record(held);
-            rank.charge(held.as_secs_f64() - running.charged, slots);
+            if let Some(charged) = running.charged {
+                rank.charge(held.as_secs_f64() - charged);
+            }
         }
         Some(running.priority)
     }
--- a/crates/agateport-domain/src/admission/rank.rs
+++ b/crates/agateport-domain/src/admission/rank.rs
@@ -82,10 +82,9 @@
         self.credit = (self.credit + rate * elapsed.as_secs_f64()).min(rate * SAVING);
     }
 
-    /// Takes slot-seconds that a request used; negative ones are given back.
-    pub fn charge(&mut self, seconds: f64, slots: f64) {
-        let debt = self.share * slots * SAVING;
-        self.credit = (self.credit - seconds).max(-debt);
+    /// Takes slot-seconds from the minimum share; negative ones are given back.
+    pub fn charge(&mut self, seconds: f64) {
+        self.credit -= seconds;
     }
 
     /// Tells whether it has had less than its minimum share.
--- a/crates/agateport-domain/src/owner/allowance.rs
+++ b/crates/agateport-domain/src/owner/allowance.rs
@@ -7,7 +7,10 @@
 pub const RAISE_DELAY: Duration = Duration::from_secs(5);
 
 /// Percent of the connections that is kept for nodes other than the first.
-const RESERVE_PERCENT: usize = 40;
+const RESERVE_PERCENT: usize = 55;
+
+/// Nodes after the first that share the reserve.
+const BACKUPS: usize = 3;
 
 /// Connections that each node uses for status questions.
 const STATUS_CONNECTIONS: usize = 1;
@@ -20,14 +23,14 @@
 #[must_use]
 pub fn allowance(connections: usize, listed: usize, position: usize) -> usize {
     let pool = connections.saturating_sub(listed * STATUS_CONNECTIONS);
-    let mut rest = pool * RESERVE_PERCENT / 100;
+    let reserve = pool * RESERVE_PERCENT / 100;
     if position == 0 {
-        return pool - rest;
+        return pool - reserve;
     }
-    for _ in 1..position {
-        rest -= rest.div_ceil(2);
+    if position > BACKUPS {
+        return 0;
     }
-    rest.div_ceil(2)
+    reserve / BACKUPS + usize::from(position <= reserve % BACKUPS)
 }
 
 /// Returns an even part of the connections.
--- /dev/null
+++ b/crates/agateport-node/tests/flood/fake.rs
@@ -0,0 +1,474 @@
+//! A small fake of one upstream server and the nodes before it, in paused time.
+//!
+//! The nodes use the same queue, gates, views and owners as the program; only
+//! the wires and the server are fake. Servers don't depend on one another, so
+//! one stands for all.
+
+use crate::profile::{Profile, Rank};
+use agateport_domain::admission::{Decision, Gate, Offer, Queue, Ticket};
+use agateport_domain::membership::{Member, PERIOD, State, View};
+use agateport_domain::owner::{Allowance, Policy};
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Reason, Refusal};
+use rand::{RngExt, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use std::net::{Ipv4Addr, SocketAddr};
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::oneshot;
+use tokio::time::{sleep, timeout_at};
+
+/// Interval in which nodes work out their part of the server.
+const UPKEEP: Duration = Duration::from_millis(250);
+
+/// Time from a caller to its node and back.
+const CALLER_HOP: Duration = Duration::from_millis(3);
+
+/// Time after which an attempt to reach a dead node is given up.
+const UNREACHABLE: Duration = Duration::from_secs(1);
+
+/// How a request ended, as its caller sees it.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Outcome {
+    /// Answered within the target.
+    InTime,
+    /// Answered after the target.
+    Late,
+    /// Refused where it entered.
+    RefusedAtGate,
+    /// Refused by the owner.
+    RefusedByOwner,
+    /// A node died under it.
+    Lost,
+}
+
+/// A place in a queue.
+struct Place {
+    turn: oneshot::Receiver<Result<(), Refusal>>,
+    latest_start: Instant,
+}
+
+/// The upstream server: beyond its slots, all that runs slows down.
+#[derive(Debug, Default)]
+struct Upstream {
+    running: usize,
+    connections: usize,
+    most_connections: usize,
+}
+
+/// One node, as the fake keeps it.
+struct Node {
+    name: NodeId,
+    is_up: bool,
+    view: View,
+    queue: Queue,
+    allowance: Allowance,
+    waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
+    idle: usize,
+    gates: BTreeMap<PriorityId, Gate>,
+}
+
+/// What all tasks share.
+struct Shared {
+    nodes: Vec<Node>,
+    upstream: Upstream,
+    random: Pcg64Mcg,
+    next: RequestId,
+    results: Vec<Sample>,
+}
+
+/// What became of one request.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    /// Index of its priority.
+    pub rank: usize,
+    /// How it ended.
+    pub outcome: Outcome,
+    /// Time that it waited for a slot.
+    pub queued: Duration,
+    /// When it came, from the start.
+    pub at: Duration,
+}
+
+/// The nodes before one server.
+pub struct Fleet<P> {
+    profile: Profile,
+    policy: P,
+    start: Instant,
+    state: Mutex<Shared>,
+}
+
+fn now() -> Instant {
+    tokio::time::Instant::now().into_std()
+}
+
+impl<P: Policy + Send + Sync + 'static> Fleet<P> {
+    /// Starts the nodes of a deployment.
+    pub fn start(profile: Profile, policy: P, seed: u64) -> Arc<Self> {
+        let members: Vec<Member> = (0..profile.nodes)
+            .map(|index| member(&profile, index))
+            .collect();
+        let nodes = members.iter().enumerate().map(|(index, member)| {
+            let mut view = View::new(
+                member.name.clone(),
+                member.zone.clone(),
+                member.address,
+                seed + index as u64,
+                now(),
+            );
+            view.seed(members.clone(), now());
+            let share = policy.share(&member.name, &profile.server(), &view);
+            Node {
+                name: member.name.clone(),
+                is_up: true,
+                view,
+                queue: Queue::new(share, profile.queue, &profile.priorities(), now())
+                    .expect("a node has a slot and a connection"),
+                allowance: Allowance::default(),
+                waiting: BTreeMap::new(),
+                idle: 0,
+                gates: BTreeMap::new(),
+            }
+        });
+        let state = Shared {
+            nodes: nodes.collect(),
+            upstream: Upstream::default(),
+            random: Pcg64Mcg::seed_from_u64(seed),
+            next: 0,
+            results: Vec::new(),
+        };
+        let fleet = Arc::new(Self {
+            profile,
+            policy,
+            start: now(),
+            state: Mutex::new(state),
+        });
+        fleet.upkeep();
+        tokio::spawn(Arc::clone(&fleet).keep_views());
+        tokio::spawn(Arc::clone(&fleet).keep_parts());
+        fleet
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Shared> {
+        self.state.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// Ends a node at once.
+    pub fn kill(&self, index: usize) {
+        let mut state = self.lock();
+        let node = &mut state.nodes[index];
+        node.is_up = false;
+        node.waiting.clear();
+        let open = node.queue.held() + node.idle;
+        node.idle = 0;
+        state.upstream.connections = state.upstream.connections.saturating_sub(open);
+    }
+
+    /// Has a node say that it is leaving.
+    pub fn leave(&self, index: usize) {
+        self.lock().nodes[index].view.leave(now());
+    }
+
+    /// Returns the node that serves the server, as the first live node sees it.
+    pub fn owner(&self) -> Option<usize> {
+        let state = self.lock();
+        let asker = state.nodes.iter().find(|node| node.is_up)?;
+        let server = self.profile.server();
+        let owners = self
+            .policy
+            .owners(&asker.name, &server.name, &server.zone, &asker.view);
+        owners.first().map(number)
+    }
+
+    /// Returns the most connections that the server had at once.
+    pub fn most_connections(&self) -> usize {
+        self.lock().upstream.most_connections
+    }
+
+    /// Returns what became of the requests so far.
+    pub fn results(&self) -> Vec<Sample> {
+        self.lock().results.clone()
+    }
+
+    async fn keep_views(self: Arc<Self>) {
+        loop {
+            sleep(PERIOD).await;
+            for index in 0..self.profile.nodes {
+                probe(&mut self.lock().nodes, index);
+            }
+        }
+    }
+
+    async fn keep_parts(self: Arc<Self>) {
+        loop {
+            sleep(UPKEEP).await;
+            self.upkeep();
+        }
+    }
+
+    fn upkeep(&self) {
+        let server = self.profile.server();
+        let mut state = self.lock();
+        for index in 0..state.nodes.len() {
+            let node = &mut state.nodes[index];
+            let share = self.policy.share(&node.name, &server, &node.view);
+            node.allowance.set(share.connections, true, now());
+            node.queue.set_connections(node.allowance.current());
+            let open = node.queue.held() + node.idle;
+            let excess = open.saturating_sub(node.allowance.current()).min(node.idle);
+            node.idle -= excess;
+            advance(node);
+            state.upstream.connections -= excess;
+        }
+    }
+
+    /// Has callers of one priority come for a while, `rate` a second.
+    pub async fn load(self: Arc<Self>, rank: usize, rate: f64, length: Duration) {
+        let end = now() + length;
+        loop {
+            let (wait, node) = {
+                let mut state = self.lock();
+                let uniform: f64 = state.random.random();
+                let node = state.random.random_range(0..self.profile.nodes);
+                (Duration::from_secs_f64(-(1.0 - uniform).ln() / rate), node)
+            };
+            sleep(wait).await;
+            if now() >= end {
+                return;
+            }
+            // The platform's balancer sends no callers to dead nodes.
+            if self.lock().nodes[node].is_up {
+                tokio::spawn(Arc::clone(&self).request(rank, node));
+            }
+        }
+    }
+
+    async fn request(self: Arc<Self>, rank: usize, frontend: usize) {
+        let came = now();
+        let at = came - self.start;
+        sleep(CALLER_HOP / 2).await;
+        let mut queued = Duration::ZERO;
+        let mut outcome = self.run(rank, frontend, &mut queued).await;
+        sleep(CALLER_HOP / 2).await;
+        let target = self.profile.ranks[rank].target;
+        if outcome == Outcome::InTime && now() - came > target {
+            outcome = Outcome::Late;
+        }
+        let sample = Sample {
+            rank,
+            outcome,
+            queued,
+            at,
+        };
+        self.lock().results.push(sample);
+    }
+
+    async fn run(&self, rank: usize, frontend: usize, queued: &mut Duration) -> Outcome {
+        let priority = self.profile.ranks[rank].name;
+        if self.pass(frontend, priority).is_err() {
+            return Outcome::RefusedAtGate;
+        }
+        for owner in self.owners(frontend) {
+            let hop = self.hop(frontend, owner);
+            if !self.lock().nodes[owner].is_up {
+                sleep(UNREACHABLE).await;
+                continue;
+            }
+            sleep(hop / 2).await;
+            let result = self.own(rank, owner, queued).await;
+            sleep(hop / 2).await;
+            self.learn(frontend, priority, result);
+            return match result {
+                Ok(outcome) => outcome,
+                Err(_) => Outcome::RefusedByOwner,
+            };
+        }
+        Outcome::Lost
+    }
+
+    fn owners(&self, frontend: usize) -> Vec<usize> {
+        let state = self.lock();
+        let node = &state.nodes[frontend];
+        let server = self.profile.server();
+        let owners = self
+            .policy
+            .owners(&node.name, &server.name, &server.zone, &node.view);
+        owners.iter().take(2).map(number).collect()
+    }
+
+    fn hop(&self, from: usize, to: usize) -> Duration {
+        if from == to {
+            return Duration::ZERO;
+        }
+        self.profile.hop
+    }
+
+    fn pass(&self, frontend: usize, priority: &str) -> Result<(), Refusal> {
+        let mut state = self.lock();
+        let Shared { nodes, random, .. } = &mut *state;
+        let gates = &mut nodes[frontend].gates;
+        let gate = gates
+            .entry(priority.into())
+            .or_insert_with(|| Gate::new(now()));
+        gate.pass(now(), random)
+    }
+
+    fn learn(&self, frontend: usize, priority: &str, result: Result<Outcome, Refusal>) {
+        let mut state = self.lock();
+        let gates = &mut state.nodes[frontend].gates;
+        let Some(gate) = gates.get_mut(priority) else {
+            return;
+        };
+        match result {
+            Err(refusal) if refusal.reason != Reason::OwnerUnreachable => gate.refuse(&refusal),
+            _ => gate.accept(),
+        }
+    }
+
+    /// Runs a request at its owner.
+    async fn own(
+        &self,
+        rank: usize,
+        owner: usize,
+        queued: &mut Duration,
+    ) -> Result<Outcome, Refusal> {
+        let began = now();
+        let (request, place) = self.offer(rank, owner)?;
+        if let Some(Place { turn, latest_start }) = place {
+            match timeout_at(latest_start.into(), turn).await {
+                Ok(Ok(turn)) => turn?,
+                Ok(Err(_)) => return Ok(Outcome::Lost),
+                Err(_) => {
+                    self.finish(owner, request);
+                    return Err(Reason::TargetMissed.into());
+                }
+            }
+        }
+        *queued = now() - began;
+        self.connect(owner).await;
+        self.serve(rank).await;
+        if !self.lock().nodes[owner].is_up {
+            return Ok(Outcome::Lost);
+        }
+        self.lock().nodes[owner].idle += 1;
+        self.finish(owner, request);
+        Ok(Outcome::InTime)
+    }
+
+    fn offer(&self, rank: usize, owner: usize) -> Result<(RequestId, Option<Place>), Refusal> {
+        let rank = &self.profile.ranks[rank];
+        let mut state = self.lock();
+        state.next += 1;
+        let request = state.next;
+        let caller = state.random.random_range(0..50u32);
+        let node = &mut state.nodes[owner];
+        let ticket = Ticket {
+            request,
+            priority: rank.name.into(),
+            caller: caller.to_string().into(),
+            due: now() + rank.target.saturating_sub(CALLER_HOP + self.profile.hop),
+        };
+        match node.queue.offer(ticket, now())? {
+            Offer::Started => Ok((request, None)),
+            Offer::Queued {
+                latest_start,
+                evicted,
+            } => {
+                let (sender, turn) = oneshot::channel();
+                node.waiting.insert(request, sender);
+                if let Some((evicted, refusal)) = evicted
+                    && let Some(sender) = node.waiting.remove(&evicted)
+                {
+                    let _ = sender.send(Err(refusal));
+                }
+                advance(node);
+                Ok((request, Some(Place { turn, latest_start })))
+            }
+        }
+    }
+
+    fn finish(&self, owner: usize, request: RequestId) {
+        let mut state = self.lock();
+        let node = &mut state.nodes[owner];
+        node.waiting.remove(&request);
+        node.queue.finish(request, now());
+        advance(node);
+    }
+
+    async fn connect(&self, owner: usize) {
+        {
+            let mut state = self.lock();
+            if state.nodes[owner].idle > 0 {
+                state.nodes[owner].idle -= 1;
+                return;
+            }
+            let upstream = &mut state.upstream;
+            upstream.connections += 1;
+            upstream.most_connections = upstream.most_connections.max(upstream.connections);
+        }
+        sleep(self.profile.connect).await;
+    }
+
+    async fn serve(&self, rank: usize) {
+        let time = {
+            let mut state = self.lock();
+            state.upstream.running += 1;
+            let uniform: f64 = state.random.random();
+            let Rank { service, .. } = self.profile.ranks[rank];
+            let slowdown = self.profile.slowdown(state.upstream.running);
+            service.mul_f64(-(1.0 - uniform).ln()).mul_f64(slowdown)
+        };
+        sleep(time).await;
+        self.lock().upstream.running -= 1;
+    }
+}
+
+/// Hands slots to whom they are due.
+fn advance(node: &mut Node) {
+    while let Some(decision) = node.queue.next(now()) {
+        let (request, turn) = match decision {
+            Decision::Start(request) => (request, Ok(())),
+            Decision::Refuse(request, refusal) => (request, Err(refusal)),
+        };
+        let sender = node.waiting.remove(&request);
+        let is_gone = sender.is_none_or(|sender| sender.send(turn).is_err());
+        if is_gone && turn.is_ok() {
+            node.queue.finish(request, now());
+        }
+    }
+}
+
+/// Lets one node probe another.
+fn probe(nodes: &mut [Node], index: usize) {
+    if !nodes[index].is_up {
+        return;
+    }
+    nodes[index].view.expire(now());
+    let Some(target) = nodes[index].view.next_probe() else {
+        return;
+    };
+    let other = number(&target.name);
+    if !nodes[other].is_up {
+        nodes[index].view.suspect(&target.name, now());
+        return;
+    }
+    let gossip = nodes[index].view.gossip(&target.name);
+    nodes[other].view.merge(gossip, now());
+    let own = nodes[index].name.clone();
+    let answer = nodes[other].view.gossip(&own);
+    nodes[index].view.merge(answer, now());
+}
+
+fn member(profile: &Profile, index: usize) -> Member {
+    let port = 1000 + u16::try_from(index).unwrap_or_default();
+    Member {
+        name: format!("n{index}").into(),
+        zone: format!("zone-{}", index % profile.zones).into(),
+        address: SocketAddr::from((Ipv4Addr::LOCALHOST, port)),
+        state: State::Live,
+        incarnation: 0,
+    }
+}
+
+fn number(name: &NodeId) -> usize {
+    name[1..].parse().unwrap_or_default()
+}
--- /dev/null
+++ b/crates/agateport-node/tests/flood/main.rs
@@ -0,0 +1,125 @@
+//! Scenarios of floods, with nodes that die or leave meanwhile.
+
+mod fake;
+mod profile;
+mod run;
+
+use agateport_domain::owner::Rendezvous;
+use agateport_domain::prelude::*;
+use fake::Fleet;
+use profile::Profile;
+use std::fmt::Write as _;
+use tokio::time::sleep;
+
+/// What happens to nodes in a scenario.
+#[derive(Clone, Debug)]
+enum Fault {
+    Kill(usize),
+    Leave(usize),
+}
+
+/// What a scenario is made of.
+struct Scenario {
+    profile: Profile,
+    parts: [f64; 3],
+    length: Duration,
+    faults: Vec<(Duration, Fault)>,
+}
+
+/// Reads a scenario: one command a line.
+fn parse(text: &str) -> Scenario {
+    let mut scenario = Scenario {
+        profile: Profile::nairobi(),
+        parts: [0.2, 0.25, 0.3],
+        length: Duration::from_secs(10),
+        faults: Vec::new(),
+    };
+    for line in text.lines() {
+        let words = shlex::split(line).expect("the quotes of a command are closed");
+        let words: Vec<&str> = words.iter().map(String::as_str).collect();
+        match words.as_slice() {
+            [] => {}
+            ["deployment", "tallinn"] => scenario.profile = Profile::tallinn(),
+            ["deployment", "nairobi"] => scenario.profile = Profile::nairobi(),
+            ["load", rank, part] => {
+                let names = scenario.profile.ranks.map(|rank| rank.name);
+                let index = names.iter().position(|name| name == rank);
+                let index = index.expect("the priority is known");
+                scenario.parts[index] = part.parse().expect("the part is a number");
+            }
+            ["run", seconds] => scenario.length = time(seconds),
+            [fault, node, "at", seconds] => {
+                let node = node.parse().expect("the node is a number");
+                let fault = match *fault {
+                    "kill" => Fault::Kill(node),
+                    "leave" => Fault::Leave(node),
+                    other => panic!("the fault {other} is unknown"),
+                };
+                scenario.faults.push((time(seconds), fault));
+            }
+            other => panic!("the command {other:?} is unknown"),
+        }
+    }
+    scenario
+}
+
+fn time(seconds: &str) -> Duration {
+    Duration::from_secs(seconds.parse().expect("the time is a number"))
+}
+
+async fn play(text: &str) -> String {
+    let scenario = parse(text);
+    let profile = &scenario.profile;
+    let fleet = Fleet::start(profile.clone(), Rendezvous, 7);
+    let owner_before = fleet.owner();
+    for (at, fault) in scenario.faults {
+        let fleet = Arc::clone(&fleet);
+        tokio::spawn(async move {
+            sleep(at).await;
+            match fault {
+                Fault::Kill(node) => fleet.kill(node),
+                Fault::Leave(node) => fleet.leave(node),
+            }
+        });
+    }
+    run::run(&fleet, profile, scenario.parts, scenario.length).await;
+    let results = fleet.results();
+    let mut report = format!("{}\non {}:\n", text.trim(), profile.name);
+    for (rank, declared) in profile.ranks.iter().enumerate() {
+        let sum = run::sum(&results, profile, rank, Duration::ZERO, scenario.length);
+        writeln!(
+            report,
+            "{}: offered {}, in time {} ({:.1}%, goodput {:.2}), late {}, refused at the gate {}, \
+             by the owner {}, lost {}",
+            declared.name,
+            sum.offered,
+            sum.in_time,
+            sum.percent(),
+            sum.goodput,
+            sum.late,
+            sum.at_gate,
+            sum.by_owner,
+            sum.lost
+        )
+        .expect("a string takes everything");
+    }
+    let owners = (owner_before, fleet.owner());
+    writeln!(report, "owner before and after: {owners:?}").expect("a string takes everything");
+    let connections = fleet.most_connections();
+    assert!(connections + profile.nodes <= profile.connections);
+    writeln!(report, "most connections: {connections}").expect("a string takes everything");
+    report
+}
+
+#[test]
+fn scenarios() {
+    insta::glob!("scenarios/*.txt", |path| {
+        let text = std::fs::read_to_string(path).expect("the scenario can be read");
+        let runtime = tokio::runtime::Builder::new_current_thread()
+            .enable_time()
+            .start_paused(true)
+            .build()
+            .expect("a runtime needs nothing but a thread");
+        insta::assert_snapshot!(runtime.block_on(play(&text)));
+    });
+}
--- /dev/null
+++ b/crates/agateport-node/tests/flood/profile.rs
@@ -0,0 +1,115 @@
+//! The deployments' sizes.
+
+use agateport_domain::bundle::{Priority, Server};
+use agateport_domain::prelude::*;
+use std::net::{Ipv4Addr, SocketAddr};
+
+/// One priority with the time that its requests hold a slot.
+#[derive(Clone, Copy, Debug)]
+pub struct Rank {
+    pub name: &'static str,
+    pub target: Duration,
+    pub worth: u32,
+    pub minimum_share: u32,
+    /// Mean time at the server; the times are distributed exponentially.
+    pub service: Duration,
+}
+
+/// The size of a deployment, as one of its servers sees it.
+#[derive(Clone, Debug)]
+pub struct Profile {
+    pub name: &'static str,
+    pub nodes: usize,
+    pub zones: usize,
+    pub slots: usize,
+    pub connections: usize,
+    /// Time from node to node and back.
+    pub hop: Duration,
+    pub connect: Duration,
+    pub queue: usize,
+    pub ranks: [Rank; 3],
+}
+
+const fn rank(name: &'static str, target: u64, worth: u32, share: u32, service: u64) -> Rank {
+    Rank {
+        name,
+        target: Duration::from_millis(target),
+        worth,
+        minimum_share: share,
+        service: Duration::from_millis(service),
+    }
+}
+
+impl Profile {
+    /// Seven nodes in three zones, three slots and 20 connections a server.
+    pub fn nairobi() -> Self {
+        Self {
+            name: "nairobi",
+            nodes: 7,
+            zones: 3,
+            slots: 3,
+            connections: 20,
+            hop: Duration::from_millis(1),
+            connect: Duration::from_millis(10),
+            queue: 256,
+            ranks: [
+                rank("payment", 250, 100, 20, 10),
+                rank("counter", 500, 20, 20, 10),
+                rank("archive", 5_000, 1, 5, 40),
+            ],
+        }
+    }
+
+    /// Six nodes in four zones, two slots and 30 connections a server.
+    pub fn tallinn() -> Self {
+        Self {
+            name: "tallinn",
+            nodes: 6,
+            zones: 4,
+            slots: 2,
+            connections: 30,
+            hop: Duration::from_micros(1_500),
+            connect: Duration::from_millis(10),
+            queue: 256,
+            ranks: [
+                rank("submission", 500, 100, 20, 20),
+                rank("routine", 1_000, 20, 20, 10),
+                rank("archive", 5_000, 1, 5, 40),
+            ],
+        }
+    }
+
+    /// The server that all nodes are before.
+    pub fn server(&self) -> Server {
+        Server {
+            name: "server".into(),
+            zone: "zone-0".into(),
+            address: SocketAddr::from((Ipv4Addr::LOCALHOST, 1)),
+            slots: self.slots,
+            connections: self.connections,
+        }
+    }
+
+    pub fn priorities(&self) -> Vec<Priority> {
+        let all = self.ranks.iter().map(|rank| Priority {
+            name: rank.name.into(),
+            target: rank.target,
+            worth: rank.worth,
+            minimum_share: rank.minimum_share,
+        });
+        all.collect()
+    }
+
+    /// Returns by how much a statement slows down when `running` run at once.
+    #[expect(clippy::cast_precision_loss, reason = "the numbers are small")]
+    pub fn slowdown(&self, running: usize) -> f64 {
+        (running as f64 / self.slots as f64).max(1.0)
+    }
+
+    /// Returns the requests of a priority a second that fill `part` of the
+    /// server.
+    #[expect(clippy::cast_precision_loss, reason = "the numbers are small")]
+    pub fn rate(&self, rank: usize, part: f64) -> f64 {
+        part * self.slots as f64 / self.ranks[rank].service.as_secs_f64()
+    }
+}
--- /dev/null
+++ b/crates/agateport-node/tests/flood/run.rs
@@ -0,0 +1,82 @@
+//! Runs a load on a fleet and sums up what became of it.
+
+use crate::fake::{Fleet, Outcome, Sample};
+use crate::profile::Profile;
+use agateport_domain::owner::Policy;
+use agateport_domain::prelude::*;
+use tokio::time::sleep;
+
+/// Time before the requests count.
+const WARM_UP: Duration = Duration::from_secs(2);
+
+/// Time that requests get to end.
+const DRAIN: Duration = Duration::from_secs(6);
+
+/// What became of one priority's requests.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Sum {
+    pub offered: usize,
+    pub in_time: usize,
+    pub late: usize,
+    pub at_gate: usize,
+    pub by_owner: usize,
+    pub lost: usize,
+    /// Median time in the queue of those that were served.
+    pub queued: Duration,
+    /// Part of the server that the requests in time filled.
+    pub goodput: f64,
+}
+
+impl Sum {
+    /// Returns the percent of the offered requests that were in time.
+    #[expect(clippy::cast_precision_loss, reason = "the numbers are small")]
+    pub fn percent(&self) -> f64 {
+        100.0 * self.in_time as f64 / self.offered.max(1) as f64
+    }
+}
+
+/// Loads a fleet for `length`, each priority with its part of the capacity.
+pub async fn run<P>(fleet: &Arc<Fleet<P>>, profile: &Profile, parts: [f64; 3], length: Duration)
+where
+    P: Policy + Send + Sync + 'static,
+{
+    for (rank, part) in parts.into_iter().enumerate() {
+        let rate = profile.rate(rank, part);
+        tokio::spawn(Arc::clone(fleet).load(rank, rate, WARM_UP + length));
+    }
+    sleep(WARM_UP + length + DRAIN).await;
+}
+
+/// Sums up the requests of one priority that came between two times, counted
+/// from the end of the warm-up.
+#[expect(clippy::cast_precision_loss, reason = "the numbers are small")]
+pub fn sum(
+    results: &[Sample],
+    profile: &Profile,
+    rank: usize,
+    from: Duration,
+    to: Duration,
+) -> Sum {
+    let mut sum = Sum::default();
+    let mut queued = Vec::new();
+    let between = WARM_UP + from..WARM_UP + to;
+    let samples = results.iter().filter(|sample| sample.rank == rank);
+    for sample in samples.filter(|sample| between.contains(&sample.at)) {
+        sum.offered += 1;
+        match sample.outcome {
+            Outcome::InTime => sum.in_time += 1,
+            Outcome::Late => sum.late += 1,
+            Outcome::RefusedAtGate => sum.at_gate += 1,
+            Outcome::RefusedByOwner => sum.by_owner += 1,
+            Outcome::Lost => sum.lost += 1,
+        }
+        if matches!(sample.outcome, Outcome::InTime | Outcome::Late) {
+            queued.push(sample.queued);
+        }
+    }
+    queued.sort();
+    sum.queued = queued.get(queued.len() / 2).copied().unwrap_or_default();
+    let rate = sum.in_time as f64 / to.saturating_sub(from).as_secs_f64();
+    sum.goodput = rate / profile.rate(rank, 1.0);
+    sum
+}
