--- a/crates/agateport-domain/src/bundle/change.rs
+++ b/crates/agateport-domain/src/bundle/change.rs
@@ -138,7 +138,6 @@
             before.default_priority != after.default_priority,
         ),
         ("priorities", before.priorities != after.priorities),
-        ("priority rules", before.ranks != after.ranks),
         ("read rules", before.reads != after.reads),
         ("write rules", before.writes != after.writes),
         ("users", before.users != after.users),
--- a/crates/agateport-domain/src/bundle/check.rs
+++ b/crates/agateport-domain/src/bundle/check.rs
@@ -1,7 +1,7 @@
 //! Finds all faults of a bundle at once.
 
 use super::place::{self, Step};
-use super::{Bundle, Fault, Group, Priority, Rank, Read, Server, User, Write};
+use super::{Bundle, Fault, Group, Priority, Read, Server, User, Write};
 use serde::de::DeserializeOwned;
 use serde::de::IntoDeserializer;
 use std::collections::BTreeSet;
@@ -24,7 +24,6 @@
     let mut faults = Vec::new();
     parts::<Group>(table, "group", &mut faults);
     parts::<Priority>(table, "priority", &mut faults);
-    parts::<Rank>(table, "rank", &mut faults);
     parts::<Read>(table, "read", &mut faults);
     parts::<User>(table, "user", &mut faults);
     parts::<Write>(table, "write", &mut faults);
@@ -63,7 +62,6 @@
     };
     check.whole(bundle);
     check.priorities(bundle);
-    check.ranks(bundle);
     check.names("read", "table", bundle.reads.iter().map(|one| &*one.table));
     check.names(
         "write",
@@ -104,6 +102,13 @@
         if bundle.groups.is_empty() {
             self.fault("no group is declared", &[]);
         }
+        for (index, rank) in bundle.ranks.iter().enumerate() {
+            if bundle.priority(&rank.priority).is_none() {
+                let message = format!("the priority {} is not declared", rank.priority);
+                let steps = [Step::Key("rank"), Step::Index(index), Step::Key("priority")];
+                self.fault(message, &steps);
+            }
+        }
     }
 
     /// Finds names that are empty or stand twice.
@@ -140,16 +145,6 @@
         }
     }
 
-    fn ranks(&mut self, bundle: &Bundle) {
-        for (index, rank) in bundle.ranks.iter().enumerate() {
-            if bundle.priority(&rank.priority).is_none() {
-                let steps = [Step::Key("rank"), Step::Index(index), Step::Key("priority")];
-                let message = format!("the priority {} is not declared", rank.priority);
-                self.fault(message, &steps);
-            }
-        }
-    }
-
     fn users(&mut self, bundle: &Bundle) {
         for (index, user) in bundle.users.iter().enumerate() {
             if !user.has_verifier() {
--- a/crates/agateport-domain/src/bundle/mod.rs
+++ b/crates/agateport-domain/src/bundle/mod.rs
@@ -53,12 +53,12 @@
     /// Tables with rules for their writes.
     #[serde(default, rename = "write")]
     pub writes: Vec<Write>,
-    /// Rules for the priority of callers that name none.
-    #[serde(default, rename = "rank")]
-    pub ranks: Vec<Rank>,
     /// Callers that may log in; with none, any caller may, without a password.
     #[serde(default, rename = "user")]
     pub users: Vec<User>,
+    /// Rules for the priority of callers that name none.
+    #[serde(default, rename = "rank")]
+    pub ranks: Vec<Rank>,
     /// Limits of queues.
     #[serde(default)]
     pub limits: Limits,
--- a/crates/agateport-node/src/control/mod.rs
+++ b/crates/agateport-node/src/control/mod.rs
@@ -24,8 +24,8 @@
     P: Policy + Send + Sync + 'static,
 {
     tokio::spawn(membership::run(Arc::clone(node)));
-    tokio::spawn(upkeep::run(Arc::clone(node)));
     bundle::start(node);
+    tokio::spawn(upkeep::run(Arc::clone(node)));
     tokio::spawn(status::run(Arc::clone(node)));
     tokio::spawn(promotion::run(Arc::clone(node)));
     tokio::spawn(admin::run(Arc::clone(node), admin));
@@ -36,21 +36,30 @@
 /// # Errors
 ///
 /// [`Error`] if the peer is gone or sent what isn't due.
-pub async fn answer<P, E>(node: &Arc<Node<P>>, mut exchange: E, first: Frame) -> Result<(), Error>
+pub async fn answer<P, E>(
+    node: &Arc<Node<P>>,
+    peer: &NodeId,
+    mut exchange: E,
+    first: Frame,
+) -> Result<(), Error>
 where
     P: Policy + Send + Sync + 'static,
     E: Exchange,
 {
     match first {
-        Frame::Probe(gossip) => membership::answer(node, &mut exchange, gossip).await,
-        Frame::ProbeFor(target, gossip) => {
-            membership::relay(node, &mut exchange, &target, gossip).await
-        }
         Frame::Revision(theirs) => bundle::answer(node, exchange, theirs).await,
+        Frame::Leaving => {
+            membership::set_leaving(node, peer);
+            exchange.send(Frame::Leaving).await
+        }
         Frame::Suspect(group, server) => {
             let verdict = suspicion::judge(node, &group, &server).await;
             exchange.send(Frame::Verdict(verdict)).await
         }
+        Frame::Probe(gossip) => membership::answer(node, &mut exchange, gossip).await,
+        Frame::ProbeFor(target, gossip) => {
+            membership::relay(node, &mut exchange, &target, gossip).await
+        }
         first => {
             // The peer is of another version.
             tracing::warn!(node = %node.config.name, ?first, "a frame is not due");
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -1,7 +1,7 @@
 //! Opens a link to a server's owner and sends it a batch.
 
-use super::pipeline::Work;
 use super::route::{Attempt, Begun};
+use super::work::Work;
 use crate::node::Node;
 use crate::peers;
 use agateport_domain::bundle;
@@ -47,17 +47,21 @@
             return Attempt::Unknown;
         }
         return match link.receive().await {
+            Ok(Frame::Refused(refusal)) if refusal.reason == Reason::Leaving => {
+                node.metrics.count("retried", "owner_leaving");
+                continue;
+            }
             Ok(Frame::Refused(refusal)) => {
                 node.gates.refuse(&command, &refusal);
                 Attempt::Refused(refusal)
             }
             Ok(Frame::Unknown) | Err(_) => Attempt::Unknown,
             Ok(first) => {
-                node.gates.accept(&command);
-                if command.need == Need::Primary {
+                if matches!(command.need, Need::Primary { .. }) {
                     node.groups
                         .update(&command.group, |group| group.set_hint(&command.server));
                 }
+                node.gates.accept(&command);
                 Attempt::Begun(Begun { link, first })
             }
         };
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -3,8 +3,10 @@
 use crate::config::{Config, Seed};
 use crate::control;
 use crate::control::status::Interest;
+use crate::drain;
 use crate::error::Error;
-use crate::frontend::{self, gates::Gates};
+use crate::frontend::gates::Gates;
+use crate::frontend::{self, startup};
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
@@ -24,10 +26,14 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
-use tokio::sync::watch;
+use tokio::sync::{Semaphore, watch};
+use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
+/// Time that peers get to hear that the connections are closed.
+const CLOSE_LIMIT: Duration = Duration::from_millis(500);
+
 /// The state that a node's tasks share.
 #[derive(Debug)]
 pub struct Node<P> {
@@ -55,16 +61,18 @@
     pub groups: Sharded<GroupId, Group>,
     /// Notified when a status of the group came in.
     pub reports: watch::Sender<u64>,
-    /// What owners say of each priority at their servers.
-    pub gates: Gates,
     /// Who waits for the groups' positions.
     pub interest: Interest,
     /// This process's number in the terms that it opens.
     pub promoter: PromoterId,
+    /// What owners say of each priority at their servers.
+    pub gates: Gates,
     /// Servers that this node keeps connections of.
     pub servers: Sharded<ServerId, server::State>,
     /// Callers' sessions.
     pub sessions: Sharded<SessionId, Session>,
+    /// What the frontend keeps beside the sessions.
+    pub frontend: Arc<frontend::state::State>,
     /// Counters.
     pub metrics: Metrics,
     /// Cancelled when the node takes no new work.
@@ -73,6 +81,16 @@
     pub stopping: CancellationToken,
     /// Callers' tasks.
     pub callers: TaskTracker,
+    /// Places for callers that haven't logged in yet.
+    pub logins: Semaphore,
+    /// Streams that this node serves, its own callers' among them.
+    pub streams: TaskTracker,
+    /// Cancelled when an operator orders the node to end.
+    pub draining: CancellationToken,
+    /// Cancelled when no new stream is served any more.
+    pub closing: CancellationToken,
+    /// When the node started.
+    pub started: SystemTime,
     next_id: AtomicU64,
 }
 
@@ -94,13 +112,6 @@
             peers: endpoint.address().map_err(Error::Peers)?,
             admin: admin.local_addr()?,
         };
-        let view = View::new(
-            config.name.clone(),
-            config.zone.clone(),
-            addresses.peers,
-            rand::random(),
-            Instant::now(),
-        );
         let seeds = config.seeds.iter().map(Seed::member).collect();
         let spread = Spread::new(
             config.name.clone(),
@@ -109,6 +120,13 @@
             Pcg64Mcg::from_rng(&mut rand::rng()),
             Instant::now(),
         );
+        let view = View::new(
+            config.name.clone(),
+            config.zone.clone(),
+            addresses.peers,
+            rand::random(),
+            Instant::now(),
+        );
         let node = Arc::new(Self {
             policy,
             platform: Platform::new(config.platform)?,
@@ -121,15 +139,21 @@
             view: Mutex::new(view),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
-            gates: Gates::default(),
             interest: Interest::default(),
             promoter: rand::random(),
+            gates: Gates::default(),
             servers: Sharded::new(),
             sessions: Sharded::new(),
+            frontend: Arc::default(),
             metrics: Metrics::new(config.statsd)?,
             leaving: CancellationToken::new(),
             stopping: CancellationToken::new(),
             callers: TaskTracker::new(),
+            logins: Semaphore::new(startup::MAXIMUM_LOGINS),
+            streams: TaskTracker::new(),
+            draining: CancellationToken::new(),
+            closing: CancellationToken::new(),
+            started: SystemTime::now(),
             next_id: AtomicU64::new(1),
             config,
         });
@@ -176,7 +200,14 @@
         self.addresses
     }
 
-    /// Runs until a signal, then lets requests finish.
+    /// Returns a token that makes the node finish what it does and end.
+    #[must_use]
+    pub fn draining(&self) -> CancellationToken {
+        self.node.draining.clone()
+    }
+
+    /// Runs until a signal or an operator's order, then lets requests finish; a
+    /// second signal ends the node at once.
     ///
     /// # Errors
     ///
@@ -187,18 +218,17 @@
         tokio::select! {
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
+            () = self.node.draining.cancelled() => {}
         }
-        tracing::info!("leaving");
-        self.node.leaving.cancel();
-        self.node.callers.close();
         tokio::select! {
-            () = self.node.callers.wait() => {}
-            () = tokio::time::sleep(self.node.config.drain) => {}
+            () = drain::run(&self.node) => {}
             _ = terminate.recv() => {}
             _ = interrupt.recv() => {}
         }
         self.node.stopping.cancel();
-        self.node.peers.close();
+        // A peer that is gone can't be told.
+        let _ = timeout(CLOSE_LIMIT, self.node.peers.close()).await;
+        tracing::info!(node = %self.node.config.name, "the node has ended");
         Ok(())
     }
 }
--- /dev/null
+++ b/crates/agateport-node/tests/end_to_end/operation.rs
@@ -0,0 +1,292 @@
+//! Bundles rolled out, nodes that come and go, and the platform's outages.
+
+#![expect(
+    clippy::unwrap_used,
+    reason = "a deployment that does not answer fails the test"
+)]
+
+use crate::support::{Deployment, bundle, operator, put_in_force, spawn};
+use agateport_domain::bundle::{Order, Signed};
+use agateport_domain::owner::Rendezvous;
+use agateport_node::node::{Addresses, Node};
+use ed25519_dalek::SigningKey;
+use serde_json::{Value, json};
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering};
+use std::time::{Duration, SystemTime};
+use tokio::time::sleep;
+
+impl Deployment {
+    /// Asks a node for its status; none while it doesn't answer.
+    async fn status(&self, node: usize) -> Option<Value> {
+        let url = format!("http://{}/status", self.nodes[node].admin);
+        reqwest::get(url).await.ok()?.json().await.ok()
+    }
+
+    /// Waits until the status of a node is as wanted.
+    async fn wait(&self, node: usize, is_wanted: impl Fn(&Value) -> bool) {
+        loop {
+            if self
+                .status(node)
+                .await
+                .is_some_and(|status| is_wanted(&status))
+            {
+                return;
+            }
+            sleep(Duration::from_millis(10)).await;
+        }
+    }
+
+    /// Rolls the first bundle again as `version`, changed by `edit`.
+    async fn roll(&self, version: u64, edit: impl Fn(String) -> String) {
+        let text =
+            bundle(&self.servers).replace("version = 1\n", &format!("version = {version}\n"));
+        let signed = Signed::new(edit(text), &operator());
+        put_in_force(&self.platform, &signed, version, version - 1).await;
+    }
+
+    async fn set_platform_fault(&self, fault: Value) {
+        let url = format!("http://{}/faults", self.platform.admin);
+        let client = reqwest::Client::new();
+        client.put(url).json(&fault).send().await.unwrap();
+    }
+
+    /// Lets a node finish and end, and starts it again on its old addresses.
+    async fn restart(&mut self, node: usize) {
+        let (draining, task) = &mut self.tasks[node];
+        draining.cancel();
+        task.await.unwrap();
+        self.start_again(node, "").await;
+    }
+
+    async fn start_again(&mut self, node: usize, more: &str) {
+        let mut config = self.config(node);
+        let Addresses {
+            callers,
+            peers,
+            admin,
+        } = self.nodes[node];
+        (config.callers, config.peers, config.admin) = (callers, peers, admin);
+        let more: toml::Table = toml::from_str(more).unwrap();
+        if let Some(seeds) = more.get("seed") {
+            config.seeds = seeds.clone().try_into().unwrap();
+        }
+        // The node that ended may still be letting go of its addresses.
+        let running = loop {
+            match Node::start(config.clone(), Rendezvous).await {
+                Ok(running) => break running,
+                Err(_) => sleep(Duration::from_millis(10)).await,
+            }
+        };
+        self.tasks[node] = spawn(running);
+    }
+}
+
+fn version(status: &Value) -> u64 {
+    status["bundle"].as_u64().unwrap_or_default()
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_bundle_accepted_just_before_an_outage_spreads() {
+    let deployment = Deployment::start(3, Duration::ZERO).await;
+    deployment.roll(2, |text| text).await;
+    // One node has it from the platform; the others can only have it from it.
+    tokio::select! {
+        () = deployment.wait(0, |status| version(status) == 2) => {}
+        () = deployment.wait(1, |status| version(status) == 2) => {}
+        () = deployment.wait(2, |status| version(status) == 2) => {}
+    }
+    deployment
+        .set_platform_fault(json!({ "outage": true }))
+        .await;
+    for node in 0..3 {
+        deployment.wait(node, |status| version(status) == 2).await;
+    }
+    let status = deployment.status(1).await.unwrap();
+    assert_eq!(status["signers"], json!(["operator"]));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_that_starts_in_an_outage_has_the_bundle_from_a_peer() {
+    let mut deployment = Deployment::start(3, Duration::ZERO).await;
+    deployment
+        .set_platform_fault(json!({ "outage": true }))
+        .await;
+    let (draining, task) = &mut deployment.tasks[2];
+    draining.cancel();
+    task.await.unwrap();
+    let seed = format!(
+        "[[seed]]\nname = \"node-0\"\nzone = \"a\"\naddress = \"{}\"",
+        deployment.nodes[0].peers
+    );
+    deployment.start_again(2, &seed).await;
+    deployment.wait(2, |status| version(status) == 1).await;
+    let caller = deployment.connect(2).await;
+    caller.simple_query("SELECT 1").await.unwrap();
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn an_old_or_unsigned_bundle_is_not_taken_over() {
+    let deployment = Deployment::start(2, Duration::ZERO).await;
+    deployment.roll(2, |text| text).await;
+    deployment.wait(1, |status| version(status) == 2).await;
+    // The row goes back to an old signed bundle.
+    let old = Signed::new(bundle(&deployment.servers), &operator());
+    put_in_force(&deployment.platform, &old, 1, 2).await;
+    let is_outdated = |status: &Value| status["counts"]["bundle.platform_outdated"].is_u64();
+    deployment.wait(0, is_outdated).await;
+    // And on to one that a stranger signed.
+    let text = bundle(&deployment.servers).replace("version = 1\n", "version = 9\n");
+    let foreign = Signed::new(text, &SigningKey::from_bytes(&[9; 32]));
+    put_in_force(&deployment.platform, &foreign, 9, 3).await;
+    deployment
+        .wait(0, |status| status["rejected"].is_object())
+        .await;
+    let status = deployment.status(0).await.unwrap();
+    assert_eq!(version(&status), 2);
+    insta::assert_snapshot!(status["rejected"]["reason"].as_str().unwrap());
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_node_without_a_bundle_refuses_truthfully() {
+    let mut deployment = Deployment::start(1, Duration::ZERO).await;
+    deployment
+        .set_platform_fault(json!({ "outage": true }))
+        .await;
+    let (draining, task) = &mut deployment.tasks[0];
+    draining.cancel();
+    task.await.unwrap();
+    deployment.start_again(0, "").await;
+    let url = format!("http://{}/ready", deployment.nodes[0].admin);
+    let ready = reqwest::get(&url).await.unwrap().status();
+    let error = deployment.try_connect(0).await.err().unwrap();
+    let error = error
+        .as_db_error()
+        .map(|one| (one.code().code().to_owned(), one.message().to_owned()));
+    insta::assert_debug_snapshot!((ready, error));
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn a_new_bundle_cuts_no_transaction() {
+    let deployment = Deployment::start(2, Duration::ZERO).await;
+    let caller = deployment.connect(0).await;
+    let create = "CREATE TABLE stock (id BIGINT PRIMARY KEY)";
+    caller.simple_query(create).await.unwrap();
+    caller.simple_query("BEGIN").await.unwrap();
+    caller
+        .simple_query("INSERT INTO stock VALUES (1)")
+        .await
+        .unwrap();
+    let fewer = |text: String| text.replace("connections = 20", "connections = 3");
+    deployment.roll(2, fewer).await;
+    for node in 0..2 {
+        deployment.wait(node, |status| version(status) == 2).await;
+    }
+    caller
+        .simple_query("INSERT INTO stock VALUES (2)")
+        .await
+        .unwrap();
+    caller.simple_query("COMMIT").await.unwrap();
+    let rows = caller.simple_query("SELECT id FROM stock").await.unwrap();
+    assert_eq!(rows.len(), 4, "a description, two rows and an end");
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn only_an_operator_drains_a_node() {
+    let mut deployment = Deployment::start(1, Duration::ZERO).await;
+    let url = format!("http://{}/drain", deployment.nodes[0].admin);
+    let client = reqwest::Client::new();
+    let order = Order {
+        node: "node-0".into(),
+        issued: SystemTime::now(),
+    };
+    let mut answers = Vec::new();
+    for key in [SigningKey::from_bytes(&[9; 32]), operator()] {
+        let body = serde_json::to_vec(&order.sign(&key)).unwrap();
+        let response = client.post(&url).body(body).send().await.unwrap();
+        answers.push((response.status(), response.text().await.unwrap()));
+    }
+    insta::assert_debug_snapshot!(answers);
+    let (_, task) = &mut deployment.tasks[0];
+    task.await.unwrap();
+}
+
+/// What callers of a node saw while it was restarted.
+#[derive(Default)]
+struct Seen {
+    answered: AtomicUsize,
+    cut: AtomicUsize,
+    is_over: AtomicBool,
+}
+
+/// Runs statements through whatever node takes it until it is over.
+async fn call(nodes: Vec<Addresses>, first: usize, seen: Arc<Seen>) {
+    let mut node = first;
+    while !seen.is_over.load(Ordering::Relaxed) {
+        let address = nodes[node % nodes.len()].callers;
+        node += 1;
+        let mut config = tokio_postgres::Config::new();
+        config
+            .host(address.ip().to_string())
+            .port(address.port())
+            .user("test")
+            .dbname("ledger");
+        // A balancer sends nobody to a node that isn't ready.
+        let Ok((client, connection)) = config.connect(tokio_postgres::NoTls).await else {
+            sleep(Duration::from_millis(5)).await;
+            continue;
+        };
+        let connection = tokio::spawn(connection);
+        let mut is_cut = false;
+        while !seen.is_over.load(Ordering::Relaxed) && !is_cut {
+            match client.simple_query("SELECT id FROM stock").await {
+                Ok(_) => {
+                    seen.answered.fetch_add(1, Ordering::Relaxed);
+                }
+                Err(error) if is_farewell(&error) => break,
+                Err(_) => is_cut = true,
+            }
+        }
+        drop(client);
+        // A connection that ended by the node's farewell had nothing under way.
+        let end = connection.await.unwrap();
+        if is_cut && !end.is_err_and(|error| is_farewell(&error)) {
+            seen.cut.fetch_add(1, Ordering::Relaxed);
+        }
+    }
+}
+
+/// Tells whether the node said that it leaves before it ran the statement.
+fn is_farewell(error: &tokio_postgres::Error) -> bool {
+    let code = error.as_db_error().map(|report| report.code().code());
+    code == Some("57P01")
+}
+
+#[tokio::test(flavor = "multi_thread", worker_threads = 4)]
+async fn a_rolling_restart_cuts_no_request() {
+    let mut deployment = Deployment::start(3, Duration::ZERO).await;
+    let caller = deployment.connect(0).await;
+    let create = "CREATE TABLE stock (id BIGINT PRIMARY KEY)";
+    caller.simple_query(create).await.unwrap();
+    let seen = Arc::new(Seen::default());
+    let callers: Vec<_> = (0..6)
+        .map(|first| tokio::spawn(call(deployment.nodes.clone(), first, Arc::clone(&seen))))
+        .collect();
+    for node in 0..3 {
+        let before = seen.answered.load(Ordering::Relaxed);
+        while seen.answered.load(Ordering::Relaxed) < before + 50 {
+            sleep(Duration::from_millis(5)).await;
+        }
+        deployment.restart(node).await;
+        deployment
+            .wait(node, |status| {
+                version(status) == 1 && status["primaries"]["ledger"].is_string()
+            })
+            .await;
+    }
+    seen.is_over.store(true, Ordering::Relaxed);
+    for caller in callers {
+        caller.await.unwrap();
+    }
+    assert_eq!(seen.cut.load(Ordering::Relaxed), 0);
+}
