--- a/crates/agateport-domain/src/membership/view.rs
+++ b/crates/agateport-domain/src/membership/view.rs
@@ -299,9 +299,11 @@
         Ok(&entry.member)
     }
 
-    /// Returns the members that may get new work, by name.
+    /// Returns the members that may get new work, by name. A suspect is among
+    /// them until it is dead, so that a lost probe moves no owner.
     pub fn live(&self) -> impl Iterator<Item = &Member> {
-        self.known().filter(|member| is_live(member))
+        let is_member = |member: &&Member| matches!(member.state, State::Live | State::Suspect);
+        self.known().filter(is_member)
     }
 
     /// Returns all members, dead ones too, by name.
