admission: a transaction's next statement takes no turn, and estimates fade

Cause: in the dealer-rush profile on nairobi all slots of a primary held statements that waited for a lock whose holder, an open transaction between two statements, waited for one of those slots. Change: the next statement of an open transaction goes on above the slots; an estimate halves each second without a measurement, and an idle server is always tried.

--- a/crates/agateport-domain/src/admission/estimate.rs
+++ b/crates/agateport-domain/src/admission/estimate.rs
@@ -1,6 +1,6 @@
 //! How long requests of a priority hold a slot.
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Weight of a new sample in the mean, as the divisor of a shift-free average.
 const MEAN_WEIGHT: u32 = 16;
@@ -8,6 +8,12 @@
 /// Weight of a new sample in the deviation.
 const DEVIATION_WEIGHT: u32 = 8;
 
+/// Time without a measurement after which an estimate counts half.
+///
+/// Nothing is measured while everything is refused, so an estimate that never
+/// faded could refuse for good what the server has long been able to do.
+const HALF_LIFE: Duration = Duration::from_secs(1);
+
 /// Deviations above the mean that nearly every request stays under.
 const DEVIATIONS: u32 = 2;
 
@@ -16,11 +22,13 @@
 pub struct Estimate {
     mean: Option<Duration>,
     deviation: Duration,
+    measured: Option<Instant>,
 }
 
 impl Estimate {
     /// Takes in a measured time.
-    pub fn record(&mut self, held: Duration) {
+    pub fn record(&mut self, held: Duration, now: Instant) {
+        self.measured = Some(now);
         let Some(mean) = self.mean else {
             self.mean = Some(held);
             self.deviation = held / 2;
@@ -37,10 +45,26 @@
         self.mean.unwrap_or_default()
     }
 
-    /// Returns a time that nearly every request stays under.
+    /// Returns the time to expect at `now`: the mean, which fades with its age.
+    #[must_use]
+    pub fn expected(&self, now: Instant) -> Duration {
+        self.fade(self.mean(), now)
+    }
+
+    /// Returns a time that nearly every request stays under, as far as is known
+    /// at `now`.
     #[must_use]
-    pub fn high(&self) -> Duration {
-        self.mean() + self.deviation * DEVIATIONS
+    pub fn high(&self, now: Instant) -> Duration {
+        self.fade(self.mean() + self.deviation * DEVIATIONS, now)
+    }
+
+    fn fade(&self, time: Duration, now: Instant) -> Duration {
+        let Some(measured) = self.measured else {
+            return time;
+        };
+        let age = now.saturating_duration_since(measured);
+        let halvings = age.div_duration_f64(HALF_LIFE);
+        time.mul_f64((-halvings).exp2())
     }
 }
 
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -5,7 +5,7 @@
 use crate::bundle::Priority;
 use crate::id::{PriorityId, RequestId};
 use crate::request::{Reason, Refusal};
-use std::collections::{BTreeMap, VecDeque};
+use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
 /// A request that holds a slot.
@@ -28,8 +28,6 @@
     running: BTreeMap<RequestId, Running>,
     /// Open transactions between two statements: a connection without a slot.
     paused: BTreeMap<RequestId, PriorityId>,
-    /// Open transactions that wait for a slot again.
-    resuming: VecDeque<RequestId>,
     granted: Instant,
 }
 
@@ -64,7 +62,6 @@
             ranks: ranks.collect(),
             running: BTreeMap::new(),
             paused: BTreeMap::new(),
-            resuming: VecDeque::new(),
             granted: now,
         })
     }
@@ -81,19 +78,20 @@
             .ranks
             .get(&ticket.priority)
             .ok_or(Reason::UnknownPriority)?;
-        let held = rank.held.high();
+        let held = rank.held.high(now);
         if self.connections == 0 {
             // Nodes that come earlier in the order have all of them.
             return Err(refuse(Reason::QueueFull, held));
         }
         if self.is_idle() && self.has_room() {
-            if now + rank.held.mean() > ticket.due {
+            // An idle server is tried whatever was measured of it before.
+            if !self.running.is_empty() && now + rank.held.expected(now) > ticket.due {
                 return Err(refuse(Reason::TargetMissed, held));
             }
             self.start(ticket.request, ticket.priority, false, now);
             return Ok(Offer::Started);
         }
-        let wait = self.wait(&ticket);
+        let wait = self.wait(&ticket, now);
         if now + wait + held > ticket.due {
             return Err(refuse(Reason::TargetMissed, wait));
         }
@@ -121,7 +119,6 @@
     pub fn finish(&mut self, request: RequestId, now: Instant) {
         self.grant(now);
         if self.release(request, now).is_some() || self.paused.remove(&request).is_some() {
-            self.resuming.retain(|one| *one != request);
             return;
         }
         for rank in self.ranks.values_mut() {
@@ -139,18 +136,16 @@
         }
     }
 
-    /// Asks for a slot for the next statement of an open transaction; true if
-    /// it has it at once. It is never refused: it may hold locks.
-    pub fn resume(&mut self, request: RequestId, now: Instant) -> bool {
+    /// Takes a slot for the next statement of an open transaction, above the
+    /// limit if need be.
+    ///
+    /// The transaction may hold locks that the statements in the slots wait
+    /// for: if it waited for one of their slots, none of them would end.
+    pub fn resume(&mut self, request: RequestId, now: Instant) {
         self.grant(now);
-        if self.running.len() < self.limit.slots() && self.resuming.is_empty() {
-            if let Some(priority) = self.paused.remove(&request) {
-                self.start(request, priority, false, now);
-            }
-            return true;
+        if let Some(priority) = self.paused.remove(&request) {
+            self.start(request, priority, false, now);
         }
-        self.resuming.push_back(request);
-        false
     }
 
     /// Decides about the next waiting request, if there is anything to decide.
@@ -159,12 +154,6 @@
         if self.running.len() >= self.limit.slots() {
             return None;
         }
-        while let Some(request) = self.resuming.pop_front() {
-            if let Some(priority) = self.paused.remove(&request) {
-                self.start(request, priority, false, now);
-                return Some(Decision::Start(request));
-            }
-        }
         if !self.has_room() {
             return None;
         }
@@ -172,8 +161,9 @@
         let rank = self.ranks.get_mut(&priority)?;
         let is_owed = rank.is_owed();
         let ticket = rank.pop()?;
-        if now + rank.held.mean() > ticket.due || now >= ticket.due {
-            let refusal = refuse(Reason::TargetMissed, rank.held.high());
+        let is_hopeless = !self.running.is_empty() && now + rank.held.expected(now) > ticket.due;
+        if is_hopeless || now >= ticket.due {
+            let refusal = refuse(Reason::TargetMissed, rank.held.high(now));
             return Some(Decision::Refuse(ticket.request, refusal));
         }
         self.start(ticket.request, priority, is_owed, now);
@@ -202,7 +192,6 @@
         }
         next.running = std::mem::take(&mut self.running);
         next.paused = std::mem::take(&mut self.paused);
-        next.resuming = std::mem::take(&mut self.resuming);
         *self = next;
         Ok(())
     }
@@ -237,7 +226,7 @@
     }
 
     fn is_idle(&self) -> bool {
-        self.resuming.is_empty() && self.ranks.values().all(|rank| rank.len() == 0)
+        self.ranks.values().all(|rank| rank.len() == 0)
     }
 
     fn has_room(&self) -> bool {
@@ -264,7 +253,7 @@
         let held = now.saturating_duration_since(running.since);
         self.limit.record(held);
         if let Some(rank) = self.ranks.get_mut(&running.priority) {
-            rank.held.record(held);
+            rank.held.record(held, now);
             if let Some(charged) = running.charged {
                 rank.charge(held.as_secs_f64() - charged);
             }
@@ -296,16 +285,16 @@
 
     /// Returns the shortest time that a new request has to wait, if all goes
     /// well for it.
-    fn wait(&self, ticket: &Ticket) -> Duration {
+    fn wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         let Some(rank) = self.ranks.get(&ticket.priority) else {
             return Duration::ZERO;
         };
-        let own = work(rank, rank.ahead(&ticket.caller));
+        let own = work(rank, rank.ahead(&ticket.caller), now);
         let others = self
             .ranks
             .iter()
             .filter(|(name, other)| **name != ticket.priority && other.density() > rank.density());
-        let before: Duration = others.map(|(_, other)| work(other, other.len())).sum();
+        let before: Duration = others.map(|(_, other)| work(other, other.len(), now)).sum();
         let slots = to_f64(self.limit.slots());
         let whole = (own + before).div_f64(slots);
         if rank.share() == 0.0 {
@@ -316,8 +305,8 @@
 }
 
 /// Returns how long `count` requests of a priority hold a slot.
-fn work(rank: &Rank, count: usize) -> Duration {
-    rank.held.mean() * u32::try_from(count).unwrap_or(u32::MAX)
+fn work(rank: &Rank, count: usize, now: Instant) -> Duration {
+    rank.held.expected(now) * u32::try_from(count).unwrap_or(u32::MAX)
 }
 
 fn refuse(reason: Reason, wait: Duration) -> Refusal {
--- a/crates/agateport-node/src/owner/lease.rs
+++ b/crates/agateport-node/src/owner/lease.rs
@@ -98,15 +98,11 @@
         });
     }
 
-    /// Waits for a slot for the transaction's next statement.
-    pub async fn resume(&self) {
-        let turn = self.node.servers.update(&self.server, |server| {
-            server.resume(self.request, Instant::now())
+    /// Takes a slot for the transaction's next statement.
+    pub fn resume(&self) {
+        self.node.servers.update(&self.server, |server| {
+            server.resume(self.request, Instant::now());
         });
-        if let Some(turn) = turn {
-            // A queue that is gone lets the statement through: it is sure to end.
-            drop(turn.await);
-        }
     }
 
     /// Gives the connection back for others; it must be idle.
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -144,7 +144,7 @@
         let Frame::Batch(next) = exchange.receive().await? else {
             return Err(Error::Ended);
         };
-        lease.resume().await;
+        lease.resume();
         batch = next;
     }
 }
--- a/crates/agateport-node/src/owner/server.rs
+++ b/crates/agateport-node/src/owner/server.rs
@@ -186,15 +186,9 @@
         self.advance(now);
     }
 
-    /// Asks for a slot for the next statement of an open transaction.
-    pub fn resume(&mut self, request: RequestId, now: Instant) -> oneshot::Receiver<Turn> {
-        let (sender, turn) = oneshot::channel();
-        if self.queue.resume(request, now) {
-            let _ = sender.send(Ok(()));
-        } else {
-            self.waiting.insert(request, sender);
-        }
-        turn
+    /// Takes a slot for the next statement of an open transaction.
+    pub fn resume(&mut self, request: RequestId, now: Instant) {
+        self.queue.resume(request, now);
     }
 
     fn advance(&mut self, now: Instant) {
