--- a/crates/agateport-domain/benches/slopes.rs
+++ b/crates/agateport-domain/benches/slopes.rs
@@ -3,7 +3,7 @@
 
 use agateport_domain::bundle::Bundle;
 use agateport_domain::membership::{Member, State, View};
-use agateport_domain::owner::{Policy, Rendezvous};
+use agateport_domain::owner::{Order, Policy, Rendezvous};
 use agateport_domain::prelude::*;
 use agateport_domain::session::Session;
 use std::fmt::Write;
@@ -171,7 +171,8 @@
 }
 
 fn owners() {
-    let mut points = vec![];
+    let (mut points, mut kept) = (vec![], vec![]);
+    let order = Order::default();
     for count in MEMBERS {
         let view = full_view(count);
         let (asker, server, zone): (NodeId, ServerId, Zone) =
@@ -180,8 +181,13 @@
             black_box(Rendezvous.owners(&asker, &server, &zone, &view));
         });
         points.push(point(count, 1e6 * time.as_secs_f64()));
+        let time = fastest(|| {
+            black_box(order.owners(&Rendezvous, &asker, &server, &zone, &view));
+        });
+        kept.push(point(count, 1e6 * time.as_secs_f64()));
     }
     print("owners of one server", "us", "members", &points);
+    print("owners of one server, kept", "us", "members", &kept);
 }
 
 fn view() {
--- a/crates/agateport-domain/src/membership/mod.rs
+++ b/crates/agateport-domain/src/membership/mod.rs
@@ -10,7 +10,7 @@
 
 pub use error::Error;
 pub use member::{Gossip, Incarnation, Member, State};
-pub use view::View;
+pub use view::{Revision, View};
 
 use std::time::Duration;
 
--- a/crates/agateport-domain/src/membership/view.rs
+++ b/crates/agateport-domain/src/membership/view.rs
@@ -45,8 +45,12 @@
     /// Last member that filled up a message.
     filler: Option<NodeId>,
     random: Pcg64Mcg,
+    revision: Revision,
 }
 
+/// Number of changes of the members that may get new work.
+pub type Revision = u64;
+
 impl View {
     /// Creates a view of the node itself only.
     #[must_use]
@@ -65,6 +69,7 @@
             round: Vec::new(),
             filler: None,
             random: Pcg64Mcg::seed_from_u64(seed),
+            revision: 0,
         };
         view.put(member, now);
         view
@@ -285,7 +290,20 @@
             spread: doublings * SPREAD,
             member,
         };
-        self.entries.insert(entry.member.name.clone(), entry);
+        let zone = |member: &Member| may_work(member).then(|| member.zone.clone());
+        let after = zone(&entry.member);
+        let known = self.entries.insert(entry.member.name.clone(), entry);
+        let before = known.and_then(|known| zone(&known.member));
+        if before != after {
+            self.revision += 1;
+        }
+    }
+
+    /// Returns the number of changes of the members that may get new work, so
+    /// that what follows from them needn't be worked out anew.
+    #[must_use]
+    pub fn revision(&self) -> Revision {
+        self.revision
     }
 
     /// Returns one member.
@@ -302,8 +320,7 @@
     /// Returns the members that may get new work, by name. A suspect is among
     /// them until it is dead, so that a lost probe moves no owner.
     pub fn live(&self) -> impl Iterator<Item = &Member> {
-        let is_member = |member: &&Member| matches!(member.state, State::Live | State::Suspect);
-        self.known().filter(is_member)
+        self.known().filter(|member| may_work(member))
     }
 
     /// Returns all members, dead ones too, by name.
@@ -318,6 +335,10 @@
     }
 }
 
+fn may_work(member: &Member) -> bool {
+    matches!(member.state, State::Live | State::Suspect)
+}
+
 fn is_live(member: &Member) -> bool {
     member.state == State::Live
 }
--- a/crates/agateport-domain/src/owner/mod.rs
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -5,10 +5,12 @@
 
 mod allowance;
 mod even;
+mod order;
 mod rendezvous;
 
 pub use allowance::{Allowance, RAISE_DELAY, allowance, even_part};
 pub use even::Even;
+pub use order::Order;
 pub use rendezvous::Rendezvous;
 
 use crate::admission::Share;
--- a/crates/agateport-domain/tests/membership.rs
+++ b/crates/agateport-domain/tests/membership.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "a wrong fixture fails the test")]
 
 use agateport_domain::membership::{Member, PERIOD, State, View};
-use agateport_domain::owner::{Policy, Rendezvous, allowance, even_part};
+use agateport_domain::owner::{Order, Policy, Rendezvous, allowance, even_part};
 use agateport_domain::prelude::*;
 use proptest::prelude::*;
 use std::net::{Ipv4Addr, SocketAddr};
@@ -231,6 +231,7 @@
 #[test]
 fn owners_of_a_server_as_nodes_die() {
     let mut net = Net::new(6);
+    let order = Order::default();
     let mut transcript = Vec::new();
     for dead in [None, Some(0), Some(3), Some(1)] {
         if let Some(dead) = dead {
@@ -240,7 +241,10 @@
         for server in ["ledger-1-1", "ledger-1-2", "ledger-1-3"] {
             let zone = ZONES[usize::from(server.as_bytes()[9] - b'1')];
             let (server, zone) = (ServerId::from(server), Zone::from(zone));
-            let owners = Rendezvous.owners(&name(5), &server, &zone, &net.views[5]);
+            let view = &net.views[5];
+            let owners = Rendezvous.owners(&name(5), &server, &zone, view);
+            let kept = order.owners(&Rendezvous, &name(5), &server, &zone, view);
+            assert_eq!(owners, *kept);
             transcript.push(format!(
                 "dead {dead:?}: {server} {zone}: {}",
                 owners.join(" ")
--- a/crates/agateport-node/src/control/watcher.rs
+++ b/crates/agateport-node/src/control/watcher.rs
@@ -12,16 +12,12 @@
 where
     P: Policy + Send + Sync + 'static,
 {
-    let view = node.view.lock().unwrap_or_else(PoisonError::into_inner);
     let mut watchers: Vec<NodeId> = Vec::new();
     for server in &group.servers {
-        let owners = node
-            .policy
-            .owners(&node.config.name, &server.name, &server.zone, &view);
-        if let Some(owner) = owners.into_iter().next()
-            && !watchers.contains(&owner)
+        if let Some(owner) = node.owners(server).first()
+            && !watchers.contains(owner)
         {
-            watchers.push(owner);
+            watchers.push(owner.clone());
         }
     }
     watchers
--- a/crates/agateport-node/src/frontend/forward.rs
+++ b/crates/agateport-node/src/frontend/forward.rs
@@ -25,16 +25,8 @@
         node.metrics.count("gate_refused", &command.priority);
         return Attempt::Refused(refusal);
     }
-    let owners = {
-        let view = node
-            .view
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        node.policy
-            .owners(&node.config.name, &server.name, &server.zone, &view)
-    };
-    for owner in owners.into_iter().take(2) {
-        let Ok(mut link) = peers::link(node, &owner).await else {
+    for owner in node.owners(server).iter().take(2) {
+        let Ok(mut link) = peers::link(node, owner).await else {
             node.metrics.count("retried", "owner_unreachable");
             continue;
         };
--- a/crates/agateport-node/src/frontend/read_index.rs
+++ b/crates/agateport-node/src/frontend/read_index.rs
@@ -149,16 +149,8 @@
 where
     P: Policy + Send + Sync + 'static,
 {
-    let owners = {
-        let view = node
-            .view
-            .lock()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
-        node.policy
-            .owners(&node.config.name, &server.name, &server.zone, &view)
-    };
-    for owner in owners.into_iter().take(2) {
-        let Ok(mut link) = peers::link(node, &owner).await else {
+    for owner in node.owners(server).iter().take(2) {
+        let Ok(mut link) = peers::link(node, owner).await else {
             continue;
         };
         let question = Frame::Locate(group.clone(), server.name.clone());
--- a/crates/agateport-node/src/node.rs
+++ b/crates/agateport-node/src/node.rs
@@ -10,10 +10,10 @@
 use crate::metrics::Metrics;
 use crate::owner::server;
 use crate::peers::{self, Peers};
-use agateport_domain::bundle::{Accepted, Bundle, Force, Spread, Trust};
+use agateport_domain::bundle::{self, Accepted, Bundle, Force, Spread, Trust};
 use agateport_domain::group::{Group, PromoterId};
 use agateport_domain::membership::View;
-use agateport_domain::owner::Policy;
+use agateport_domain::owner::{Order, Policy};
 use agateport_domain::prelude::*;
 use agateport_domain::session::Session;
 use agateport_wire::peer::Endpoint;
@@ -23,8 +23,8 @@
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
 use std::net::SocketAddr;
-use std::sync::Mutex;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{Mutex, PoisonError};
 use tokio::net::TcpListener;
 use tokio::signal::unix::{SignalKind, signal};
 use tokio::sync::{Semaphore, watch};
@@ -58,6 +58,8 @@
     pub bundle: watch::Sender<Option<Arc<Bundle>>>,
     /// What is known of the other nodes.
     pub view: Mutex<View>,
+    /// Owners of each server, as the view has them.
+    pub order: Order,
     /// What is known of the groups.
     pub groups: Sharded<GroupId, Group>,
     /// Notified when a status of the group came in.
@@ -140,6 +142,7 @@
             accepted: watch::Sender::new(None),
             bundle: watch::Sender::new(None),
             view: Mutex::new(view),
+            order: Order::default(),
             groups: Sharded::new(),
             reports: watch::Sender::new(0),
             interest: Interest::default(),
@@ -173,6 +176,14 @@
         self.next_id.fetch_add(1, Ordering::Relaxed)
     }
 
+    /// Returns the first nodes that may serve `server`, the preferred one first.
+    pub fn owners(&self, server: &bundle::Server) -> Arc<[NodeId]> {
+        let view = self.view.lock().unwrap_or_else(PoisonError::into_inner);
+        let (name, zone) = (&server.name, &server.zone);
+        self.order
+            .owners(&self.policy, &self.config.name, name, zone, &view)
+    }
+
     /// Returns the bundle in force.
     pub fn bundle(&self) -> Option<Arc<Bundle>> {
         self.bundle.borrow().clone()
