membership: a few nodes of each zone read the platform's list

Change: only the readers of a zone do, and a node that knows nobody yet; others hear of changes by gossip.

--- a/crates/agateport-node/src/control/membership.rs
+++ b/crates/agateport-node/src/control/membership.rs
@@ -1,6 +1,8 @@
 //! Keeps the view of the other nodes.
 
+use crate::config::Config;
 use crate::node::Node;
+use agateport_domain::bundle::spread::readers;
 use agateport_domain::membership::{Gossip, Member, PERIOD, PROBE_TIMEOUT, State, View};
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
@@ -26,23 +28,32 @@
     let _ = stopping.run_until_cancelled(tasks).await;
 }
 
-/// Reads the platform's list of VMs again and again.
+/// Reads the platform's list of VMs again and again, while it is this node's
+/// part to do so.
 async fn read_list<P>(node: &Node<P>)
 where
     P: Policy + Send + Sync + 'static,
 {
     loop {
-        match node.platform.vms().await {
-            Ok(vms) => {
-                let members = vms.into_iter().map(member);
-                with_view(node, |view| view.seed(members, Instant::now()));
+        if with_view(node, |view| reads_list(view, &node.config)) {
+            match node.platform.vms().await {
+                Ok(vms) => {
+                    let members = vms.into_iter().map(member);
+                    with_view(node, |view| view.seed(members, Instant::now()));
+                }
+                Err(error) => tracing::debug!(%error, "the list of VMs can't be read"),
             }
-            Err(error) => tracing::debug!(%error, "the list of VMs can't be read"),
         }
         sleep(LIST_INTERVAL).await;
     }
 }
 
+/// Tells whether this node reads the list: the readers of its zone do, and one
+/// that knows nobody yet. The others hear of changes from them.
+fn reads_list(view: &View, config: &Config) -> bool {
+    !view.is_listed() || readers(view, &config.zone).contains(&config.name)
+}
+
 /// Probes one member a period.
 async fn probe<P>(node: &Arc<Node<P>>)
 where
