group: an answer tells how far its server's log goes

Cause: a session's next write at the primary needs a server that holds its last one, which the owner learned only from the next status, 5 ms later, unless it had waited for a majority anyway. Change: the owner takes the place that an answer reports into what it knows of the server, at the server's own term.

--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -153,6 +153,16 @@
         }
     }
 
+    /// Records that an answer of `server` reflected its log up to `seen`.
+    pub fn advance(&mut self, server: &ServerId, seen: Watermark) {
+        let Some(Some(report)) = self.reports.get_mut(server) else {
+            return;
+        };
+        if report.status.term == seen.term {
+            report.status.last = report.status.last.max(seen);
+        }
+    }
+
     /// Records that `server` served as the primary.
     pub fn set_hint(&mut self, server: &ServerId) {
         if self.reports.contains_key(server) {
--- a/crates/agateport-node/src/owner/serve.rs
+++ b/crates/agateport-node/src/owner/serve.rs
@@ -185,6 +185,9 @@
     let Some(seen) = tail.completion.seen else {
         return send(exchange, tail).await;
     };
+    // The session's next request needs this place: no question is due for it.
+    node.groups
+        .update(&command.group, |group| group.advance(&command.server, seen));
     let due = Instant::now() + command.target;
     if acknowledge::wait(node, &command.group, seen, due).await {
         return send(exchange, tail).await;
