--- a/crates/agateport-node/src/frontend/startup.rs
+++ b/crates/agateport-node/src/frontend/startup.rs
@@ -10,7 +10,7 @@
 use agateport_wire::secure::Stream;
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::SslNegotiationMetaMessage;
-use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, Startup};
+use pgwire::messages::startup::{BackendKeyData, Startup};
 use tokio::time::timeout;
 use tokio_util::codec::Framed;
 
@@ -171,22 +171,9 @@
 }
 
 async fn greet(socket: &mut Socket, key: BackendKeyData) -> Result<(), Error> {
-    socket
-        .feed(Backend::Authentication(Authentication::Ok))
-        .await?;
-    let parameters = [
-        ("server_version", "16.0"),
-        ("server_encoding", "UTF8"),
-        ("client_encoding", "UTF8"),
-        ("DateStyle", "ISO, MDY"),
-        ("integer_datetimes", "on"),
-        ("standard_conforming_strings", "on"),
-    ];
-    for (name, value) in parameters {
-        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
-        socket.feed(Backend::ParameterStatus(status)).await?;
+    for message in postgres::greeting(key) {
+        socket.feed(message).await?;
     }
-    socket.feed(Backend::BackendKeyData(key)).await?;
     let ready = postgres::ready(session::Transaction::Idle);
     socket.send(ready).await
 }
--- a/crates/agateport-standin/src/group/session.rs
+++ b/crates/agateport-standin/src/group/session.rs
@@ -13,7 +13,7 @@
 use futures::{SinkExt, StreamExt};
 use pgwire::messages::SslNegotiationMetaMessage;
 use pgwire::messages::response::SslResponse;
-use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus, SecretKey};
+use pgwire::messages::startup::{BackendKeyData, ParameterStatus, SecretKey};
 use std::sync::Arc;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::task::JoinSet;
@@ -86,23 +86,10 @@
     }
 
     async fn greet(&mut self) -> Result<(), agateport_wire::Error> {
-        self.socket
-            .feed(Backend::Authentication(Authentication::Ok))
-            .await?;
-        let parameters = [
-            ("server_version", "16.0"),
-            ("server_encoding", "UTF8"),
-            ("client_encoding", "UTF8"),
-            ("DateStyle", "ISO, MDY"),
-            ("integer_datetimes", "on"),
-            ("standard_conforming_strings", "on"),
-        ];
-        for (name, value) in parameters {
-            let status = ParameterStatus::new(name.to_owned(), value.to_owned());
-            self.socket.feed(Backend::ParameterStatus(status)).await?;
-        }
         let key = BackendKeyData::new(1, SecretKey::I32(0));
-        self.socket.feed(Backend::BackendKeyData(key)).await?;
+        for message in postgres::greeting(key) {
+            self.socket.feed(message).await?;
+        }
         self.ready().await
     }
 
--- a/crates/agateport-wire/src/postgres/convert.rs
+++ b/crates/agateport-wire/src/postgres/convert.rs
@@ -6,6 +6,7 @@
 use bytes::{Bytes, BytesMut};
 use pgwire::error::ErrorInfo;
 use pgwire::messages::response::{ErrorResponse, ReadyForQuery, TransactionStatus};
+use pgwire::messages::startup::{Authentication, BackendKeyData, ParameterStatus};
 
 /// SQLSTATE for a request whose outcome isn't known.
 const TRANSACTION_RESOLUTION_UNKNOWN: &str = "08007";
@@ -112,3 +113,24 @@
             | Backend::ParameterStatus(_)
     )
 }
+
+/// Builds the messages that follow a login, up to the first end of an answer.
+#[must_use]
+pub fn greeting(key: BackendKeyData) -> Vec<Backend> {
+    let parameters = [
+        ("server_version", "16.0"),
+        ("server_encoding", "UTF8"),
+        ("client_encoding", "UTF8"),
+        ("DateStyle", "ISO, MDY"),
+        ("integer_datetimes", "on"),
+        ("standard_conforming_strings", "on"),
+    ];
+    let parameters = parameters.map(|(name, value)| {
+        let status = ParameterStatus::new(name.to_owned(), value.to_owned());
+        Backend::ParameterStatus(status)
+    });
+    let mut messages = vec![Backend::Authentication(Authentication::Ok)];
+    messages.extend(parameters);
+    messages.push(Backend::BackendKeyData(key));
+    messages
+}
--- a/crates/agateport-wire/src/postgres/mod.rs
+++ b/crates/agateport-wire/src/postgres/mod.rs
@@ -8,7 +8,8 @@
 
 pub use codec::{Client, Phase, Server};
 pub use convert::{
-    encode, error, is_last_answer, is_read_only, ready, refusal, sqlstate, transaction, unknown,
+    encode, error, greeting, is_last_answer, is_read_only, ready, refusal, sqlstate, transaction,
+    unknown,
 };
 pub use pgwire::messages::{PgWireBackendMessage as Backend, PgWireFrontendMessage as Frontend};
 pub use upstream::Upstream;
