--- /dev/null
+++ b/crates/agateport-domain/src/group/grant.rs
@@ -0,0 +1,46 @@
+//! Proof that a group's primary is the only one.
+
+use crate::id::Uptime;
+use std::time::Duration;
+
+/// Time for which an answer of the store proves that no other primary acts,
+/// counted from when the store was asked.
+///
+/// A handover waits this long after it was recorded. Three reads of the store
+/// fit into it, so that one slow or lost answer doesn't end the proof.
+pub const TERM: Duration = Duration::from_millis(1_500);
+
+/// The moment up to which a primary is known to be the only one.
+///
+/// There are two proofs. The store's record, when it names no other primary,
+/// holds for [`TERM`] from the question on, since whoever changes the record
+/// waits that long before acting on it. The answers of all other servers of the
+/// group that they are replicas hold up to the question, and no further.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Grant {
+    until: Uptime,
+}
+
+impl Grant {
+    /// Takes in that the store, asked at `asked`, names this primary.
+    pub fn renew(&mut self, asked: Uptime) {
+        self.until = self.until.max(asked + TERM);
+    }
+
+    /// Takes in that all other servers, asked at `asked`, are replicas.
+    pub fn observe(&mut self, asked: Uptime) {
+        self.until = self.until.max(asked);
+    }
+
+    /// Tells whether the primary was the only one at `moment`.
+    #[must_use]
+    pub fn covers(&self, moment: Uptime) -> bool {
+        moment < self.until
+    }
+
+    /// Returns the moment up to which the proof holds.
+    #[must_use]
+    pub fn until(&self) -> Uptime {
+        self.until
+    }
+}
--- /dev/null
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -0,0 +1,133 @@
+//! Who is to be a group's primary, and the steps of a change.
+//!
+//! The record of a change is written before the change: every node then stops
+//! using the former primary within a grant's term, and a holder of the duty that
+//! ends half way is followed by another one that goes on from the record.
+
+use super::grant::TERM;
+use crate::id::{Fence, ServerId, Uptime};
+use crate::session::Watermark;
+use serde::{Deserialize, Serialize};
+use std::time::Duration;
+
+/// Time after which an order to promote that showed no effect is given again.
+///
+/// Above the second that the platform takes for a promotion.
+const REPEAT: Duration = Duration::from_millis(1_500);
+
+/// Time that a recorded candidate gets before another one takes its place.
+const CANDIDATE_PATIENCE: Duration = Duration::from_secs(4);
+
+/// The record of a group's primary.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Reign {
+    /// Server that is, or is to be, the primary.
+    pub primary: ServerId,
+    /// Duty under which it was recorded.
+    pub fence: Fence,
+    /// Whether every grant of the former primary has lapsed.
+    pub is_settled: bool,
+}
+
+/// What a node knows of a server that may lead its group.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Candidate {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Last entry of its log, if it answered.
+    pub last: Option<Watermark>,
+    /// Whether it says that it is the primary.
+    pub is_primary: bool,
+    /// Whether it is about to leave.
+    pub is_leaving: bool,
+}
+
+/// What the holder of the duty knows of a group.
+#[derive(Clone, Debug)]
+pub struct Situation<'a> {
+    /// The record, and when this node first saw it.
+    pub reign: Option<(&'a Reign, Uptime)>,
+    /// Servers of the group that are registered.
+    pub candidates: &'a [Candidate],
+    /// Whether most nodes can't reach the primary.
+    pub is_lost: bool,
+    /// Whether the former primary has confirmed that it takes no more writes.
+    pub is_demoted: bool,
+    /// When the last order to promote was given under this record.
+    pub ordered: Option<Uptime>,
+}
+
+/// The next step of the holder of the duty.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Step {
+    /// Nothing to do.
+    Rest,
+    /// Record the server that leads already.
+    Adopt(ServerId),
+    /// Make the record name this server, in place of another one.
+    Record(ServerId),
+    /// Order the platform to promote the recorded server.
+    Promote(ServerId),
+    /// Record that the former primary's grants have lapsed.
+    Settle,
+}
+
+/// Decides the next step for a group at `now`.
+#[must_use]
+pub fn decide(situation: &Situation<'_>, now: Uptime) -> Step {
+    let Some((reign, seen)) = situation.reign else {
+        return adopt(situation);
+    };
+    let recorded = situation
+        .candidates
+        .iter()
+        .find(|one| one.server == reign.primary);
+    let Some(recorded) = recorded else {
+        return replace(situation, &reign.primary);
+    };
+    let is_over = now >= seen + TERM;
+    if recorded.is_primary {
+        if recorded.is_leaving || situation.is_lost {
+            return replace(situation, &reign.primary);
+        }
+        if is_over && !reign.is_settled {
+            return Step::Settle;
+        }
+        return Step::Rest;
+    }
+    let is_stuck = now >= seen + TERM + CANDIDATE_PATIENCE;
+    if recorded.is_leaving || (situation.is_lost && is_stuck) {
+        return replace(situation, &reign.primary);
+    }
+    let may_promote = is_over || situation.is_demoted;
+    let is_due = situation
+        .ordered
+        .is_none_or(|ordered| now >= ordered + REPEAT);
+    if may_promote && is_due {
+        return Step::Promote(reign.primary.clone());
+    }
+    Step::Rest
+}
+
+/// Decides for a group without a record: its reported primary stays unless it
+/// leaves or is lost.
+fn adopt(situation: &Situation<'_>) -> Step {
+    let primary = situation.candidates.iter().find(|one| one.is_primary);
+    let Some(primary) = primary else {
+        return Step::Rest;
+    };
+    if primary.is_leaving || situation.is_lost {
+        return replace(situation, &primary.server);
+    }
+    Step::Adopt(primary.server.clone())
+}
+
+/// Chooses the candidate with the furthest log among those that stay.
+fn replace(situation: &Situation<'_>, former: &ServerId) -> Step {
+    let staying = situation
+        .candidates
+        .iter()
+        .filter(|one| one.server != *former && !one.is_leaving && one.last.is_some());
+    let best = staying.max_by_key(|one| one.last);
+    best.map_or(Step::Rest, |one| Step::Record(one.server.clone()))
+}
--- /dev/null
+++ b/crates/agateport-domain/src/group/loss.rs
@@ -0,0 +1,47 @@
+//! When a node takes a server for lost.
+
+use crate::id::Uptime;
+use std::time::Duration;
+
+/// Time over which every attempt to reach a server must have failed.
+///
+/// Longer than the pauses of a busy VM and than a lost packet's retransmission.
+const PERSISTENCE: Duration = Duration::from_millis(600);
+
+/// Attempts that must have failed in that time.
+const ATTEMPTS: u32 = 2;
+
+/// One node's attempts to reach a server.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Loss {
+    first_failure: Option<Uptime>,
+    failures: u32,
+}
+
+impl Loss {
+    /// Records an answer of the server.
+    pub fn succeed(&mut self) {
+        *self = Self::default();
+    }
+
+    /// Records an attempt, begun at `begun`, that got no answer.
+    pub fn fail(&mut self, begun: Uptime) {
+        self.first_failure.get_or_insert(begun);
+        self.failures = self.failures.saturating_add(1);
+    }
+
+    /// Tells whether some attempt failed since the last answer.
+    #[must_use]
+    pub fn is_suspected(&self) -> bool {
+        self.failures > 0
+    }
+
+    /// Tells whether the server is lost for this node.
+    #[must_use]
+    pub fn is_lost(&self, now: Uptime) -> bool {
+        let is_old = self
+            .first_failure
+            .is_some_and(|first| now >= first + PERSISTENCE);
+        is_old && self.failures >= ATTEMPTS
+    }
+}
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -3,14 +3,22 @@
 mod ballot;
 mod damper;
 mod error;
+mod grant;
+pub mod handover;
 mod health;
+mod loss;
+mod progress;
 pub mod promotion;
 mod read_index;
 
 pub use ballot::{Ballot, PromoterId};
 pub use damper::Damper;
 pub use error::Error;
+pub use grant::{Grant, TERM as GRANT_TERM};
+pub use handover::Reign;
 pub use health::Cause;
+pub use loss::Loss;
+pub use progress::Progress;
 pub use promotion::Promotion;
 pub use read_index::ReadIndex;
 
--- a/crates/agateport-domain/src/id.rs
+++ b/crates/agateport-domain/src/id.rs
@@ -1,11 +1,16 @@
 //! Ids of the things that the system decides about.
 
 use std::sync::Arc;
+use std::time::Duration;
 
 /// Version of a bundle; a node only ever goes up.
 pub type BundleVersion = u64;
 /// Name of a caller, as far as fairness goes: its user.
 pub type CallerId = Arc<str>;
+/// Name of a database, by which callers choose a route.
+pub type DatabaseId = Arc<str>;
+/// Number that rises with each holder of the promotion duty.
+pub type Fence = u64;
 /// Name of a database group, unique in a bundle.
 pub type GroupId = Arc<str>;
 /// Name of an entry VM's node.
@@ -22,5 +27,9 @@
 pub type SessionId = u64;
 /// Number of a primary's reign over its group; two promoters never share one.
 pub type Term = u64;
+/// Time since the VM booted, with the time that it was suspended.
+///
+/// `Instant` stands still on a suspended VM; what must expire goes by this.
+pub type Uptime = Duration;
 /// Name of an availability zone.
 pub type Zone = Arc<str>;
--- a/crates/agateport-domain/src/prelude.rs
+++ b/crates/agateport-domain/src/prelude.rs
@@ -1,8 +1,8 @@
 //! The common types, for `use agateport_domain::prelude::*`.
 
 pub use crate::id::{
-    BundleVersion, CallerId, GroupId, NodeId, Position, PriorityId, RequestId, ServerId, SessionId,
-    Term, Zone,
+    BundleVersion, CallerId, DatabaseId, Fence, GroupId, NodeId, Position, PriorityId, RequestId,
+    ServerId, SessionId, Term, Uptime, Zone,
 };
 pub use crate::session::Watermark;
 pub use crate::shard::Sharded;
--- a/crates/agateport-domain/src/session/mod.rs
+++ b/crates/agateport-domain/src/session/mod.rs
@@ -3,6 +3,7 @@
 
 mod choice;
 mod error;
+pub mod placement;
 mod settings;
 mod watermark;
 
--- /dev/null
+++ b/crates/agateport-domain/src/session/placement.rs
@@ -0,0 +1,70 @@
+//! Orders the servers that may run a read.
+
+use super::Watermark;
+use crate::id::ServerId;
+
+/// Load that makes a server of another zone the better choice, in requests.
+///
+/// Bytes between zones cost more than a short wait.
+const OTHER_ZONE: usize = 2;
+
+/// Load that makes the primary the better choice, in requests.
+///
+/// Its slots belong to writes and to reads that no replica may run.
+const PRIMARY: usize = 3;
+
+/// Load that makes a server of which too little is known the better choice.
+const UNCERTAIN: usize = 1;
+
+/// What is known of a server that may run a read.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Spot {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Whether it leads its group, and so holds everything.
+    pub is_primary: bool,
+    /// Whether it is in the zone of the one who asks.
+    pub is_near: bool,
+    /// Place of its log that was heard at any time.
+    pub place: Option<Watermark>,
+    /// Whether the place was heard just now.
+    pub is_recent: bool,
+    /// Requests of this node that use the server or wait for it.
+    pub load: usize,
+}
+
+/// Returns the servers that may run a read, the best first.
+///
+/// A replica that was just heard to be behind `floor` is left out; one of which
+/// that isn't known is asked, and checks the floor itself. Without a floor only
+/// the primary will do.
+#[must_use]
+pub fn order(spots: &[Spot], floor: Option<Watermark>) -> Vec<ServerId> {
+    let mut costs: Vec<_> = spots
+        .iter()
+        .filter_map(|spot| Some((cost(spot, floor)?, &spot.server)))
+        .collect();
+    costs.sort();
+    costs
+        .into_iter()
+        .map(|(_, server)| server.clone())
+        .collect()
+}
+
+/// Returns what it costs to ask a server, in requests that wait; none if it
+/// can't run the read.
+fn cost(spot: &Spot, floor: Option<Watermark>) -> Option<usize> {
+    let distance = if spot.is_near { 0 } else { OTHER_ZONE };
+    if spot.is_primary {
+        return Some(spot.load + distance + PRIMARY);
+    }
+    let floor = floor?;
+    let holds = spot.place.is_some_and(|place| place >= floor);
+    if holds {
+        return Some(spot.load + distance);
+    }
+    if spot.is_recent {
+        return None;
+    }
+    Some(spot.load + distance + UNCERTAIN)
+}
--- /dev/null
+++ b/crates/agateport-relay/src/caller.rs
@@ -0,0 +1,441 @@
+//! One caller's session, from its first message to its last.
+
+use crate::catalog::Route;
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::link::{self, Context};
+use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
+use crate::metrics::Metrics;
+use crate::statement::{self, Pinned, Runner, Work};
+use agateport_domain::prelude::*;
+use bytes::BytesMut;
+use std::io;
+use std::marker::PhantomData;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio_util::sync::CancellationToken;
+
+/// First size of a caller's buffers, in bytes; most messages fit.
+const BUFFER: usize = 1_024;
+
+/// Time for a rollback that nobody waits for.
+const ROLLBACK_LIMIT: Duration = Duration::from_secs(1);
+
+/// A session's transaction.
+#[derive(Debug)]
+enum Transaction<D: Dialect> {
+    /// Outside of any.
+    None,
+    /// Begun by the caller; no server knows of it yet.
+    Begun {
+        is_read_only: bool,
+        route: Arc<Route>,
+        arrived: Uptime,
+        started: Instant,
+    },
+    /// Open at a server.
+    Open {
+        pinned: Box<Pinned<D>>,
+        route: Arc<Route>,
+        arrived: Uptime,
+    },
+    /// Rolled back; its end is awaited.
+    Failed,
+}
+
+/// What happened while a session waited for its caller.
+enum Event {
+    Message(Message),
+    /// The transaction was idle for too long.
+    Idle,
+    /// The caller left, or the node lets go of it.
+    End,
+}
+
+/// One caller's session.
+#[derive(Debug)]
+pub struct Session<D: Dialect> {
+    stream: TcpStream,
+    input: BytesMut,
+    output: BytesMut,
+    runner: Runner<D>,
+    metrics: Arc<Metrics>,
+    database: DatabaseId,
+    caller: CallerId,
+    context: Context,
+    seen: Option<Watermark>,
+    transaction: Transaction<D>,
+    leaving: CancellationToken,
+    dialect: PhantomData<fn() -> D>,
+}
+
+impl<D: Dialect> Session<D> {
+    /// Creates the session of a caller that has just connected.
+    #[must_use]
+    pub fn new(
+        stream: TcpStream,
+        runner: Runner<D>,
+        metrics: Arc<Metrics>,
+        leaving: CancellationToken,
+    ) -> Self {
+        Self {
+            stream,
+            input: BytesMut::with_capacity(BUFFER),
+            output: BytesMut::with_capacity(BUFFER),
+            runner,
+            metrics,
+            database: "".into(),
+            caller: "".into(),
+            context: Context::default(),
+            seen: None,
+            transaction: Transaction::None,
+            leaving,
+            dialect: PhantomData,
+        }
+    }
+
+    /// Serves the caller until it leaves.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the connection breaks.
+    pub async fn run(mut self) -> io::Result<()> {
+        self.stream.set_nodelay(true)?;
+        let Some(Message::Open { database, caller }) = self.message().await? else {
+            return Ok(());
+        };
+        self.database = database.into();
+        self.caller = caller.into();
+        if !self.greet().await? {
+            return Ok(());
+        }
+        let served = self.serve().await;
+        self.roll_back();
+        served
+    }
+
+    async fn greet(&mut self) -> io::Result<bool> {
+        if self.runner.upstreams().route(&self.database).is_some() {
+            self.metrics.count("session", "opened");
+            D::ready(State::Idle, None, &mut self.output);
+            self.flush().await?;
+            return Ok(true);
+        }
+        self.metrics.count("session", "no_database");
+        let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
+        D::outcome(&outcome, &mut self.output);
+        self.flush().await?;
+        Ok(false)
+    }
+
+    async fn serve(&mut self) -> io::Result<()> {
+        loop {
+            let request = match self.event().await? {
+                Event::Message(Message::Ask(request)) => request,
+                Event::Idle => {
+                    self.metrics.count("transaction", "idle");
+                    self.roll_back();
+                    self.transaction = Transaction::Failed;
+                    continue;
+                }
+                Event::Message(_) | Event::End => return Ok(()),
+            };
+            let started = Instant::now();
+            let mut answer = self.handle(&request).await;
+            answer.state = self.state();
+            self.report(&request, &answer, started);
+            D::answer(&answer, &mut self.output);
+            self.flush().await?;
+        }
+    }
+
+    /// Writes down and counts how a statement ended.
+    fn report(&self, request: &Request, answer: &Answer, started: Instant) {
+        let took = started.elapsed();
+        let Some(code) = answer.code() else {
+            self.metrics.count("answer", "done");
+            self.metrics.record(took);
+            return;
+        };
+        self.metrics.count("answer", code.name());
+        let Outcome::Error { text, .. } = &answer.outcome else {
+            return;
+        };
+        tracing::info!(
+            event = "statement_failed",
+            request = &*String::from_utf8_lossy(&request.id),
+            database = &*self.database,
+            code = code.name(),
+            reason = &*String::from_utf8_lossy(text),
+            took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+            configuration = self.runner.upstreams().catalog().version,
+            "a statement failed"
+        );
+    }
+
+    async fn handle(&mut self, request: &Request) -> Answer {
+        if let Transaction::Failed = self.transaction {
+            return self.handle_failed(request);
+        }
+        match &request.verb {
+            Verb::Set { name, value } => {
+                self.context.values.insert(name.clone(), value.clone());
+                self.done()
+            }
+            Verb::Prepare {
+                name,
+                access,
+                shape,
+            } => {
+                let prepared = (*access, shape.clone());
+                self.context.prepared.insert(name.clone(), prepared);
+                self.done()
+            }
+            Verb::Deallocate { name } => match self.context.prepared.remove(name) {
+                Some(_) => self.done(),
+                None => statement::unprepared(self.state()),
+            },
+            Verb::Begin { is_read_only } => self.begin(*is_read_only),
+            Verb::Rollback => {
+                self.roll_back();
+                self.done()
+            }
+            Verb::Commit => self.commit(request).await,
+            Verb::Read => self.run_statement(request, Access::Read).await,
+            Verb::Write => self.run_statement(request, Access::Write).await,
+            Verb::Execute { .. } => match link::prepared(&self.context, request) {
+                Some((access, _)) => self.run_statement(request, access).await,
+                None => statement::unprepared(self.state()),
+            },
+            Verb::Unknown => malformed("the statement can't be read", self.state()),
+        }
+    }
+
+    fn handle_failed(&mut self, request: &Request) -> Answer {
+        match request.verb {
+            Verb::Rollback => {
+                self.transaction = Transaction::None;
+                self.done()
+            }
+            Verb::Commit => {
+                self.transaction = Transaction::None;
+                statement::aborted("the transaction had failed")
+            }
+            _ => malformed("the transaction has failed", State::Failed),
+        }
+    }
+
+    fn begin(&mut self, is_read_only: bool) -> Answer {
+        if !matches!(self.transaction, Transaction::None) {
+            return malformed("a transaction is open", self.state());
+        }
+        let Some(route) = self.runner.upstreams().route(&self.database) else {
+            return no_database();
+        };
+        self.transaction = Transaction::Begun {
+            is_read_only,
+            route,
+            arrived: uptime(),
+            started: Instant::now(),
+        };
+        self.done()
+    }
+
+    async fn run_statement(&mut self, request: &Request, access: Access) -> Answer {
+        if let Transaction::None = self.transaction {
+            return self.run_single(request, access).await;
+        }
+        if let Err(answer) = self.open().await {
+            return answer;
+        }
+        let Transaction::Open {
+            pinned,
+            route,
+            arrived,
+        } = std::mem::replace(&mut self.transaction, Transaction::Failed)
+        else {
+            return malformed("no transaction is open", State::Failed);
+        };
+        let work = self.work(&route, arrived, Instant::now());
+        let (pinned, answer) = self.runner.within(*pinned, &work, request, access).await;
+        let Some(pinned) = pinned else {
+            return answer;
+        };
+        let pinned = Box::new(pinned);
+        self.transaction = Transaction::Open {
+            pinned,
+            route,
+            arrived,
+        };
+        if answer.state == State::Failed {
+            self.roll_back();
+            self.transaction = Transaction::Failed;
+        }
+        answer
+    }
+
+    async fn run_single(&mut self, request: &Request, access: Access) -> Answer {
+        let Some(route) = self.runner.upstreams().route(&self.database) else {
+            return no_database();
+        };
+        let work = self.work(&route, uptime(), Instant::now());
+        let answer = self.runner.single(&work, request, access).await;
+        if access == Access::Write {
+            self.see(&answer);
+        }
+        answer
+    }
+
+    /// Opens a begun transaction at a server.
+    async fn open(&mut self) -> Result<(), Answer> {
+        let Transaction::Begun {
+            is_read_only,
+            route,
+            arrived,
+            started,
+        } = &self.transaction
+        else {
+            return Ok(());
+        };
+        let (route, arrived) = (route.clone(), *arrived);
+        // The pause before the first statement isn't the system's.
+        let started = (*started).max(Instant::now());
+        let work = self.work(&route, arrived, started);
+        let opened = self.runner.begin(&work, *is_read_only).await;
+        match opened {
+            Ok(pinned) => {
+                let pinned = Box::new(pinned);
+                self.transaction = Transaction::Open {
+                    pinned,
+                    route,
+                    arrived,
+                };
+                Ok(())
+            }
+            Err(answer) => {
+                self.transaction = Transaction::Failed;
+                Err(answer)
+            }
+        }
+    }
+
+    async fn commit(&mut self, request: &Request) -> Answer {
+        if let Transaction::None = self.transaction {
+            return malformed("no transaction is open", State::Idle);
+        }
+        if let Err(answer) = self.open().await {
+            self.transaction = Transaction::None;
+            return answer;
+        }
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
+        let Transaction::Open {
+            pinned,
+            route,
+            arrived,
+        } = transaction
+        else {
+            return malformed("no transaction is open", State::Idle);
+        };
+        let work = self.work(&route, arrived, Instant::now());
+        let answer = self.runner.commit(*pinned, &work, request).await;
+        self.see(&answer);
+        answer
+    }
+
+    /// Rolls an open transaction back; nobody waits for it.
+    fn roll_back(&mut self) {
+        let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
+        let Transaction::Open { pinned, .. } = transaction else {
+            return;
+        };
+        let runner = self.runner.clone();
+        tokio::spawn(async move { runner.rollback(*pinned, ROLLBACK_LIMIT).await });
+    }
+
+    fn work<'a>(&'a self, route: &'a Route, arrived: Uptime, started: Instant) -> Work<'a> {
+        Work {
+            route,
+            caller: &self.caller,
+            context: &self.context,
+            seen: self.seen,
+            arrived,
+            started,
+        }
+    }
+
+    /// Keeps in mind what the session has written.
+    fn see(&mut self, answer: &Answer) {
+        if matches!(answer.outcome, Outcome::Done(_)) {
+            self.seen = self.seen.max(answer.place);
+        }
+    }
+
+    fn state(&self) -> State {
+        match self.transaction {
+            Transaction::None => State::Idle,
+            Transaction::Begun { .. } | Transaction::Open { .. } => State::Open,
+            Transaction::Failed => State::Failed,
+        }
+    }
+
+    fn done(&self) -> Answer {
+        Answer::local(Outcome::Done(None), self.state())
+    }
+
+    /// Waits for what comes next.
+    async fn event(&mut self) -> io::Result<Event> {
+        let limit = match self.transaction {
+            Transaction::Open { .. } => self.runner.upstreams().catalog().transaction_idle,
+            _ => None,
+        };
+        let is_idle = matches!(self.transaction, Transaction::None);
+        let leaving = self.leaving.clone();
+        tokio::select! {
+            biased;
+            message = self.message() => {
+                Ok(message?.map_or(Event::End, Event::Message))
+            }
+            () = leaving.cancelled(), if is_idle => Ok(Event::End),
+            () = sleep(limit) => Ok(Event::Idle),
+        }
+    }
+
+    /// Reads the next message; none if the caller left.
+    async fn message(&mut self) -> io::Result<Option<Message>> {
+        loop {
+            match D::message(&mut self.input) {
+                Ok(Some(message)) => return Ok(Some(message)),
+                Ok(None) => {}
+                Err(error) => {
+                    tracing::info!(event = "caller_garbled", %error, "a caller's bytes can't be read");
+                    return Ok(None);
+                }
+            }
+            if self.stream.read_buf(&mut self.input).await? == 0 {
+                return Ok(None);
+            }
+        }
+    }
+
+    async fn flush(&mut self) -> io::Result<()> {
+        let written = self.stream.write_all(&self.output).await;
+        self.output.clear();
+        written
+    }
+}
+
+async fn sleep(limit: Option<Duration>) {
+    match limit {
+        Some(limit) => tokio::time::sleep(limit).await,
+        None => std::future::pending().await,
+    }
+}
+
+fn malformed(text: &str, state: State) -> Answer {
+    Answer::local(Outcome::error(Code::Malformed, text), state)
+}
+
+fn no_database() -> Answer {
+    let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
+    Answer::local(outcome, State::Idle)
+}
--- /dev/null
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -0,0 +1,372 @@
+//! Holds the promotion duty, and carries out changes of primaries.
+
+use super::poll::Snapshot;
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::group::{Group, VIEW_TERM};
+use crate::message::Order;
+use crate::record::{self, DUTY, Duty, Records};
+use crate::source::{self, Change, Promoter, RowVersion, Store};
+use crate::upstreams::Upstreams;
+use agateport_domain::group::handover::{self, Candidate, Situation, Step};
+use agateport_domain::group::{GRANT_TERM, Reign};
+use agateport_domain::prelude::*;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks at all groups.
+const INTERVAL: Duration = Duration::from_millis(100);
+
+/// Time for which a group must need a step before a node without the duty takes
+/// it over: longer than the holder needs for a whole handover.
+const PATIENCE: Duration = Duration::from_millis(3_500);
+
+/// The same when nobody holds the duty, or its holder has left.
+const VACANT_PATIENCE: Duration = Duration::from_millis(300);
+
+/// Further time for each node that comes earlier in the order of names.
+const PATIENCE_STEP: Duration = Duration::from_millis(250);
+
+/// Time after taking the duty over from a node that may still be up before the
+/// first promotion: the former holder's view of the store and its last order
+/// have ended by then.
+const SUCCESSION: Duration = Duration::from_millis(2_500);
+
+/// Time for one order to promote; what the succession allows for.
+const ORDER_LIMIT: Duration = Duration::from_secs(1);
+
+/// A change of a primary that this node carries out.
+#[derive(Clone, Debug, Default)]
+struct Course {
+    /// Server that the record names.
+    primary: Option<ServerId>,
+    is_demoted: bool,
+    ordered: Option<Uptime>,
+    needed: Option<Uptime>,
+}
+
+/// Holds the promotion duty, and carries out changes of primaries.
+#[derive(Debug)]
+pub struct Handover<D, S, P> {
+    node: NodeId,
+    upstreams: Arc<Upstreams<D>>,
+    store: Arc<S>,
+    promoter: P,
+    hurry: Arc<Notify>,
+    courses: BTreeMap<GroupId, Course>,
+    /// When each server was first seen on the list; none for the first list.
+    listed: BTreeMap<ServerId, Option<Uptime>>,
+    may_order: Uptime,
+}
+
+impl<D: Dialect, S: Store, P: Promoter> Handover<D, S, P> {
+    /// Creates the task of `node`; `hurry` makes the store be read at once.
+    #[must_use]
+    pub fn new(
+        node: NodeId,
+        upstreams: Arc<Upstreams<D>>,
+        store: Arc<S>,
+        promoter: P,
+        hurry: Arc<Notify>,
+    ) -> Self {
+        Self {
+            node,
+            upstreams,
+            store,
+            promoter,
+            hurry,
+            courses: BTreeMap::new(),
+            listed: BTreeMap::new(),
+            may_order: Uptime::ZERO,
+        }
+    }
+
+    /// Looks at all groups until the node ends.
+    pub async fn run(mut self, news: watch::Receiver<Option<Snapshot>>, token: CancellationToken) {
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = tokio::time::sleep(INTERVAL) => {}
+            }
+            let Some(snapshot) = news.borrow().clone() else {
+                continue;
+            };
+            // Without a view that still holds, another node may hold the duty.
+            if uptime() < snapshot.asked + GRANT_TERM {
+                self.look(&snapshot).await;
+            }
+        }
+    }
+
+    async fn look(&mut self, snapshot: &Snapshot) {
+        let registry = self.upstreams.registry();
+        let is_first = self.listed.is_empty();
+        for server in registry.keys() {
+            let first = if is_first { None } else { Some(uptime()) };
+            self.listed.entry(server.clone()).or_insert(first);
+        }
+        for group in self.upstreams.groups() {
+            let group = self.upstreams.group(&group);
+            self.attend(&group, snapshot).await;
+        }
+    }
+
+    /// Takes the next step for one group, if there is one.
+    async fn attend(&mut self, group: &Arc<Group>, snapshot: &Snapshot) {
+        let records = &snapshot.records;
+        let step = self.decide(group, records, false).await;
+        if step == Step::Rest {
+            if let Some(course) = self.courses.get_mut(&group.name) {
+                course.needed = None;
+            }
+            return;
+        }
+        let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
+        if holder != Some(&self.node) {
+            self.succeed(group, records).await;
+            return;
+        }
+        // Which log is the furthest is asked only by who acts on it.
+        let step = match step {
+            Step::Record(_) => self.decide(group, records, true).await,
+            step => step,
+        };
+        self.take_step(group, records, step, snapshot.asked).await;
+    }
+
+    async fn decide(&mut self, group: &Arc<Group>, records: &Records, is_asked: bool) -> Step {
+        let reign = group.reign();
+        let recorded = reign.as_ref().map(|(reign, _)| reign.primary.clone());
+        let course = self.courses.entry(group.name.clone()).or_default();
+        if course.primary != recorded {
+            *course = Course {
+                primary: recorded,
+                needed: course.needed,
+                ..Course::default()
+            };
+        }
+        let course = course.clone();
+        let candidates = self.candidates(group, is_asked).await;
+        let primary = candidates.iter().find(|one| one.is_primary);
+        let primary = course
+            .primary
+            .clone()
+            .or_else(|| primary.map(|one| one.server.clone()));
+        let is_lost = primary.is_some_and(|primary| {
+            records.witnesses(&group.name, &primary) * 2 > records.members.len()
+        });
+        let situation = Situation {
+            reign: reign.as_ref().map(|(reign, seen)| (reign, *seen)),
+            candidates: &candidates,
+            is_lost,
+            is_demoted: course.is_demoted,
+            ordered: course.ordered,
+        };
+        handover::decide(&situation, uptime())
+    }
+
+    async fn candidates(&self, group: &Arc<Group>, is_asked: bool) -> Vec<Candidate> {
+        let now = uptime();
+        let servers = self.upstreams.servers(&group.name);
+        let candidates = servers.iter().map(|server| async move {
+            let listing = server.listing();
+            let mut last = server.place().map(|(place, _)| place);
+            if is_asked {
+                let status = server.status(Order::Status).await;
+                last = status.ok().map(|status| status.last);
+            }
+            let is_new = self
+                .listed
+                .get(&listing.server)
+                .copied()
+                .flatten()
+                .is_some_and(|listed| now < listed + VIEW_TERM);
+            Candidate {
+                server: listing.server.clone(),
+                // A node that can't reach the store may not know a new server.
+                last: last.filter(|_| !is_new),
+                is_primary: listing.is_primary,
+                is_leaving: listing.is_leaving,
+            }
+        });
+        futures::future::join_all(candidates).await
+    }
+
+    /// Takes the duty over when its holder lets a group wait for too long.
+    async fn succeed(&mut self, group: &Group, records: &Records) {
+        let now = uptime();
+        let course = self.courses.entry(group.name.clone()).or_default();
+        let needed = *course.needed.get_or_insert(now);
+        let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
+        let is_vacant = holder.is_none_or(|holder| !records.members.contains_key(holder));
+        let patience = if is_vacant { VACANT_PATIENCE } else { PATIENCE };
+        let rank = u32::try_from(records.rank(&self.node)).unwrap_or(u32::MAX);
+        if now < needed + patience + PATIENCE_STEP * rank {
+            return;
+        }
+        course.needed = None;
+        let version = records.duty.as_ref().map_or(0, |(_, version)| *version);
+        let duty = Duty {
+            holder: self.node.clone(),
+        };
+        let change = Change {
+            expected: BTreeMap::from([(DUTY.to_owned(), version)]),
+            set: BTreeMap::from([(DUTY.to_owned(), record::value(&duty))]),
+            ..Change::default()
+        };
+        let taken = self.store.change(change).await;
+        tracing::info!(
+            event = "duty_taken",
+            group = &*group.name,
+            former = holder.map(|holder| &**holder),
+            outcome = outcome(&taken),
+            "this node took the duty of promotions over, or tried to"
+        );
+        let wait = if is_vacant {
+            Duration::ZERO
+        } else {
+            SUCCESSION
+        };
+        self.may_order = uptime() + wait;
+        self.hurry.notify_one();
+    }
+
+    async fn take_step(
+        &mut self,
+        group: &Arc<Group>,
+        records: &Records,
+        step: Step,
+        asked: Uptime,
+    ) {
+        let Some((_, fence)) = records.duty else {
+            return;
+        };
+        match step {
+            Step::Rest => {}
+            Step::Adopt(server) => {
+                self.write(group, records, fence, server, true).await;
+            }
+            Step::Settle => {
+                let reign = records.reigns.get(&group.name);
+                if let Some((reign, _)) = reign {
+                    let primary = reign.primary.clone();
+                    self.write(group, records, fence, primary, true).await;
+                }
+            }
+            Step::Record(server) => {
+                let former = group.leader().map(|leader| leader.server);
+                let is_written = self
+                    .write(group, records, fence, server.clone(), false)
+                    .await;
+                if is_written {
+                    self.demote(group, former, server).await;
+                }
+            }
+            Step::Promote(server) => self.order(group, &server, fence, asked).await,
+        }
+    }
+
+    /// Writes a group's record, if it and the duty are still as they were read.
+    async fn write(
+        &self,
+        group: &Group,
+        records: &Records,
+        fence: Fence,
+        primary: ServerId,
+        is_settled: bool,
+    ) -> bool {
+        let key = record::reign_key(&group.name);
+        let version = records
+            .reigns
+            .get(&group.name)
+            .map_or(0, |(_, version)| *version);
+        let reign = Reign {
+            primary,
+            fence,
+            is_settled,
+        };
+        let change = Change {
+            expected: BTreeMap::from([(DUTY.to_owned(), fence), (key.clone(), version)]),
+            set: BTreeMap::from([(key, record::value(&reign))]),
+            ..Change::default()
+        };
+        let written = self.store.change(change).await;
+        tracing::info!(
+            event = "reign_recorded",
+            group = &*group.name,
+            primary = &*reign.primary,
+            is_settled,
+            fence,
+            outcome = outcome(&written),
+            "the record of a primary was written, or tried to be"
+        );
+        self.hurry.notify_one();
+        written.is_ok()
+    }
+
+    /// Asks the former primary to take no more writes.
+    async fn demote(&mut self, group: &Group, former: Option<ServerId>, primary: ServerId) {
+        let former = former.and_then(|former| self.upstreams.server(&former));
+        let mut is_demoted = false;
+        if let Some(former) = former {
+            is_demoted = match former.status(Order::Status).await {
+                Ok(status) => {
+                    let order = Order::Demote(status.term + 1);
+                    let status = former.status(order).await;
+                    status.is_ok_and(|status| !status.is_primary)
+                }
+                Err(error) => {
+                    tracing::info!(
+                        event = "primary_silent",
+                        group = &*group.name,
+                        %error,
+                        "the former primary can't be asked to step down"
+                    );
+                    false
+                }
+            };
+        }
+        tracing::info!(
+            event = "primary_demoted",
+            group = &*group.name,
+            is_demoted,
+            "the former primary was asked to step down"
+        );
+        let course = Course {
+            primary: Some(primary),
+            is_demoted,
+            ..Course::default()
+        };
+        self.courses.insert(group.name.clone(), course);
+    }
+
+    async fn order(&mut self, group: &Group, server: &ServerId, fence: Fence, asked: Uptime) {
+        let now = uptime();
+        if now < self.may_order || now >= asked + GRANT_TERM {
+            return;
+        }
+        let order = self
+            .promoter
+            .promote(&group.name, server, &self.node, fence);
+        let ordered = tokio::time::timeout(ORDER_LIMIT, order).await;
+        let ordered =
+            ordered.unwrap_or_else(|_| Err(source::Error::NoAnswer("time limit".to_owned())));
+        tracing::info!(
+            event = "promotion_ordered",
+            group = &*group.name,
+            server = &**server,
+            fence,
+            outcome = outcome(&ordered.map(|()| 0)),
+            "a promotion was ordered"
+        );
+        let course = self.courses.entry(group.name.clone()).or_default();
+        course.ordered = Some(now);
+    }
+}
+
+fn outcome(result: &Result<RowVersion, source::Error>) -> String {
+    match result {
+        Ok(_) => "done".to_owned(),
+        Err(error) => error.to_string(),
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -0,0 +1,7 @@
+//! The tasks beside the request path: what the store says, who leads, and what
+//! to do about a primary that is lost.
+
+pub mod duty;
+pub mod poll;
+pub mod round;
+pub mod witness;
--- /dev/null
+++ b/crates/agateport-relay/src/control/round.rs
@@ -0,0 +1,59 @@
+//! Proves that a primary is the only one by asking the group's other servers,
+//! while the store can't be asked.
+
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::group::Group;
+use crate::message::Order;
+use crate::server::Server;
+use crate::upstreams::Upstreams;
+use agateport_domain::prelude::*;
+use futures::future::join_all;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two rounds; requests that wait share one.
+const SPACING: Duration = Duration::from_millis(40);
+
+/// Answers the wish for a proof until the node ends.
+pub async fn run<D: Dialect>(
+    group: Arc<Group>,
+    upstreams: Arc<Upstreams<D>>,
+    token: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = group.proof_wanted.notified() => {}
+        }
+        prove(&group, &upstreams).await;
+        tokio::time::sleep(SPACING).await;
+    }
+}
+
+async fn prove<D: Dialect>(group: &Group, upstreams: &Upstreams<D>) {
+    let Some(leader) = group.leader() else { return };
+    let servers = upstreams.servers(&group.name);
+    let others = servers
+        .iter()
+        .filter(|server| server.listing().server != leader.server);
+    let asked = uptime();
+    let questions = others.map(|server| is_replica(server));
+    let answers = join_all(questions).await;
+    if !answers.is_empty() && answers.iter().all(|is_replica| *is_replica) {
+        group.observe(&leader.server, asked);
+    }
+}
+
+async fn is_replica<D: Dialect>(server: &Server<D>) -> bool {
+    match server.status(Order::Status).await {
+        Ok(status) => !status.is_primary,
+        Err(error) => {
+            tracing::debug!(
+                server = &*server.listing().server,
+                %error,
+                "a server can't be asked for a proof"
+            );
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/control/witness.rs
@@ -0,0 +1,101 @@
+//! Tells the other nodes, through the store, which primaries this node can't
+//! reach.
+
+use super::poll::Snapshot;
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::message::Order;
+use crate::record::{self, Witness};
+use crate::source::{Change, Store};
+use crate::upstreams::Upstreams;
+use agateport_domain::prelude::*;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks at the primaries; a suspected one is asked each time.
+const INTERVAL: Duration = Duration::from_millis(150);
+
+/// Watches the primaries until the node ends.
+pub async fn run<D: Dialect, S: Store>(
+    node: NodeId,
+    store: Arc<S>,
+    upstreams: Arc<Upstreams<D>>,
+    news: watch::Receiver<Option<Snapshot>>,
+    token: CancellationToken,
+) {
+    let mut told: BTreeMap<GroupId, ServerId> = BTreeMap::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(INTERVAL) => {}
+        }
+        let Some(snapshot) = news.borrow().clone() else {
+            continue;
+        };
+        for (group, servers) in &snapshot.records.losses {
+            // A former process of this node may have left its word behind.
+            if let Some(server) = servers.get(&node) {
+                told.entry(group.clone()).or_insert_with(|| server.clone());
+            }
+        }
+        let mut lost = BTreeMap::new();
+        for (group, server) in primaries(&upstreams) {
+            if is_lost(&upstreams, &server).await {
+                lost.insert(group, server);
+            }
+        }
+        if lost != told && tell(&node, store.as_ref(), &told, &lost).await {
+            told = lost;
+        }
+    }
+}
+
+fn primaries<D: Dialect>(upstreams: &Upstreams<D>) -> Vec<(GroupId, ServerId)> {
+    let leaders = upstreams.groups().into_iter().filter_map(|group| {
+        let leader = upstreams.group(&group).leader()?;
+        Some((group, leader.server))
+    });
+    leaders.collect()
+}
+
+async fn is_lost<D: Dialect>(upstreams: &Upstreams<D>, name: &ServerId) -> bool {
+    let Some(server) = upstreams.server(name) else {
+        return false;
+    };
+    if !server.loss().is_suspected() {
+        return false;
+    }
+    if let Err(error) = server.status(Order::Status).await {
+        tracing::debug!(server = &**name, %error, "a suspected primary gave no status");
+    }
+    server.loss().is_lost(uptime())
+}
+
+async fn tell<S: Store>(
+    node: &NodeId,
+    store: &S,
+    told: &BTreeMap<GroupId, ServerId>,
+    lost: &BTreeMap<GroupId, ServerId>,
+) -> bool {
+    let mut change = Change::default();
+    for group in told.keys().filter(|group| !lost.contains_key(*group)) {
+        change.dropped.insert(record::loss_key(group, node));
+    }
+    for (group, server) in lost {
+        let witness = Witness {
+            server: server.clone(),
+        };
+        let key = record::loss_key(group, node);
+        change.set.insert(key, record::value(&witness));
+    }
+    match store.change(change).await {
+        Ok(_) => {
+            tracing::info!(event = "primaries_lost", lost = ?lost, "the primaries out of reach changed");
+            true
+        }
+        Err(error) => {
+            tracing::warn!(event = "witness_unsaid", %error, "the store took no word of a lost primary");
+            false
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/link.rs
@@ -0,0 +1,303 @@
+//! One connection to an upstream server.
+
+use crate::dialect::{self, Dialect};
+use crate::message::{Access, Answer, Code, Order, Outcome, Part, Request, State, Verb};
+use agateport_domain::prelude::*;
+use bytes::{Bytes, BytesMut};
+use socket2::{SockRef, TcpKeepalive};
+use std::io;
+use std::marker::PhantomData;
+use std::net::SocketAddr;
+use thiserror::Error;
+use tokio::io::{AsyncReadExt, AsyncWriteExt};
+use tokio::net::TcpStream;
+use tokio::time::timeout;
+
+/// Time to open a connection: a few round trips, the server's work for a new
+/// connection, and one repeated packet.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time after which unacknowledged bytes end a connection. Many round trips,
+/// even between regions.
+const SILENT_PEER: Duration = Duration::from_millis(600);
+
+/// Time between probes of an idle connection.
+const KEEPALIVE: Duration = Duration::from_secs(2);
+
+/// First size of a connection's buffer, in bytes; most answers fit.
+const BUFFER: usize = 2_048;
+
+/// Why a connection can't be used any more.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The server can't be reached, or the connection broke.
+    #[error("the connection broke")]
+    Broken(#[from] io::Error),
+    /// The server closed the connection.
+    #[error("the server closed the connection")]
+    Closed,
+    /// The connection wasn't opened in time.
+    #[error("the server didn't open a connection in time")]
+    Slow,
+    /// The server refused the connection.
+    #[error("the server refused the connection: {}", .0.name())]
+    Refused(Code),
+    /// The server's bytes aren't an answer.
+    #[error("the server's answer can't be read")]
+    Garbled(#[from] dialect::Error),
+}
+
+/// Values and prepared statements that a connection must have for a statement.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Context {
+    /// Values of the session, by name.
+    pub values: BTreeMap<Bytes, Bytes>,
+    /// Prepared statements of the session, by the caller's name.
+    pub prepared: BTreeMap<Bytes, (Access, Bytes)>,
+}
+
+/// One connection to an upstream server.
+#[derive(Debug)]
+pub struct Link<D> {
+    stream: TcpStream,
+    buffer: BytesMut,
+    values: BTreeMap<Bytes, Bytes>,
+    prepared: BTreeSet<Bytes>,
+    /// When it was last given back.
+    pub idle_since: Uptime,
+    dialect: PhantomData<fn() -> D>,
+}
+
+impl<D: Dialect> Link<D> {
+    /// Opens a connection to a server.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if the server can't be reached, is another one, or has no
+    /// connection left.
+    pub async fn open(
+        address: SocketAddr,
+        group: &GroupId,
+        server: &ServerId,
+    ) -> Result<(Self, Option<Watermark>), Error> {
+        let opening = Self::greet(address, group, server);
+        timeout(OPEN_TIMEOUT, opening)
+            .await
+            .map_err(|_| Error::Slow)?
+    }
+
+    async fn greet(
+        address: SocketAddr,
+        group: &GroupId,
+        server: &ServerId,
+    ) -> Result<(Self, Option<Watermark>), Error> {
+        let stream = TcpStream::connect(address).await?;
+        watch_peer(&stream)?;
+        let mut link = Self {
+            stream,
+            buffer: BytesMut::with_capacity(BUFFER),
+            values: BTreeMap::new(),
+            prepared: BTreeSet::new(),
+            idle_since: Uptime::ZERO,
+            dialect: PhantomData,
+        };
+        let open = Order::Open {
+            group: group.clone(),
+            server: server.clone(),
+        };
+        link.send(&[open]).await?;
+        match link.part().await? {
+            Part::Ready { place, .. } => Ok((link, place)),
+            Part::Outcome(Outcome::Error { code, .. }) => Err(Error::Refused(code)),
+            _ => Err(dialect::Error::Garbled("a greeting").into()),
+        }
+    }
+
+    /// Returns the orders that bring the connection to a session's context.
+    #[must_use]
+    pub fn alignment(&self, context: &Context, request: Option<&Request>) -> Vec<Order> {
+        let mut orders = Vec::new();
+        let has_foreign = self
+            .values
+            .keys()
+            .any(|name| !context.values.contains_key(name));
+        if has_foreign {
+            orders.push(Order::Reset);
+        }
+        for (name, value) in &context.values {
+            if has_foreign || self.values.get(name) != Some(value) {
+                let (name, value) = (name.clone(), value.clone());
+                orders.push(Order::Set { name, value });
+            }
+        }
+        let execute = request.and_then(|request| prepared(context, request));
+        if let Some((access, shape)) = execute {
+            let name = statement_name(access, &shape);
+            if has_foreign || !self.prepared.contains(&name) {
+                orders.push(Order::Prepare {
+                    name,
+                    access,
+                    shape,
+                });
+            }
+        }
+        orders
+    }
+
+    /// Tells how far the connection is from a session's context; the nearest
+    /// one is taken.
+    #[must_use]
+    pub fn distance(&self, context: &Context) -> usize {
+        self.alignment(context, None).len()
+    }
+
+    /// Sends orders and returns the answer to each.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if the connection breaks; what was sent may have run.
+    pub async fn exchange(&mut self, orders: &[Order]) -> Result<Vec<Answer>, Error> {
+        self.send(orders).await?;
+        let mut answers = Vec::with_capacity(orders.len());
+        for order in orders {
+            let answer = self.answer().await?;
+            if matches!(answer.outcome, Outcome::Done(_)) {
+                self.note(order);
+            }
+            answers.push(answer);
+        }
+        Ok(answers)
+    }
+
+    /// Tells whether an idle connection is still open.
+    #[must_use]
+    pub fn is_open(&self) -> bool {
+        let mut byte = [0];
+        let read = self.stream.try_read(&mut byte);
+        matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
+    }
+
+    /// Forgets a prepared statement that the server doesn't know.
+    pub fn forget_prepared(&mut self) {
+        self.prepared.clear();
+    }
+
+    /// Keeps in mind what an order changed.
+    fn note(&mut self, order: &Order) {
+        match order {
+            Order::Reset => {
+                self.values.clear();
+                self.prepared.clear();
+            }
+            Order::Set { name, value } => {
+                self.values.insert(name.clone(), value.clone());
+            }
+            Order::Prepare { name, .. } => {
+                self.prepared.insert(name.clone());
+            }
+            _ => {}
+        }
+    }
+
+    async fn send(&mut self, orders: &[Order]) -> Result<(), Error> {
+        let mut bytes = BytesMut::with_capacity(BUFFER);
+        for order in orders {
+            D::order(order, &mut bytes);
+        }
+        self.stream.write_all(&bytes).await?;
+        Ok(())
+    }
+
+    async fn answer(&mut self) -> Result<Answer, Error> {
+        let mut rows = Vec::new();
+        let mut outcome = None;
+        loop {
+            match self.part().await? {
+                Part::Row(row) => rows.push(row),
+                Part::Outcome(told) => outcome = Some(told),
+                Part::Ready { state, place } => {
+                    let outcome = outcome.ok_or(dialect::Error::Garbled("an answer's outcome"))?;
+                    return Ok(Answer {
+                        rows,
+                        outcome,
+                        state,
+                        place,
+                    });
+                }
+            }
+        }
+    }
+
+    async fn part(&mut self) -> Result<Part, Error> {
+        loop {
+            if let Some(part) = D::part(&mut self.buffer)? {
+                return Ok(part);
+            }
+            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+                return Err(Error::Closed);
+            }
+        }
+    }
+}
+
+/// Makes a connection end by itself when its peer can't be reached.
+fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(SILENT_PEER))?;
+    let keepalive = TcpKeepalive::new()
+        .with_time(KEEPALIVE)
+        .with_interval(KEEPALIVE);
+    socket.set_tcp_keepalive(&keepalive)
+}
+
+/// Returns the order that runs a caller's statement.
+///
+/// It is none if the statement names a prepared one that its session doesn't
+/// have.
+#[must_use]
+pub fn order(request: &Request, context: &Context, floor: Option<Watermark>) -> Option<Order> {
+    let Verb::Execute { arguments, .. } = &request.verb else {
+        return Some(Order::Pass {
+            id: request.id.clone(),
+            floor,
+            text: request.text.clone(),
+        });
+    };
+    let (access, shape) = prepared(context, request)?;
+    Some(Order::Execute {
+        id: request.id.clone(),
+        floor,
+        name: statement_name(access, &shape),
+        arguments: arguments.clone(),
+    })
+}
+
+/// Returns what a request's prepared statement does, and its shape.
+#[must_use]
+pub fn prepared(context: &Context, request: &Request) -> Option<(Access, Bytes)> {
+    let Verb::Execute { name, .. } = &request.verb else {
+        return None;
+    };
+    context.prepared.get(name).cloned()
+}
+
+/// Returns a connection's name for a prepared statement.
+///
+/// It follows from what the statement is, so that sessions share it and never
+/// collide.
+fn statement_name(access: Access, shape: &Bytes) -> Bytes {
+    let kind: &[u8] = match access {
+        Access::Read => b"r_",
+        Access::Write => b"w_",
+    };
+    [kind, shape].concat().into()
+}
+
+impl State {
+    /// Tells whether a connection in this state may serve another session.
+    #[must_use]
+    pub fn is_idle(self) -> bool {
+        self == Self::Idle
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/metrics.rs
@@ -0,0 +1,88 @@
+//! Counters and latencies, in the text format that scrapers read.
+
+use agateport_domain::prelude::*;
+use hdrhistogram::Histogram;
+use std::fmt::Write;
+use std::sync::{Mutex, PoisonError};
+
+/// Longest latency that is told apart, in microseconds.
+const HIGHEST: u64 = 60_000_000;
+
+/// Digits that a latency keeps.
+const DIGITS: u8 = 2;
+
+/// Parts of the requests that the latencies are told for.
+const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
+
+/// Counters and latencies of a node.
+#[derive(Debug)]
+pub struct Metrics {
+    counts: Sharded<(&'static str, &'static str), u64>,
+    latencies: Mutex<Histogram<u64>>,
+}
+
+impl Metrics {
+    /// Creates metrics that are all zero.
+    ///
+    /// # Errors
+    ///
+    /// [`hdrhistogram::CreationError`] if the bounds contradict each other.
+    pub fn new() -> Result<Self, hdrhistogram::CreationError> {
+        let latencies = Histogram::new_with_max(HIGHEST, DIGITS)?;
+        Ok(Self {
+            counts: Sharded::new(),
+            latencies: Mutex::new(latencies),
+        })
+    }
+
+    /// Counts one event of a kind, for a reason.
+    pub fn count(&self, kind: &'static str, reason: &'static str) {
+        let key = (kind, reason);
+        self.counts
+            .with(&key, |counts| *counts.entry(key).or_insert(0) += 1);
+    }
+
+    /// Takes in how long a statement took that was answered.
+    pub fn record(&self, took: Duration) {
+        let micros = u64::try_from(took.as_micros()).unwrap_or(HIGHEST);
+        let mut latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        latencies.saturating_record(micros);
+    }
+
+    /// Returns all metrics as text.
+    #[must_use]
+    pub fn text(&self) -> String {
+        let mut counts = BTreeMap::new();
+        self.counts.for_each(|key, count| {
+            counts.insert(*key, *count);
+        });
+        let mut text = String::new();
+        for ((kind, reason), count) in counts {
+            // Writing to a string can't fail.
+            let _ = writeln!(
+                text,
+                "agateport_{kind}_total{{reason=\"{reason}\"}} {count}"
+            );
+        }
+        let latencies = self
+            .latencies
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner);
+        for quantile in QUANTILES {
+            let micros = latencies.value_at_quantile(quantile);
+            let _ = writeln!(
+                text,
+                "agateport_statement_microseconds{{quantile=\"{quantile}\"}} {micros}"
+            );
+        }
+        let _ = writeln!(
+            text,
+            "agateport_statement_microseconds_count {}",
+            latencies.len()
+        );
+        text
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/node.rs
@@ -0,0 +1,348 @@
+//! The node: joins sessions, servers and the tasks beside them.
+
+use crate::caller::Session;
+use crate::clock::uptime;
+use crate::control::duty::Handover;
+use crate::control::poll::{self, Snapshot};
+use crate::control::{round, witness};
+use crate::dialect::Dialect;
+use crate::error::Error;
+use crate::metrics::Metrics;
+use crate::record::{self, Member};
+use crate::source::{Change, Declarations, Listings, Promoter, Store};
+use crate::statement::Runner;
+use crate::upstreams::Upstreams;
+use agateport_domain::prelude::*;
+use axum::Router;
+use axum::http::StatusCode;
+use axum::routing::get;
+use std::net::SocketAddr;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+use tokio_util::task::TaskTracker;
+
+/// Time from not being ready until idle sessions are closed: the platform asks
+/// once a second and needs two refusals before it sends no new callers.
+const UNLISTING: Duration = Duration::from_millis(2_500);
+
+/// Part of the grace that sessions get before the process ends.
+const GRACE_SHARE: f64 = 0.85;
+
+/// Time between two looks for groups and idle connections.
+const UPKEEP: Duration = Duration::from_millis(500);
+
+/// Where a node listens, and what it is.
+#[derive(Clone, Debug)]
+pub struct Place {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Availability zone that it runs in.
+    pub zone: Zone,
+    /// Address for callers.
+    pub callers: SocketAddr,
+    /// Address for the question whether the node is ready.
+    pub ready: SocketAddr,
+    /// Path of that question.
+    pub ready_path: &'static str,
+    /// Address for metrics.
+    pub metrics: SocketAddr,
+    /// Time from a request to stop until the process is killed.
+    pub grace: Duration,
+}
+
+/// The sources and sinks that a platform offers.
+#[derive(Debug)]
+pub struct Platform<S, C, L, P> {
+    /// The table in which the project keeps what must last.
+    pub store: S,
+    /// Where configurations come from.
+    pub declarations: C,
+    /// Where the list of servers comes from.
+    pub listings: L,
+    /// Who carries out promotions.
+    pub promoter: P,
+}
+
+/// Runs a node until `stop` is cancelled and its sessions have ended.
+///
+/// # Errors
+///
+/// [`enum@Error`] if an address is taken.
+pub async fn run<D, S, C, L, P>(
+    place: Place,
+    platform: Platform<S, C, L, P>,
+    stop: CancellationToken,
+) -> Result<(), Error>
+where
+    D: Dialect,
+    S: Store,
+    C: Declarations,
+    L: Listings,
+    P: Promoter,
+{
+    let metrics = Arc::new(Metrics::new()?);
+    let upstreams = Arc::new(Upstreams::<D>::new(place.zone.clone()));
+    let callers = TcpListener::bind(place.callers).await?;
+    let store = Arc::new(platform.store);
+    let hurry = Arc::new(Notify::new());
+    let (news, heard) = watch::channel(None);
+    let end = CancellationToken::new();
+    let tasks = TaskTracker::new();
+
+    tasks.spawn(declare(
+        platform.declarations,
+        upstreams.clone(),
+        end.clone(),
+    ));
+    tasks.spawn(list(platform.listings, upstreams.clone(), end.clone()));
+    tasks.spawn(poll::run(
+        store.clone(),
+        upstreams.clone(),
+        news,
+        hurry.clone(),
+        end.clone(),
+    ));
+    tasks.spawn(enroll(
+        place.clone(),
+        store.clone(),
+        heard.clone(),
+        end.clone(),
+    ));
+    tasks.spawn(witness::run(
+        place.node.clone(),
+        store.clone(),
+        upstreams.clone(),
+        heard.clone(),
+        end.clone(),
+    ));
+    let handover = Handover::new(
+        place.node.clone(),
+        upstreams.clone(),
+        store.clone(),
+        platform.promoter,
+        hurry,
+    );
+    tasks.spawn(handover.run(heard.clone(), end.clone()));
+    tasks.spawn(keep_up(upstreams.clone(), end.clone()));
+    serve_ready(&place, upstreams.clone(), heard, stop.clone()).await?;
+    serve_metrics(&place, metrics.clone()).await?;
+
+    tracing::info!(
+        event = "node_started",
+        node = &*place.node,
+        zone = &*place.zone,
+        "the node is up"
+    );
+    let runner = Runner::new(upstreams);
+    let sessions = TaskTracker::new();
+    let leaving = CancellationToken::new();
+    let accepting = accept(callers, &sessions, runner, metrics, leaving.clone());
+    tokio::select! {
+        () = accepting => {}
+        () = drain(&place, store.as_ref(), stop, leaving, &sessions) => {}
+    }
+    end.cancel();
+    tracing::info!(
+        event = "node_stopped",
+        node = &*place.node,
+        "the node is down"
+    );
+    Ok(())
+}
+
+/// Takes callers in.
+async fn accept<D: Dialect>(
+    listener: TcpListener,
+    sessions: &TaskTracker,
+    runner: Runner<D>,
+    metrics: Arc<Metrics>,
+    leaving: CancellationToken,
+) {
+    loop {
+        let stream = match listener.accept().await {
+            Ok((stream, _)) => stream,
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error, "a caller could not be taken in");
+                tokio::time::sleep(Duration::from_millis(10)).await;
+                continue;
+            }
+        };
+        sessions.spawn(serve(
+            stream,
+            runner.clone(),
+            metrics.clone(),
+            leaving.clone(),
+        ));
+    }
+}
+
+async fn serve<D: Dialect>(
+    stream: TcpStream,
+    runner: Runner<D>,
+    metrics: Arc<Metrics>,
+    leaving: CancellationToken,
+) {
+    let session = Session::<D>::new(stream, runner, metrics, leaving);
+    if let Err(error) = session.run().await {
+        tracing::debug!(%error, "a caller's connection broke");
+    }
+}
+
+/// Waits for the request to stop, and lets what runs come to its end.
+async fn drain<S: Store>(
+    place: &Place,
+    store: &S,
+    stop: CancellationToken,
+    leaving: CancellationToken,
+    sessions: &TaskTracker,
+) {
+    stop.cancelled().await;
+    let begun = Instant::now();
+    tracing::info!(
+        event = "node_leaving",
+        sessions = sessions.len(),
+        "the node is asked to stop"
+    );
+    let change = Change {
+        dropped: BTreeSet::from([record::node_key(&place.node)]),
+        ..Change::default()
+    };
+    if let Err(error) = store.change(change).await {
+        tracing::warn!(event = "leave_unsaid", %error, "the store took no word that the node leaves");
+    }
+    tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
+    leaving.cancel();
+    sessions.close();
+    let rest = place
+        .grace
+        .mul_f64(GRACE_SHARE)
+        .saturating_sub(begun.elapsed());
+    if tokio::time::timeout(rest, sessions.wait()).await.is_err() {
+        tracing::warn!(
+            event = "sessions_cut",
+            sessions = sessions.len(),
+            "sessions outlast the grace"
+        );
+    }
+}
+
+async fn declare<D: Dialect, C: Declarations>(
+    mut declarations: C,
+    upstreams: Arc<Upstreams<D>>,
+    end: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = end.cancelled() => return,
+            catalog = declarations.next() => upstreams.apply_catalog(catalog),
+        }
+    }
+}
+
+async fn list<D: Dialect, L: Listings>(
+    mut listings: L,
+    upstreams: Arc<Upstreams<D>>,
+    end: CancellationToken,
+) {
+    loop {
+        tokio::select! {
+            () = end.cancelled() => return,
+            registry = listings.next() => upstreams.apply_registry(registry),
+        }
+    }
+}
+
+/// Makes this node known to the others.
+async fn enroll<S: Store>(
+    place: Place,
+    store: Arc<S>,
+    mut heard: watch::Receiver<Option<Snapshot>>,
+    end: CancellationToken,
+) {
+    let member = Member { zone: place.zone };
+    loop {
+        let snapshot = heard.borrow_and_update().clone();
+        let is_known = snapshot
+            .as_ref()
+            .is_some_and(|snapshot| snapshot.records.members.contains_key(&place.node));
+        if is_known {
+            return;
+        }
+        if snapshot.is_some() {
+            let key = record::node_key(&place.node);
+            let change = Change {
+                set: BTreeMap::from([(key, record::value(&member))]),
+                ..Change::default()
+            };
+            if let Err(error) = store.change(change).await {
+                tracing::warn!(event = "enroll_failed", %error, "the store took no word of this node");
+            }
+        }
+        tokio::select! {
+            () = end.cancelled() => return,
+            changed = heard.changed() => if changed.is_err() { return },
+        }
+    }
+}
+
+/// Starts the proof of new groups, and closes unused connections.
+async fn keep_up<D: Dialect>(upstreams: Arc<Upstreams<D>>, end: CancellationToken) {
+    let mut known = BTreeSet::new();
+    let rounds = TaskTracker::new();
+    loop {
+        for name in upstreams.groups() {
+            if known.insert(name.clone()) {
+                let group = upstreams.group(&name);
+                rounds.spawn(round::run(group, upstreams.clone(), end.clone()));
+            }
+        }
+        upstreams.close_idle();
+        tokio::select! {
+            () = end.cancelled() => return,
+            () = tokio::time::sleep(UPKEEP) => {}
+        }
+    }
+}
+
+/// Answers whether the node can serve: it has a configuration, servers, and has
+/// heard the store once, and isn't leaving.
+async fn serve_ready<D: Dialect>(
+    place: &Place,
+    upstreams: Arc<Upstreams<D>>,
+    heard: watch::Receiver<Option<Snapshot>>,
+    stop: CancellationToken,
+) -> Result<(), Error> {
+    let answer = move || {
+        let has_heard = heard.borrow().is_some();
+        let has_routes = upstreams.catalog().version > 0;
+        let has_servers = !upstreams.registry().is_empty();
+        let is_ready = has_heard && has_routes && has_servers && !stop.is_cancelled();
+        let status = if is_ready {
+            StatusCode::OK
+        } else {
+            StatusCode::SERVICE_UNAVAILABLE
+        };
+        std::future::ready(status)
+    };
+    let router = Router::new().route(place.ready_path, get(answer));
+    spawn_http(place.ready, router).await
+}
+
+async fn serve_metrics(place: &Place, metrics: Arc<Metrics>) -> Result<(), Error> {
+    let answer = move || std::future::ready(metrics.text());
+    let router = Router::new().route("/metrics", get(answer));
+    spawn_http(place.metrics, router).await
+}
+
+async fn spawn_http(address: SocketAddr, router: Router) -> Result<(), Error> {
+    let listener = TcpListener::bind(address).await?;
+    tokio::spawn(async move {
+        if let Err(error) = axum::serve(listener, router).await {
+            tracing::error!(event = "http_ended", %address, %error, "an address is no longer served");
+        }
+    });
+    let started = uptime();
+    tracing::debug!(%address, ?started, "an address is served");
+    Ok(())
+}
--- /dev/null
+++ b/crates/agateport-relay/src/record.rs
@@ -0,0 +1,136 @@
+//! The rows in which the project keeps what must last.
+
+use crate::source::{RowVersion, Rows};
+use agateport_domain::group::Reign;
+use agateport_domain::prelude::*;
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+
+/// Key of the row that names the holder of the promotion duty.
+pub const DUTY: &str = "duty";
+
+const REIGN: &str = "reign/";
+const NODE: &str = "node/";
+const LOSS: &str = "loss/";
+
+/// Who may order promotions.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Duty {
+    /// Name of the node.
+    pub holder: NodeId,
+}
+
+/// A node that is up.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Member {
+    /// Availability zone that it runs in.
+    pub zone: Zone,
+}
+
+/// A node's word that it can't reach a server.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Witness {
+    /// Name of the server.
+    pub server: ServerId,
+}
+
+/// Returns the key of a group's record.
+#[must_use]
+pub fn reign_key(group: &str) -> String {
+    format!("{REIGN}{group}")
+}
+
+/// Returns the key of a node's row.
+#[must_use]
+pub fn node_key(node: &str) -> String {
+    format!("{NODE}{node}")
+}
+
+/// Returns the key of a node's word about a group's primary.
+#[must_use]
+pub fn loss_key(group: &str, node: &str) -> String {
+    format!("{LOSS}{group}/{node}")
+}
+
+/// All rows at one moment.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Records {
+    /// Who may order promotions, and the row's version.
+    pub duty: Option<(Duty, RowVersion)>,
+    /// The record of each group, and the row's version.
+    pub reigns: BTreeMap<GroupId, (Reign, RowVersion)>,
+    /// Nodes that are up, or ended without a word.
+    pub members: BTreeMap<NodeId, Member>,
+    /// Nodes that can't reach a server, by group.
+    pub losses: BTreeMap<GroupId, BTreeMap<NodeId, ServerId>>,
+}
+
+impl Records {
+    /// Reads rows; those that can't be read are left out and logged.
+    #[must_use]
+    pub fn parse(rows: &Rows) -> Self {
+        let mut records = Self::default();
+        for (key, row) in rows {
+            if !records.take(key, &row.value, row.version) {
+                tracing::warn!(event = "row_garbled", key, "a row can't be read");
+            }
+        }
+        records
+    }
+
+    fn take(&mut self, key: &str, value: &[u8], version: RowVersion) -> bool {
+        if key == DUTY {
+            self.duty = parse(value).map(|duty| (duty, version));
+            return self.duty.is_some();
+        }
+        if let Some(group) = key.strip_prefix(REIGN) {
+            let reign = parse(value).map(|reign| (reign, version));
+            return insert(&mut self.reigns, group.into(), reign);
+        }
+        if let Some(node) = key.strip_prefix(NODE) {
+            return insert(&mut self.members, node.into(), parse(value));
+        }
+        let loss = key
+            .strip_prefix(LOSS)
+            .and_then(|rest| rest.rsplit_once('/'));
+        let Some((group, node)) = loss else {
+            return false;
+        };
+        let server = parse::<Witness>(value).map(|witness| witness.server);
+        let losses = self.losses.entry(group.into()).or_default();
+        insert(losses, node.into(), server)
+    }
+
+    /// Returns the number of nodes that can't reach a group's `server`.
+    #[must_use]
+    pub fn witnesses(&self, group: &GroupId, server: &ServerId) -> usize {
+        let losses = self.losses.get(group);
+        losses.map_or(0, |losses| {
+            losses
+                .iter()
+                .filter(|(node, lost)| *lost == server && self.members.contains_key(*node))
+                .count()
+        })
+    }
+
+    /// Returns the place of a node among those that are up.
+    #[must_use]
+    pub fn rank(&self, node: &NodeId) -> usize {
+        self.members.keys().filter(|one| *one < node).count()
+    }
+}
+
+fn insert<K: Ord, V>(map: &mut BTreeMap<K, V>, key: K, value: Option<V>) -> bool {
+    value.map(|value| map.insert(key, value)).is_some()
+}
+
+fn parse<T: DeserializeOwned>(value: &[u8]) -> Option<T> {
+    serde_json::from_slice(value).ok()
+}
+
+/// Returns a row's value.
+#[must_use]
+pub fn value<T: Serialize>(record: &T) -> Vec<u8> {
+    // Plain structures of texts and numbers always have a text.
+    serde_json::to_vec(record).unwrap_or_default()
+}
--- /dev/null
+++ b/crates/agateport-relay/src/server.rs
@@ -0,0 +1,349 @@
+//! One upstream server: who may use it next, its connections, and what is known
+//! of it.
+
+use crate::clock::uptime;
+use crate::dialect::{self, Dialect};
+use crate::link::{self, Context, Link};
+use crate::message::{Order, Status};
+use crate::registry::Listing;
+use agateport_domain::admission::{Decision, Offer, Queue, Share, Ticket};
+use agateport_domain::bundle::Priority;
+use agateport_domain::group::Loss;
+use agateport_domain::prelude::*;
+use agateport_domain::request::{Reason, Refusal};
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
+use thiserror::Error;
+use tokio::sync::oneshot;
+use tokio::time::timeout;
+
+/// Requests of a priority that may wait for one server at one node.
+const WAITING: usize = 64;
+
+/// Time that a server gets to say what it is.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+
+/// Time after which an unused connection is closed, so that other nodes can
+/// have it.
+const IDLE_LIMIT: Duration = Duration::from_secs(3);
+
+/// Age up to which a server's last known place still tells how far its log is.
+const PLACE_AGE: Duration = Duration::from_millis(150);
+
+/// A server that doesn't say what it is.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection can't be used.
+    #[error("the server can't be asked")]
+    Link(#[from] link::Error),
+    /// It didn't answer in time.
+    #[error("the server didn't answer in time")]
+    Silent,
+    /// It answered something else.
+    #[error("the server gave no status")]
+    NoStatus,
+    /// Its status can't be read.
+    #[error("the server's status can't be read")]
+    Garbled(#[from] dialect::Error),
+}
+
+#[derive(Debug)]
+struct Inner<D> {
+    queue: Queue,
+    waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
+    idle: Vec<Link<D>>,
+    place: Option<(Uptime, Watermark)>,
+    loss: Loss,
+    next_request: RequestId,
+}
+
+/// One upstream server, as one node sees it.
+#[derive(Debug)]
+pub struct Server<D> {
+    listing: RwLock<Arc<Listing>>,
+    inner: Mutex<Inner<D>>,
+}
+
+impl<D: Dialect> Server<D> {
+    /// Creates a server that nobody uses yet.
+    ///
+    /// # Errors
+    ///
+    /// [`agateport_domain::admission::Error`] if the share has no slot.
+    pub fn new(
+        listing: Listing,
+        share: Share,
+        priorities: &[Priority],
+    ) -> Result<Self, agateport_domain::admission::Error> {
+        let queue = Queue::new(share, WAITING, priorities, Instant::now())?;
+        let inner = Inner {
+            queue,
+            waiting: BTreeMap::new(),
+            idle: Vec::new(),
+            place: None,
+            loss: Loss::default(),
+            next_request: 0,
+        };
+        Ok(Self {
+            listing: RwLock::new(Arc::new(listing)),
+            inner: Mutex::new(inner),
+        })
+    }
+
+    /// Returns what the server registered.
+    #[must_use]
+    pub fn listing(&self) -> Arc<Listing> {
+        let listing = self.listing.read();
+        listing.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    /// Takes over a changed entry of the same process.
+    pub fn relist(&self, listing: Listing) {
+        let mut current = self.listing.write().unwrap_or_else(PoisonError::into_inner);
+        *current = Arc::new(listing);
+    }
+
+    /// Waits for a slot at the server.
+    ///
+    /// # Errors
+    ///
+    /// A [`Refusal`] if the slot wouldn't come in time; nothing was sent.
+    pub async fn admit(
+        self: &Arc<Self>,
+        priority: &PriorityId,
+        caller: &CallerId,
+        due: Instant,
+    ) -> Result<Slot<D>, Refusal> {
+        let (request, offer, receiver) = self.offer(priority, caller, due)?;
+        let slot = Slot {
+            server: self.clone(),
+            request,
+        };
+        let Offer::Queued { latest_start, .. } = offer else {
+            return Ok(slot);
+        };
+        match tokio::time::timeout_at(latest_start.into(), receiver).await {
+            Ok(Ok(Ok(()))) => Ok(slot),
+            Ok(Ok(Err(refusal))) => Err(refusal),
+            // Dropping the slot takes the request out of the queue.
+            Ok(Err(_)) | Err(_) => Err(Reason::TargetMissed.into()),
+        }
+    }
+
+    #[expect(
+        clippy::type_complexity,
+        reason = "the three parts of one step under the lock"
+    )]
+    fn offer(
+        &self,
+        priority: &PriorityId,
+        caller: &CallerId,
+        due: Instant,
+    ) -> Result<(RequestId, Offer, oneshot::Receiver<Result<(), Refusal>>), Refusal> {
+        let (sender, receiver) = oneshot::channel();
+        let mut inner = self.lock();
+        inner.next_request += 1;
+        let request = inner.next_request;
+        let ticket = Ticket {
+            request,
+            priority: priority.clone(),
+            caller: caller.clone(),
+            due,
+        };
+        let offer = inner.queue.offer(ticket, Instant::now())?;
+        if let Offer::Queued { evicted, .. } = &offer {
+            inner.waiting.insert(request, sender);
+            let evicted = evicted.and_then(|(other, refusal)| {
+                let waiter = inner.waiting.remove(&other)?;
+                Some((waiter, refusal))
+            });
+            if let Some((waiter, refusal)) = evicted {
+                // A waiter that is gone needs no refusal.
+                let _ = waiter.send(Err(refusal));
+            }
+        }
+        Ok((request, offer, receiver))
+    }
+
+    /// Hands free slots to those who wait.
+    fn pump(inner: &mut Inner<D>) {
+        while let Some(decision) = inner.queue.next(Instant::now()) {
+            let (request, verdict) = match decision {
+                Decision::Start(request) => (request, Ok(())),
+                Decision::Refuse(request, refusal) => (request, Err(refusal)),
+            };
+            let is_start = verdict.is_ok();
+            let waiter = inner.waiting.remove(&request);
+            let is_gone = waiter.is_none_or(|waiter| waiter.send(verdict).is_err());
+            if is_start && is_gone {
+                inner.queue.finish(request, Instant::now());
+            }
+        }
+    }
+
+    /// Returns a connection that nobody uses, the nearest to `context`; none if
+    /// a new one has to be opened.
+    #[must_use]
+    pub fn idle_link(&self, context: &Context) -> Option<Link<D>> {
+        let mut inner = self.lock();
+        inner.idle.retain(Link::is_open);
+        let nearest = inner
+            .idle
+            .iter()
+            .enumerate()
+            .min_by_key(|(_, link)| link.distance(context));
+        let (index, _) = nearest?;
+        Some(inner.idle.swap_remove(index))
+    }
+
+    /// Returns a connection, opened if need be.
+    ///
+    /// # Errors
+    ///
+    /// [`link::Error`] if the server can't be reached or refuses.
+    pub async fn link(&self, context: &Context) -> Result<Link<D>, link::Error> {
+        if let Some(link) = self.idle_link(context) {
+            return Ok(link);
+        }
+        let begun = uptime();
+        let listing = self.listing();
+        let opened = Link::open(listing.address, &listing.group, &listing.server).await;
+        match opened {
+            Ok((link, place)) => {
+                self.heard(begun, place);
+                Ok(link)
+            }
+            Err(link::Error::Refused(code)) => Err(link::Error::Refused(code)),
+            Err(error) => {
+                self.lock().loss.fail(begun);
+                Err(error)
+            }
+        }
+    }
+
+    /// Takes a connection back that is outside of any transaction.
+    pub fn give_back(&self, mut link: Link<D>) {
+        link.idle_since = uptime();
+        self.lock().idle.push(link);
+    }
+
+    /// Closes connections that weren't used for a while.
+    pub fn close_idle(&self) {
+        let now = uptime();
+        let mut inner = self.lock();
+        inner
+            .idle
+            .retain(|link| now < link.idle_since + IDLE_LIMIT && link.is_open());
+    }
+
+    /// Asks the server what it is.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if it doesn't say.
+    pub async fn status(&self, order: Order) -> Result<Status, Error> {
+        let begun = uptime();
+        let asked = timeout(STATUS_TIMEOUT, self.ask_status(order)).await;
+        let status = asked.unwrap_or(Err(Error::Silent));
+        match &status {
+            Ok(status) => self.heard(begun, Some(status.last)),
+            Err(Error::Silent) => self.lock().loss.fail(begun),
+            Err(_) => {}
+        }
+        status
+    }
+
+    async fn ask_status(&self, order: Order) -> Result<Status, Error> {
+        let mut link = self.link(&Context::default()).await?;
+        let answers = link.exchange(&[order]).await?;
+        let row = answers.first().and_then(|answer| answer.rows.first());
+        let status = D::status(row.ok_or(Error::NoStatus)?)?;
+        self.give_back(link);
+        Ok(status)
+    }
+
+    /// Takes in an answer to what was sent at `asked`.
+    pub fn heard(&self, asked: Uptime, place: Option<Watermark>) {
+        let mut inner = self.lock();
+        inner.loss.succeed();
+        let Some(place) = place else { return };
+        let is_newer = inner.place.is_none_or(|(known, _)| known <= asked);
+        if is_newer {
+            inner.place = Some((asked, place));
+        }
+    }
+
+    /// Takes in that something sent at `asked` got no answer.
+    pub fn missed(&self, asked: Uptime) {
+        self.lock().loss.fail(asked);
+    }
+
+    /// Returns what is known of the attempts to reach the server.
+    #[must_use]
+    pub fn loss(&self) -> Loss {
+        self.lock().loss
+    }
+
+    /// Returns the place of the server's log that was heard last, and whether
+    /// that was just now.
+    #[must_use]
+    pub fn place(&self) -> Option<(Watermark, bool)> {
+        let now = uptime();
+        let place = self.lock().place;
+        place.map(|(asked, place)| (place, now < asked + PLACE_AGE))
+    }
+
+    /// Returns the number of requests that use the server or wait for it.
+    #[must_use]
+    pub fn load(&self) -> usize {
+        let inner = self.lock();
+        inner.queue.running() + inner.queue.waiting()
+    }
+
+    /// Changes the connections that this node may use.
+    pub fn set_connections(&self, connections: usize) {
+        let mut inner = self.lock();
+        inner.queue.set_connections(connections);
+        Self::pump(&mut inner);
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner<D>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// The right to use a server's slot; dropping it gives the slot back.
+#[derive(Debug)]
+pub struct Slot<D: Dialect> {
+    server: Arc<Server<D>>,
+    request: RequestId,
+}
+
+impl<D: Dialect> Slot<D> {
+    /// Gives the slot back between two statements of a transaction.
+    pub fn pause(&self) {
+        let mut inner = self.server.lock();
+        inner.queue.pause(self.request, Instant::now());
+        Server::pump(&mut inner);
+    }
+
+    /// Takes the slot again for the transaction's next statement.
+    pub fn resume(&self) {
+        let mut inner = self.server.lock();
+        inner.queue.resume(self.request, Instant::now());
+    }
+
+    /// Returns the server of the slot.
+    #[must_use]
+    pub fn server(&self) -> &Arc<Server<D>> {
+        &self.server
+    }
+}
+
+impl<D: Dialect> Drop for Slot<D> {
+    fn drop(&mut self) {
+        let mut inner = self.server.lock();
+        inner.waiting.remove(&self.request);
+        inner.queue.finish(self.request, Instant::now());
+        Server::pump(&mut inner);
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -0,0 +1,261 @@
+//! All groups and servers that a node knows.
+
+use crate::catalog::Catalog;
+use crate::dialect::Dialect;
+use crate::group::Group;
+use crate::priority;
+use crate::registry::{Listing, Registry};
+use crate::server::Server;
+use agateport_domain::admission::Share;
+use agateport_domain::group::Reign;
+use agateport_domain::prelude::*;
+use std::sync::RwLock;
+use std::sync::atomic::{AtomicUsize, Ordering};
+
+/// Connections of a server that no node counts on: for the questions what the
+/// server is, and for nodes that start.
+const RESERVED_CONNECTIONS: usize = 2;
+
+/// How much more than its even share of a server's connections a node may use,
+/// as a factor; callers are spread unevenly, and the server refuses past its
+/// limit.
+const CONNECTION_OVERCOMMIT: usize = 2;
+
+/// Statements of one node at once at a server with this many nodes in use, over
+/// the server's slots, as a factor: enough that no slot waits for the network.
+const SLOT_OVERCOMMIT: usize = 3;
+
+/// Connections that a server is taken to have if the configuration doesn't say.
+const DEFAULT_CONNECTIONS: usize = 16;
+
+/// All groups and servers that a node knows.
+#[derive(Debug)]
+pub struct Upstreams<D> {
+    zone: Zone,
+    groups: Sharded<GroupId, Arc<Group>>,
+    servers: Sharded<ServerId, Arc<Server<D>>>,
+    registry: RwLock<Arc<Registry>>,
+    catalog: RwLock<Arc<Catalog>>,
+    nodes: AtomicUsize,
+}
+
+impl<D: Dialect> Upstreams<D> {
+    /// Creates the view of a node in `zone` that knows nothing yet.
+    #[must_use]
+    pub fn new(zone: Zone) -> Self {
+        Self {
+            zone,
+            groups: Sharded::new(),
+            servers: Sharded::new(),
+            registry: RwLock::default(),
+            catalog: RwLock::default(),
+            nodes: AtomicUsize::new(1),
+        }
+    }
+
+    /// Returns the configuration in force.
+    #[must_use]
+    pub fn catalog(&self) -> Arc<Catalog> {
+        let catalog = self.catalog.read();
+        catalog
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Returns the registered servers.
+    #[must_use]
+    pub fn registry(&self) -> Arc<Registry> {
+        let registry = self.registry.read();
+        registry
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    /// Returns how a database's statements are served.
+    #[must_use]
+    pub fn route(&self, database: &str) -> Option<Arc<crate::catalog::Route>> {
+        self.catalog().routes.get(database).cloned()
+    }
+
+    /// Returns the names of the groups that are configured and have servers.
+    #[must_use]
+    pub fn groups(&self) -> BTreeSet<GroupId> {
+        let catalog = self.catalog();
+        let registry = self.registry();
+        let listed = registry.values().map(|listing| listing.group.clone());
+        listed
+            .filter(|group| catalog.connections.contains_key(group))
+            .collect()
+    }
+
+    /// Returns the group with this name.
+    #[must_use]
+    pub fn group(&self, name: &GroupId) -> Arc<Group> {
+        self.groups.with(name, |groups| {
+            let group = groups
+                .entry(name.clone())
+                .or_insert_with(|| Arc::new(Group::new(name.clone())));
+            group.clone()
+        })
+    }
+
+    /// Returns the server with this name, if it is registered.
+    #[must_use]
+    pub fn server(&self, name: &ServerId) -> Option<Arc<Server<D>>> {
+        self.servers.get(name)
+    }
+
+    /// Returns the registered servers of a group.
+    #[must_use]
+    pub fn servers(&self, group: &GroupId) -> Vec<Arc<Server<D>>> {
+        let registry = self.registry();
+        let members = registry.values().filter(|one| one.group == *group);
+        members.filter_map(|one| self.server(&one.server)).collect()
+    }
+
+    /// Tells whether a server is in the zone of this node.
+    #[must_use]
+    pub fn is_near(&self, listing: &Listing) -> bool {
+        listing.zone == self.zone
+    }
+
+    /// Takes over a configuration, if it is newer than the one in force.
+    pub fn apply_catalog(&self, catalog: Catalog) {
+        let mut current = self
+            .catalog
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if catalog.version <= current.version {
+            return;
+        }
+        tracing::info!(
+            event = "configuration_applied",
+            version = catalog.version,
+            former = current.version,
+            routes = catalog.routes.len(),
+            "a newer configuration is in force"
+        );
+        *current = Arc::new(catalog);
+        drop(current);
+        self.share_connections();
+    }
+
+    /// Takes over a list of servers.
+    pub fn apply_registry(&self, registry: Registry) {
+        let former = self.registry();
+        for (name, listing) in &registry {
+            if former.get(name) == Some(listing) {
+                continue;
+            }
+            self.register(listing);
+        }
+        for name in former.keys().filter(|name| !registry.contains_key(*name)) {
+            tracing::info!(
+                event = "server_gone",
+                server = &**name,
+                "a server left the list"
+            );
+            self.servers.remove(name);
+        }
+        let mut current = self
+            .registry
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        *current = Arc::new(registry);
+        drop(current);
+        self.elect();
+    }
+
+    fn register(&self, listing: &Listing) {
+        tracing::info!(
+            event = "server_listed",
+            server = &*listing.server,
+            group = &*listing.group,
+            zone = &*listing.zone,
+            is_primary = listing.is_primary,
+            is_leaving = listing.is_leaving,
+            "a server's entry changed"
+        );
+        let known = self.servers.get(&listing.server).filter(|server| {
+            let known = server.listing();
+            known.address == listing.address && known.born == listing.born
+        });
+        if let Some(server) = known {
+            server.relist(listing.clone());
+            return;
+        }
+        let share = self.share(listing);
+        match Server::new(listing.clone(), share, &priority::all()) {
+            Ok(server) => drop(
+                self.servers
+                    .insert(listing.server.clone(), Arc::new(server)),
+            ),
+            Err(error) => tracing::warn!(
+                event = "server_unusable",
+                server = &*listing.server,
+                %error,
+                "a server's entry can't be used"
+            ),
+        }
+    }
+
+    /// Takes in the store's records, asked for at `asked`.
+    pub fn apply_reigns(&self, reigns: &BTreeMap<GroupId, Reign>, asked: Uptime) {
+        for group in self.groups() {
+            let reign = reigns.get(&group).cloned();
+            self.group(&group).record(reign, asked);
+        }
+        self.elect();
+    }
+
+    /// Takes in how many nodes use the servers.
+    pub fn apply_nodes(&self, nodes: usize) {
+        let nodes = nodes.max(1);
+        if self.nodes.swap(nodes, Ordering::Relaxed) != nodes {
+            self.share_connections();
+        }
+    }
+
+    /// Closes connections that weren't used for a while.
+    pub fn close_idle(&self) {
+        self.servers.for_each(|_, server| server.close_idle());
+    }
+
+    fn share_connections(&self) {
+        let mut servers = Vec::new();
+        self.servers
+            .for_each(|_, server| servers.push(server.clone()));
+        for server in servers {
+            let share = self.share(&server.listing());
+            server.set_connections(share.connections);
+        }
+    }
+
+    /// Returns the part of a server that this node may use.
+    fn share(&self, listing: &Listing) -> Share {
+        let nodes = self.nodes.load(Ordering::Relaxed);
+        let declared = self.catalog().connections.get(&listing.group).copied();
+        let all = declared.unwrap_or(DEFAULT_CONNECTIONS);
+        let all = all.saturating_sub(RESERVED_CONNECTIONS).max(1);
+        let connections = (all * CONNECTION_OVERCOMMIT).div_ceil(nodes).min(all);
+        let slots = (listing.slots * SLOT_OVERCOMMIT).div_ceil(nodes);
+        Share {
+            slots: slots.clamp(1, listing.slots.max(1)),
+            connections,
+        }
+    }
+
+    /// Lets each group know which servers say that they lead it.
+    fn elect(&self) {
+        let mut claims: BTreeMap<GroupId, Vec<ServerId>> = BTreeMap::new();
+        for listing in self.registry().values() {
+            let claims = claims.entry(listing.group.clone()).or_default();
+            if listing.is_primary {
+                claims.push(listing.server.clone());
+            }
+        }
+        for (group, claims) in claims {
+            self.group(&group).elect(&claims);
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/tests/group.rs
@@ -0,0 +1,69 @@
+//! Who leads a group, and for which moments that is proven.
+
+use agateport_domain::group::Reign;
+use agateport_domain::prelude::*;
+use agateport_relay::clock::uptime;
+use agateport_relay::group::Group;
+
+fn reign(primary: &str) -> Reign {
+    Reign {
+        primary: primary.into(),
+        fence: 1,
+        is_settled: true,
+    }
+}
+
+/// A request that waited for the proof of one primary while another one took
+/// over must not take the proof of the other for it.
+#[tokio::test(start_paused = true)]
+async fn a_proof_is_of_one_primary_only() {
+    let group = Arc::new(Group::new("ledger".into()));
+    let claims: Vec<ServerId> = vec!["one".into()];
+    group.elect(&claims);
+    let waiting = tokio::spawn({
+        let group = group.clone();
+        let arrived = uptime();
+        let deadline = Instant::now() + Duration::from_millis(150);
+        async move { group.prove(&"one".into(), arrived, deadline).await }
+    });
+    tokio::task::yield_now().await;
+    group.record(Some(reign("two")), uptime());
+    group.elect(&["two".into()]);
+    assert!(!waiting.await.expect("the wait ends"));
+    assert!(group.is_proven(&"two".into(), uptime()));
+}
+
+#[test]
+fn a_server_leads_when_the_record_and_itself_say_so() {
+    let group = Group::new("ledger".into());
+    group.record(Some(reign("two")), uptime());
+    group.elect(&["one".into()]);
+    assert_eq!(group.leader(), None);
+    group.elect(&["one".into(), "two".into()]);
+    let leader = group.leader().expect("both say so");
+    insta::assert_debug_snapshot!(leader);
+}
+
+#[test]
+fn a_read_needs_what_a_proven_primary_had_at_the_oldest_moment() {
+    let group = Group::new("ledger".into());
+    group.elect(&["one".into()]);
+    let asked = uptime();
+    let place = Watermark {
+        term: 1,
+        position: 7,
+    };
+    group.progress(&"one".into(), asked, place);
+    let unproven = group.floor(asked, None);
+    group.record(None, asked);
+    let proven = group.floor(asked, None);
+    let own = group.floor(
+        asked,
+        Some(Watermark {
+            term: 1,
+            position: 9,
+        }),
+    );
+    let too_young = group.floor(asked + Duration::from_millis(1), None);
+    insta::assert_debug_snapshot!((unproven, proven, own, too_young));
+}
