--- a/crates/agateport-domain/src/group/grant.rs
+++ b/crates/agateport-domain/src/group/grant.rs
@@ -6,9 +6,10 @@
 /// Time for which an answer of the store proves that no other primary acts,
 /// counted from when the store was asked.
 ///
-/// A handover waits this long after it was recorded. Three reads of the store
-/// fit into it, so that one slow or lost answer doesn't end the proof.
-pub const TERM: Duration = Duration::from_millis(1_500);
+/// A handover waits this long after it was recorded, so it is part of each gap
+/// in service. Three reads of the store fit into it, so that one slow or lost
+/// answer doesn't end the proof.
+pub const TERM: Duration = Duration::from_millis(1_200);
 
 /// The moment up to which a primary is known to be the only one.
 ///
--- a/crates/agateport-domain/src/group/loss.rs
+++ b/crates/agateport-domain/src/group/loss.rs
@@ -6,7 +6,7 @@
 /// Time over which every attempt to reach a server must have failed.
 ///
 /// Longer than the pauses of a busy VM and than a lost packet's retransmission.
-const PERSISTENCE: Duration = Duration::from_millis(600);
+const PERSISTENCE: Duration = Duration::from_millis(350);
 
 /// Attempts that must have failed in that time.
 const ATTEMPTS: u32 = 2;
--- a/crates/agateport-domain/src/group/progress.rs
+++ b/crates/agateport-domain/src/group/progress.rs
@@ -55,8 +55,9 @@
         self.entries.back().map(|(_, place)| *place)
     }
 
-    /// Forgets everything, for another primary.
-    pub fn clear(&mut self) {
-        self.entries.clear();
+    /// Forgets what was asked for at `until` or later, when the primary may have
+    /// been replaced; what is left stays true.
+    pub fn truncate(&mut self, until: Uptime) {
+        self.entries.retain(|(moment, _)| *moment < until);
     }
 }
--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -13,11 +13,15 @@
 use std::marker::PhantomData;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
-use tokio_util::sync::CancellationToken;
+use tokio::sync::watch;
 
 /// First size of a caller's buffers, in bytes; most messages fit.
 const BUFFER: usize = 1_024;
 
+/// Time that a caller waits for the first configuration of a node that has just
+/// started; callers give up after two seconds.
+const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(1_800);
+
 /// Time for a rollback that nobody waits for.
 const ROLLBACK_LIMIT: Duration = Duration::from_secs(1);
 
@@ -65,7 +69,7 @@
     context: Context,
     seen: Option<Watermark>,
     transaction: Transaction<D>,
-    leaving: CancellationToken,
+    release: watch::Receiver<bool>,
     dialect: PhantomData<fn() -> D>,
 }
 
@@ -76,7 +80,7 @@
         stream: TcpStream,
         runner: Runner<D>,
         metrics: Arc<Metrics>,
-        leaving: CancellationToken,
+        release: watch::Receiver<bool>,
     ) -> Self {
         Self {
             stream,
@@ -89,7 +93,7 @@
             context: Context::default(),
             seen: None,
             transaction: Transaction::None,
-            leaving,
+            release,
             dialect: PhantomData,
         }
     }
@@ -115,7 +119,9 @@
     }
 
     async fn greet(&mut self) -> io::Result<bool> {
-        if self.runner.upstreams().route(&self.database).is_some() {
+        let upstreams = self.runner.upstreams().clone();
+        upstreams.configured(CONFIGURATION_PATIENCE).await;
+        if upstreams.route(&self.database).is_some() {
             self.metrics.count("session", "opened");
             D::ready(State::Idle, None, &mut self.output);
             self.flush().await?;
@@ -389,13 +395,13 @@
             _ => None,
         };
         let is_idle = matches!(self.transaction, Transaction::None);
-        let leaving = self.leaving.clone();
+        let mut release = self.release.clone();
         tokio::select! {
             biased;
             message = self.message() => {
                 Ok(message?.map_or(Event::End, Event::Message))
             }
-            () = leaving.cancelled(), if is_idle => Ok(Event::End),
+            _ = release.wait_for(|is_released| *is_released), if is_idle => Ok(Event::End),
             () = sleep(limit) => Ok(Event::Idle),
         }
     }
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -14,7 +14,7 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between two reads; three fit into a grant's term.
-const INTERVAL: Duration = Duration::from_millis(500);
+const INTERVAL: Duration = Duration::from_millis(400);
 
 /// Time after which a failed read is tried again.
 const RETRY: Duration = Duration::from_millis(150);
@@ -67,6 +67,8 @@
                     (pause * 2).min(LONGEST_RETRY)
                 };
                 is_reached = false;
+                // Until the store answers, the servers' own word is the proof.
+                upstreams.want_proofs();
             }
         }
         tokio::select! {
--- a/crates/agateport-relay/src/control/witness.rs
+++ b/crates/agateport-relay/src/control/witness.rs
@@ -9,7 +9,7 @@
 use crate::source::{Change, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
-use tokio::sync::watch;
+use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at the primaries; a suspected one is asked each time.
@@ -21,9 +21,10 @@
     store: Arc<S>,
     upstreams: Arc<Upstreams<D>>,
     news: watch::Receiver<Option<Snapshot>>,
+    hurry: Arc<Notify>,
     token: CancellationToken,
 ) {
-    let mut told: BTreeMap<GroupId, ServerId> = BTreeMap::new();
+    let mut told: Option<BTreeMap<GroupId, ServerId>> = None;
     loop {
         tokio::select! {
             () = token.cancelled() => return,
@@ -32,20 +33,20 @@
         let Some(snapshot) = news.borrow().clone() else {
             continue;
         };
-        for (group, servers) in &snapshot.records.losses {
-            // A former process of this node may have left its word behind.
-            if let Some(server) = servers.get(&node) {
-                told.entry(group.clone()).or_insert_with(|| server.clone());
-            }
-        }
+        // A former process of this node may have left its word behind.
+        let known = told.get_or_insert_with(|| snapshot.records.losses_of(&node));
         let mut lost = BTreeMap::new();
         for (group, server) in primaries(&upstreams) {
             if is_lost(&upstreams, &server).await {
                 lost.insert(group, server);
             }
         }
-        if lost != told && tell(&node, store.as_ref(), &told, &lost).await {
-            told = lost;
+        if lost != *known && tell(&node, store.as_ref(), known, &lost).await {
+            told = Some(lost.clone());
+        }
+        if !lost.is_empty() {
+            // What the other nodes say is wanted soon.
+            hurry.notify_one();
         }
     }
 }
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -69,9 +69,10 @@
                 fence = reign.as_ref().map(|reign| reign.fence),
                 "the store records another primary"
             );
+            let until = inner.grant.until();
+            inner.progress.truncate(until);
             inner.grant = Grant::default();
             inner.leader = None;
-            inner.progress.clear();
         }
         let seen = match &inner.reign {
             Some((_, seen)) if !is_new => *seen,
@@ -116,7 +117,12 @@
             "the group has another leader"
         );
         inner.leader = leader.cloned();
-        inner.progress.clear();
+    }
+
+    /// Tells whether the primary was the only one at some moment after `moment`.
+    #[must_use]
+    pub fn was_proven(&self, moment: Uptime) -> bool {
+        self.lock().grant.covers(moment)
     }
 
     /// Returns the group's primary, if it is known.
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -26,6 +26,12 @@
 /// once a second and needs two refusals before it sends no new callers.
 const UNLISTING: Duration = Duration::from_millis(2_500);
 
+/// Time after its last proof for which a node still counts itself able to serve.
+const PROOF_AGE: Duration = Duration::from_millis(400);
+
+/// Time between two looks whether the node can serve.
+const READINESS: Duration = Duration::from_millis(100);
+
 /// Part of the grace that sessions get before the process ends.
 const GRACE_SHARE: f64 = 0.85;
 
@@ -114,6 +120,7 @@
         store.clone(),
         upstreams.clone(),
         heard.clone(),
+        hurry.clone(),
         end.clone(),
     ));
     let handover = Handover::new(
@@ -125,7 +132,15 @@
     );
     tasks.spawn(handover.run(heard.clone(), end.clone()));
     tasks.spawn(keep_up(upstreams.clone(), end.clone()));
-    serve_ready(&place, upstreams.clone(), heard, stop.clone()).await?;
+    let (release, released) = watch::channel(false);
+    let release = Arc::new(release);
+    let readiness = Readiness {
+        upstreams: upstreams.clone(),
+        heard,
+        stop: stop.clone(),
+    };
+    tasks.spawn(let_go(readiness.clone(), release.clone(), end.clone()));
+    serve_ready(&place, readiness).await?;
     serve_metrics(&place, metrics.clone()).await?;
 
     tracing::info!(
@@ -136,11 +151,10 @@
     );
     let runner = Runner::new(upstreams);
     let sessions = TaskTracker::new();
-    let leaving = CancellationToken::new();
-    let accepting = accept(callers, &sessions, runner, metrics, leaving.clone());
+    let accepting = accept(callers, &sessions, runner, metrics, released);
     tokio::select! {
         () = accepting => {}
-        () = drain(&place, store.as_ref(), stop, leaving, &sessions) => {}
+        () = drain(&place, store.as_ref(), stop, &release, &sessions) => {}
     }
     end.cancel();
     tracing::info!(
@@ -157,7 +171,7 @@
     sessions: &TaskTracker,
     runner: Runner<D>,
     metrics: Arc<Metrics>,
-    leaving: CancellationToken,
+    released: watch::Receiver<bool>,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -172,7 +186,7 @@
             stream,
             runner.clone(),
             metrics.clone(),
-            leaving.clone(),
+            released.clone(),
         ));
     }
 }
@@ -181,9 +195,9 @@
     stream: TcpStream,
     runner: Runner<D>,
     metrics: Arc<Metrics>,
-    leaving: CancellationToken,
+    released: watch::Receiver<bool>,
 ) {
-    let session = Session::<D>::new(stream, runner, metrics, leaving);
+    let session = Session::<D>::new(stream, runner, metrics, released);
     if let Err(error) = session.run().await {
         tracing::debug!(%error, "a caller's connection broke");
     }
@@ -194,7 +208,7 @@
     place: &Place,
     store: &S,
     stop: CancellationToken,
-    leaving: CancellationToken,
+    release: &watch::Sender<bool>,
     sessions: &TaskTracker,
 ) {
     stop.cancelled().await;
@@ -212,7 +226,7 @@
         tracing::warn!(event = "leave_unsaid", %error, "the store took no word that the node leaves");
     }
     tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
-    leaving.cancel();
+    release.send_replace(true);
     sessions.close();
     let rest = place
         .grace
@@ -305,20 +319,72 @@
     }
 }
 
-/// Answers whether the node can serve: it has a configuration, servers, and has
-/// heard the store once, and isn't leaving.
-async fn serve_ready<D: Dialect>(
-    place: &Place,
+/// What decides whether a node takes callers.
+#[derive(Debug)]
+struct Readiness<D> {
     upstreams: Arc<Upstreams<D>>,
     heard: watch::Receiver<Option<Snapshot>>,
     stop: CancellationToken,
-) -> Result<(), Error> {
-    let answer = move || {
-        let has_heard = heard.borrow().is_some();
+}
+
+impl<D> Clone for Readiness<D> {
+    fn clone(&self) -> Self {
+        Self {
+            upstreams: self.upstreams.clone(),
+            heard: self.heard.clone(),
+            stop: self.stop.clone(),
+        }
+    }
+}
+
+impl<D: Dialect> Readiness<D> {
+    /// Tells whether the node can serve: it has a configuration and servers, and
+    /// can still prove which of them are primaries.
+    ///
+    /// A node that is cut off with its zone sends its callers elsewhere by this.
+    fn is_ready(&self) -> bool {
+        if self.stop.is_cancelled() || self.heard.borrow().is_none() {
+            return false;
+        }
+        let upstreams = &self.upstreams;
         let has_routes = upstreams.catalog().version > 0;
         let has_servers = !upstreams.registry().is_empty();
-        let is_ready = has_heard && has_routes && has_servers && !stop.is_cancelled();
-        let status = if is_ready {
+        let proven = uptime().saturating_sub(PROOF_AGE);
+        has_routes && has_servers && upstreams.is_proven_since(proven)
+    }
+}
+
+/// Closes idle sessions while the node can't serve, once no new ones come.
+async fn let_go<D: Dialect>(
+    readiness: Readiness<D>,
+    release: Arc<watch::Sender<bool>>,
+    end: CancellationToken,
+) {
+    let mut unready: Option<Uptime> = None;
+    loop {
+        tokio::select! {
+            () = end.cancelled() => return,
+            () = tokio::time::sleep(READINESS) => {}
+        }
+        if readiness.stop.is_cancelled() {
+            return;
+        }
+        let has_started = readiness.heard.borrow().is_some();
+        if readiness.is_ready() || !has_started {
+            unready = None;
+            release.send_if_modified(|is_released| std::mem::take(is_released));
+            continue;
+        }
+        let since = *unready.get_or_insert_with(uptime);
+        if uptime() >= since + UNLISTING {
+            release.send_if_modified(|is_released| !std::mem::replace(is_released, true));
+        }
+    }
+}
+
+async fn serve_ready<D: Dialect>(place: &Place, readiness: Readiness<D>) -> Result<(), Error> {
+    let answer = move || {
+        let status = if readiness.is_ready() {
             StatusCode::OK
         } else {
             StatusCode::SERVICE_UNAVAILABLE
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -113,6 +113,16 @@
         })
     }
 
+    /// Returns the servers that a node can't reach, by group.
+    #[must_use]
+    pub fn losses_of(&self, node: &NodeId) -> BTreeMap<GroupId, ServerId> {
+        let losses = self.losses.iter().filter_map(|(group, losses)| {
+            let server = losses.get(node)?;
+            Some((group.clone(), server.clone()))
+        });
+        losses.collect()
+    }
+
     /// Returns the place of a node among those that are up.
     #[must_use]
     pub fn rank(&self, node: &NodeId) -> usize {
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -112,6 +112,7 @@
         priority: &PriorityId,
         caller: &CallerId,
         due: Instant,
+        patience: Duration,
     ) -> Result<Slot<D>, Refusal> {
         let (request, offer, receiver) = self.offer(priority, caller, due)?;
         let slot = Slot {
@@ -121,6 +122,7 @@
         let Offer::Queued { latest_start, .. } = offer else {
             return Ok(slot);
         };
+        let latest_start = latest_start.min(Instant::now() + patience);
         match tokio::time::timeout_at(latest_start.into(), receiver).await {
             Ok(Ok(Ok(()))) => Ok(slot),
             Ok(Ok(Err(refusal))) => Err(refusal),
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -16,6 +16,10 @@
 /// Servers that one statement is tried at before it is refused.
 const ATTEMPTS: usize = 4;
 
+/// Part of the target for which a statement waits for a slot. A caller that is
+/// refused by then can still be served within the target at another node.
+const PATIENCE_SHARE: f64 = 0.22;
+
 /// Time for which a write that hasn't been sent waits for the proof that its
 /// primary is the only one: a few round trips to the group's other servers.
 const PROOF_PATIENCE: Duration = Duration::from_millis(150);
@@ -156,10 +160,7 @@
         if at_leader && !prove_before(group, server, work, access).await {
             return Try::Missed(Miss::Elsewhere("the primary isn't proven"));
         }
-        let slot = match server
-            .admit(&work.route.priority, work.caller, work.due())
-            .await
-        {
+        let slot = match admit(server, work).await {
             Ok(slot) => slot,
             Err(refusal) => return Try::Missed(Miss::Refused(refusal)),
         };
@@ -255,10 +256,7 @@
         if at_leader && !prove_before(group, server, work, access).await {
             return Try::Missed(Miss::Elsewhere("the primary isn't proven"));
         }
-        let slot = match server
-            .admit(&work.route.priority, work.caller, work.due())
-            .await
-        {
+        let slot = match admit(server, work).await {
             Ok(slot) => slot,
             Err(refusal) => return Try::Missed(Miss::Refused(refusal)),
         };
@@ -451,6 +449,14 @@
     }
 }
 
+/// Waits for a slot at a server, while there is time to try elsewhere.
+async fn admit<D: Dialect>(server: &Arc<Server<D>>, work: &Work<'_>) -> Result<Slot<D>, Refusal> {
+    let patience = work.route.target.mul_f64(PATIENCE_SHARE);
+    server
+        .admit(&work.route.priority, work.caller, work.due(), patience)
+        .await
+}
+
 /// Why an exchange has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Lost {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -11,6 +11,7 @@
 use agateport_domain::prelude::*;
 use std::sync::RwLock;
 use std::sync::atomic::{AtomicUsize, Ordering};
+use tokio::sync::watch;
 
 /// Connections of a server that no node counts on: for the questions what the
 /// server is, and for nodes that start.
@@ -36,6 +37,7 @@
     servers: Sharded<ServerId, Arc<Server<D>>>,
     registry: RwLock<Arc<Registry>>,
     catalog: RwLock<Arc<Catalog>>,
+    versions: watch::Sender<BundleVersion>,
     nodes: AtomicUsize,
 }
 
@@ -49,6 +51,7 @@
             servers: Sharded::new(),
             registry: RwLock::default(),
             catalog: RwLock::default(),
+            versions: watch::Sender::new(0),
             nodes: AtomicUsize::new(1),
         }
     }
@@ -62,6 +65,14 @@
             .clone()
     }
 
+    /// Waits for the first configuration, for at most `patience`.
+    pub async fn configured(&self, patience: Duration) {
+        let mut versions = self.versions.subscribe();
+        let first = versions.wait_for(|version| *version > 0);
+        // Without a configuration no database has a route.
+        let _ = tokio::time::timeout(patience, first).await;
+    }
+
     /// Returns the registered servers.
     #[must_use]
     pub fn registry(&self) -> Arc<Registry> {
@@ -135,6 +146,7 @@
             routes = catalog.routes.len(),
             "a newer configuration is in force"
         );
+        self.versions.send_replace(catalog.version);
         *current = Arc::new(catalog);
         drop(current);
         self.share_connections();
@@ -208,6 +220,24 @@
         self.elect();
     }
 
+    /// Asks for a proof of each group's primary.
+    pub fn want_proofs(&self) {
+        for group in self.groups() {
+            self.group(&group).proof_wanted.notify_one();
+        }
+    }
+
+    /// Tells whether most groups had a proven primary, or none that could be
+    /// proven otherwise, since `moment`.
+    #[must_use]
+    pub fn is_proven_since(&self, moment: Uptime) -> bool {
+        let groups = self.groups();
+        let proven = groups
+            .iter()
+            .filter(|group| self.group(group).was_proven(moment));
+        proven.count() * 2 >= groups.len()
+    }
+
     /// Takes in how many nodes use the servers.
     pub fn apply_nodes(&self, nodes: usize) {
         let nodes = nodes.max(1);
