--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -53,6 +53,8 @@
     pub is_lost: bool,
     /// Whether the former primary has confirmed that it takes no more writes.
     pub is_demoted: bool,
+    /// Whether every node has taken the record over.
+    pub is_released: bool,
     /// When the last order to promote was given under this record.
     pub ordered: Option<Uptime>,
 }
@@ -85,7 +87,7 @@
     let Some(recorded) = recorded else {
         return replace(situation, &reign.primary);
     };
-    let is_over = now >= seen + TERM;
+    let is_over = situation.is_released || now >= seen + TERM;
     if recorded.is_primary {
         if recorded.is_leaving || situation.is_lost {
             return replace(situation, &reign.primary);
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -17,9 +17,13 @@
 /// Time between two looks at all groups.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a group must need a step before a node without the duty takes
-/// it over: longer than the holder needs for a whole handover.
-const PATIENCE: Duration = Duration::from_millis(3_500);
+/// Time for which a group must need a record before a node without the duty
+/// takes it over: longer than the holder takes to notice and write.
+const PATIENCE: Duration = Duration::from_millis(1_000);
+
+/// Time for which a group must need a later step before a node without the duty
+/// takes it over: longer than a grant's term and the platform's promotion.
+const LONG_PATIENCE: Duration = Duration::from_millis(3_500);
 
 /// The same when nobody holds the duty, or its holder has left.
 const VACANT_PATIENCE: Duration = Duration::from_millis(300);
@@ -30,7 +34,7 @@
 /// Time after taking the duty over from a node that may still be up before the
 /// first promotion: the former holder's view of the store and its last order
 /// have ended by then.
-const SUCCESSION: Duration = Duration::from_millis(2_500);
+const SUCCESSION: Duration = GRANT_TERM.saturating_add(ORDER_LIMIT);
 
 /// Time for one order to promote; what the succession allows for.
 const ORDER_LIMIT: Duration = Duration::from_secs(1);
@@ -123,7 +127,11 @@
         }
         let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
         if holder != Some(&self.node) {
-            self.succeed(group, records).await;
+            let patience = match step {
+                Step::Adopt(_) | Step::Record(_) => PATIENCE,
+                _ => LONG_PATIENCE,
+            };
+            self.succeed(group, records, patience).await;
             return;
         }
         // Which log is the furthest is asked only by who acts on it.
@@ -160,6 +168,7 @@
             candidates: &candidates,
             is_lost,
             is_demoted: course.is_demoted,
+            is_released: records.is_accepted(&group.name),
             ordered: course.ordered,
         };
         handover::decide(&situation, uptime())
@@ -193,13 +202,13 @@
     }
 
     /// Takes the duty over when its holder lets a group wait for too long.
-    async fn succeed(&mut self, group: &Group, records: &Records) {
+    async fn succeed(&mut self, group: &Group, records: &Records, patience: Duration) {
         let now = uptime();
         let course = self.courses.entry(group.name.clone()).or_default();
         let needed = *course.needed.get_or_insert(now);
         let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
         let is_vacant = holder.is_none_or(|holder| !records.members.contains_key(holder));
-        let patience = if is_vacant { VACANT_PATIENCE } else { PATIENCE };
+        let patience = if is_vacant { VACANT_PATIENCE } else { patience };
         let rank = u32::try_from(records.rank(&self.node)).unwrap_or(u32::MAX);
         if now < needed + patience + PATIENCE_STEP * rank {
             return;
@@ -214,7 +223,7 @@
             set: BTreeMap::from([(DUTY.to_owned(), record::value(&duty))]),
             ..Change::default()
         };
-        let taken = self.store.change(change).await;
+        let taken = self.store.change(record::stamped(change)).await;
         tracing::info!(
             event = "duty_taken",
             group = &*group.name,
@@ -290,7 +299,7 @@
             set: BTreeMap::from([(key, record::value(&reign))]),
             ..Change::default()
         };
-        let written = self.store.change(change).await;
+        let written = self.store.change(record::stamped(change)).await;
         tracing::info!(
             event = "reign_recorded",
             group = &*group.name,
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -3,5 +3,6 @@
 
 pub mod duty;
 pub mod poll;
+pub mod presence;
 pub mod round;
 pub mod witness;
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -5,8 +5,8 @@
 
 use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::record::Records;
-use crate::source::Store;
+use crate::record::{self, Records};
+use crate::source::{self, RowVersion, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use tokio::sync::{Notify, watch};
@@ -32,49 +32,87 @@
 }
 
 /// Reads the rows until the node ends.
-pub async fn run<D: Dialect, S: Store>(
-    store: Arc<S>,
-    upstreams: Arc<Upstreams<D>>,
-    news: watch::Sender<Option<Snapshot>>,
-    hurry: Arc<Notify>,
-    token: CancellationToken,
-) {
-    let mut pause = INTERVAL;
-    let mut is_reached = true;
-    while !token.is_cancelled() {
-        let asked = uptime();
-        match store.rows().await {
-            Ok(rows) => {
-                let records = Arc::new(Records::parse(&rows));
-                let reigns = records.reigns.iter();
-                let reigns = reigns.map(|(group, (reign, _))| (group.clone(), reign.clone()));
-                upstreams.apply_reigns(&reigns.collect(), asked);
-                upstreams.apply_nodes(records.members.len());
-                news.send_replace(Some(Snapshot { records, asked }));
-                if !is_reached {
-                    tracing::info!(event = "store_regained", "the store answers again");
+#[derive(Debug)]
+pub struct Poll<D, S> {
+    /// Name of this node.
+    pub node: NodeId,
+    /// The store that is read.
+    pub store: Arc<S>,
+    /// Where the records go.
+    pub upstreams: Arc<Upstreams<D>>,
+    /// Who else wants to know.
+    pub news: watch::Sender<Option<Snapshot>>,
+    /// Makes the store be read at once.
+    pub hurry: Arc<Notify>,
+}
+
+impl<D: Dialect, S: Store> Poll<D, S> {
+    /// Reads the rows until the node ends.
+    pub async fn run(self, token: CancellationToken) {
+        let mut pause = INTERVAL;
+        let mut is_reached = true;
+        let mut known = None;
+        while !token.is_cancelled() {
+            let asked = uptime();
+            match self.read(&mut known).await {
+                Ok(snapshot) => {
+                    self.apply(snapshot);
+                    if !is_reached {
+                        tracing::info!(event = "store_regained", "the store answers again");
+                    }
+                    is_reached = true;
+                    pause = INTERVAL.saturating_sub(uptime().saturating_sub(asked));
                 }
-                is_reached = true;
-                pause = INTERVAL.saturating_sub(uptime().saturating_sub(asked));
-            }
-            Err(error) => {
-                if is_reached {
-                    tracing::warn!(event = "store_lost", %error, "the store can't be read");
+                Err(error) => {
+                    if is_reached {
+                        tracing::warn!(event = "store_lost", %error, "the store can't be read");
+                        pause = RETRY;
+                    } else {
+                        pause = (pause * 2).min(LONGEST_RETRY);
+                    }
+                    is_reached = false;
+                    // Until the store answers, the servers' own word is the proof.
+                    self.upstreams.want_proofs();
                 }
-                pause = if is_reached {
-                    RETRY
-                } else {
-                    (pause * 2).min(LONGEST_RETRY)
-                };
-                is_reached = false;
-                // Until the store answers, the servers' own word is the proof.
-                upstreams.want_proofs();
+            }
+            tokio::select! {
+                () = token.cancelled() => return,
+                // An own change is read back at once.
+                _ = timeout(pause, self.hurry.notified()) => {}
             }
         }
-        tokio::select! {
-            () = token.cancelled() => return,
-            // An own change is read back at once.
-            _ = timeout(pause, hurry.notified()) => {}
+    }
+
+    /// Reads whether there is news, and the rows if there is.
+    async fn read(
+        &self,
+        known: &mut Option<(RowVersion, Arc<Records>)>,
+    ) -> Result<Snapshot, source::Error> {
+        let asked = uptime();
+        let row = self.store.row(record::CHANGES).await?;
+        let version = row.map_or(0, |row| row.version);
+        if let Some((former, records)) = known.as_ref().filter(|(former, _)| *former == version) {
+            tracing::trace!(version = former, "no news");
+            let records = records.clone();
+            return Ok(Snapshot { records, asked });
         }
+        let asked = uptime();
+        let rows = self.store.rows().await?;
+        let version = rows.get(record::CHANGES).map_or(0, |row| row.version);
+        let records = Arc::new(Records::parse(&rows));
+        *known = Some((version, records.clone()));
+        Ok(Snapshot { records, asked })
+    }
+
+    fn apply(&self, snapshot: Snapshot) {
+        let records = &snapshot.records;
+        let reigns = records.reigns.iter();
+        let reigns = reigns.map(|(group, (reign, _))| (group.clone(), reign.clone()));
+        // Who isn't known to the others isn't waited for, so it has no proof.
+        let is_known = records.members.contains_key(&self.node);
+        let proven = is_known.then_some(snapshot.asked);
+        self.upstreams.apply_reigns(&reigns.collect(), proven);
+        self.upstreams.apply_nodes(records.members.len());
+        self.news.send_replace(Some(snapshot));
     }
 }
--- /dev/null
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -0,0 +1,115 @@
+//! Makes a node known to the others, and tells them which records of primaries
+//! it has taken over.
+
+use super::poll::Snapshot;
+use crate::record::{self, Acceptance, DUTY, Member, Records};
+use crate::source::{Change, Store};
+use agateport_domain::prelude::*;
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Makes a node known to the others.
+#[derive(Debug)]
+pub struct Presence<S> {
+    /// Name of the node.
+    pub node: NodeId,
+    /// Availability zone that it runs in.
+    pub zone: Zone,
+    /// Where the others read of it.
+    pub store: Arc<S>,
+    /// Makes the store be read at once.
+    pub hurry: Arc<Notify>,
+}
+
+impl<S: Store> Presence<S> {
+    /// Keeps the node's rows up to date until it ends.
+    pub async fn run(self, mut heard: watch::Receiver<Option<Snapshot>>, token: CancellationToken) {
+        loop {
+            let snapshot = heard.borrow_and_update().clone();
+            if let Some(snapshot) = snapshot {
+                self.tell(&snapshot.records).await;
+            }
+            tokio::select! {
+                () = token.cancelled() => return,
+                changed = heard.changed() => if changed.is_err() { return },
+            }
+        }
+    }
+
+    /// Writes what the rows don't tell of this node yet.
+    async fn tell(&self, records: &Records) {
+        let mut change = Change::default();
+        if !records.members.contains_key(&self.node) {
+            let member = Member {
+                zone: self.zone.clone(),
+            };
+            let key = record::node_key(&self.node);
+            change.set.insert(key, record::value(&member));
+        }
+        if let Some(acceptance) = self.acceptance(records) {
+            let key = record::acceptance_key(&self.node);
+            change.set.insert(key, record::value(&acceptance));
+        }
+        if change == Change::default() {
+            return;
+        }
+        match self.store.change(record::stamped(change)).await {
+            Ok(_) => self.hurry.notify_one(),
+            Err(error) => tracing::warn!(
+                event = "presence_unsaid",
+                %error,
+                "the store took no word of this node"
+            ),
+        }
+    }
+
+    /// Returns what to tell about records that aren't settled; none if nothing
+    /// is new.
+    ///
+    /// The records were applied before they came here, so no former primary is
+    /// in use any more.
+    fn acceptance(&self, records: &Records) -> Option<Acceptance> {
+        let unsettled = records
+            .reigns
+            .iter()
+            .filter(|(_, (reign, _))| !reign.is_settled);
+        let versions: BTreeMap<_, _> = unsettled
+            .map(|(group, (_, version))| (group.clone(), *version))
+            .collect();
+        let told = records.acceptances.get(&self.node);
+        let is_told = versions.iter().all(|(group, version)| {
+            told.is_some_and(|told| told.versions.get(group) == Some(version))
+        });
+        (!is_told).then_some(Acceptance { versions })
+    }
+}
+
+/// Gives the duty of promotions back, if `node` holds it.
+pub async fn lay_down<S: Store>(node: &NodeId, store: &S, records: &Records) {
+    let Some((_, version)) = records
+        .duty
+        .as_ref()
+        .filter(|(duty, _)| duty.holder == *node)
+    else {
+        return;
+    };
+    let change = Change {
+        expected: BTreeMap::from([(DUTY.to_owned(), *version)]),
+        dropped: BTreeSet::from([DUTY.to_owned()]),
+        ..Change::default()
+    };
+    if let Err(error) = store.change(record::stamped(change)).await {
+        tracing::warn!(event = "duty_kept", %error, "the duty of promotions could not be given back");
+    }
+}
+
+/// Takes `node` out of the list of those that are up.
+pub async fn leave<S: Store>(node: &NodeId, store: &S) {
+    let change = Change {
+        dropped: BTreeSet::from([record::node_key(node), record::acceptance_key(node)]),
+        ..Change::default()
+    };
+    if let Err(error) = store.change(record::stamped(change)).await {
+        tracing::warn!(event = "leave_unsaid", %error, "the store took no word that the node leaves");
+    }
+}
--- a/crates/agateport-relay/src/control/witness.rs
+++ b/crates/agateport-relay/src/control/witness.rs
@@ -89,7 +89,7 @@
         let key = record::loss_key(group, node);
         change.set.insert(key, record::value(&witness));
     }
-    match store.change(change).await {
+    match store.change(record::stamped(change)).await {
         Ok(_) => {
             tracing::info!(event = "primaries_lost", lost = ?lost, "the primaries out of reach changed");
             true
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -56,8 +56,9 @@
         }
     }
 
-    /// Takes in the store's record, asked for at `asked`.
-    pub fn record(&self, reign: Option<Reign>, asked: Uptime) {
+    /// Takes in the store's record; it is a proof if it was asked for at
+    /// `proven`.
+    pub fn record(&self, reign: Option<Reign>, proven: Option<Uptime>) {
         let mut inner = self.lock();
         let known = inner.reign.as_ref().map(|(reign, _)| &reign.primary);
         let is_new = known != reign.as_ref().map(|reign| &reign.primary);
@@ -79,8 +80,10 @@
             _ => uptime(),
         };
         inner.reign = reign.map(|reign| (reign, seen));
-        inner.recorded = inner.recorded.max(asked);
-        inner.grant.renew(asked);
+        if let Some(asked) = proven {
+            inner.recorded = inner.recorded.max(asked);
+            inner.grant.renew(asked);
+        }
         let until = inner.grant.until();
         drop(inner);
         self.proven.send_replace(until);
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -105,11 +105,17 @@
             group: group.clone(),
             server: server.clone(),
         };
-        link.send(&[open]).await?;
-        match link.part().await? {
-            Part::Ready { place, .. } => Ok((link, place)),
-            Part::Outcome(Outcome::Error { code, .. }) => Err(Error::Refused(code)),
-            _ => Err(dialect::Error::Garbled("a greeting").into()),
+        let greeted = match link.send(&[open]).await {
+            Ok(()) => link.part().await,
+            Err(error) => Err(error),
+        };
+        match greeted {
+            Ok(Part::Ready { place, .. }) => Ok((link, place)),
+            Ok(Part::Outcome(Outcome::Error { code, .. })) => Err(Error::Refused(code)),
+            Ok(_) => Err(dialect::Error::Garbled("a greeting").into()),
+            // A server that takes a connection and drops it has too many.
+            Err(Error::Broken(_) | Error::Closed) => Err(Error::Refused(Code::TooMany)),
+            Err(error) => Err(error),
         }
     }
 
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -3,13 +3,13 @@
 use crate::caller::Session;
 use crate::clock::uptime;
 use crate::control::duty::Handover;
-use crate::control::poll::{self, Snapshot};
+use crate::control::poll::{Poll, Snapshot};
+use crate::control::presence::{self, Presence};
 use crate::control::{round, witness};
 use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::metrics::Metrics;
-use crate::record::{self, Member};
-use crate::source::{Change, Declarations, Listings, Promoter, Store};
+use crate::source::{Declarations, Listings, Promoter, Store};
 use crate::statement::Runner;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
@@ -102,19 +102,21 @@
         end.clone(),
     ));
     tasks.spawn(list(platform.listings, upstreams.clone(), end.clone()));
-    tasks.spawn(poll::run(
-        store.clone(),
-        upstreams.clone(),
+    let poll = Poll {
+        node: place.node.clone(),
+        store: store.clone(),
+        upstreams: upstreams.clone(),
         news,
-        hurry.clone(),
-        end.clone(),
-    ));
-    tasks.spawn(enroll(
-        place.clone(),
-        store.clone(),
-        heard.clone(),
-        end.clone(),
-    ));
+        hurry: hurry.clone(),
+    };
+    tasks.spawn(poll.run(end.clone()));
+    let presence = Presence {
+        node: place.node.clone(),
+        zone: place.zone.clone(),
+        store: store.clone(),
+        hurry: hurry.clone(),
+    };
+    tasks.spawn(presence.run(heard.clone(), end.clone()));
     tasks.spawn(witness::run(
         place.node.clone(),
         store.clone(),
@@ -136,7 +138,7 @@
     let release = Arc::new(release);
     let readiness = Readiness {
         upstreams: upstreams.clone(),
-        heard,
+        heard: heard.clone(),
         stop: stop.clone(),
     };
     tasks.spawn(let_go(readiness.clone(), release.clone(), end.clone()));
@@ -154,7 +156,7 @@
     let accepting = accept(callers, &sessions, runner, metrics, released);
     tokio::select! {
         () = accepting => {}
-        () = drain(&place, store.as_ref(), stop, &release, &sessions) => {}
+        () = drain(&place, store.as_ref(), stop, heard.clone(), &release, &sessions) => {}
     }
     end.cancel();
     tracing::info!(
@@ -208,6 +210,7 @@
     place: &Place,
     store: &S,
     stop: CancellationToken,
+    heard: watch::Receiver<Option<Snapshot>>,
     release: &watch::Sender<bool>,
     sessions: &TaskTracker,
 ) {
@@ -218,12 +221,9 @@
         sessions = sessions.len(),
         "the node is asked to stop"
     );
-    let change = Change {
-        dropped: BTreeSet::from([record::node_key(&place.node)]),
-        ..Change::default()
-    };
-    if let Err(error) = store.change(change).await {
-        tracing::warn!(event = "leave_unsaid", %error, "the store took no word that the node leaves");
+    let records = heard.borrow().as_ref().map(|one| one.records.clone());
+    if let Some(records) = records {
+        presence::lay_down(&place.node, store, &records).await;
     }
     tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
     release.send_replace(true);
@@ -239,6 +239,7 @@
             "sessions outlast the grace"
         );
     }
+    presence::leave(&place.node, store).await;
 }
 
 async fn declare<D: Dialect, C: Declarations>(
@@ -267,39 +268,6 @@
     }
 }
 
-/// Makes this node known to the others.
-async fn enroll<S: Store>(
-    place: Place,
-    store: Arc<S>,
-    mut heard: watch::Receiver<Option<Snapshot>>,
-    end: CancellationToken,
-) {
-    let member = Member { zone: place.zone };
-    loop {
-        let snapshot = heard.borrow_and_update().clone();
-        let is_known = snapshot
-            .as_ref()
-            .is_some_and(|snapshot| snapshot.records.members.contains_key(&place.node));
-        if is_known {
-            return;
-        }
-        if snapshot.is_some() {
-            let key = record::node_key(&place.node);
-            let change = Change {
-                set: BTreeMap::from([(key, record::value(&member))]),
-                ..Change::default()
-            };
-            if let Err(error) = store.change(change).await {
-                tracing::warn!(event = "enroll_failed", %error, "the store took no word of this node");
-            }
-        }
-        tokio::select! {
-            () = end.cancelled() => return,
-            changed = heard.changed() => if changed.is_err() { return },
-        }
-    }
-}
-
 /// Starts the proof of new groups, and closes unused connections.
 async fn keep_up<D: Dialect>(upstreams: Arc<Upstreams<D>>, end: CancellationToken) {
     let mut known = BTreeSet::new();
@@ -372,7 +340,7 @@
         let has_started = readiness.heard.borrow().is_some();
         if readiness.is_ready() || !has_started {
             unready = None;
-            release.send_if_modified(|is_released| std::mem::take(is_released));
+            release.send_if_modified(std::mem::take);
             continue;
         }
         let since = *unready.get_or_insert_with(uptime);
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -1,6 +1,6 @@
 //! The rows in which the project keeps what must last.
 
-use crate::source::{RowVersion, Rows};
+use crate::source::{Change, RowVersion, Rows};
 use agateport_domain::group::Reign;
 use agateport_domain::prelude::*;
 use serde::de::DeserializeOwned;
@@ -9,6 +9,11 @@
 /// Key of the row that names the holder of the promotion duty.
 pub const DUTY: &str = "duty";
 
+/// Key of the row that every change touches, so that one small read tells
+/// whether there is news.
+pub const CHANGES: &str = "changes";
+
+const ACCEPTANCE: &str = "acceptance/";
 const REIGN: &str = "reign/";
 const NODE: &str = "node/";
 const LOSS: &str = "loss/";
@@ -34,6 +39,27 @@
     pub server: ServerId,
 }
 
+/// The records of primaries that a node has taken over: it uses no former
+/// primary any more.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Acceptance {
+    /// Version of the record's row, by group.
+    pub versions: BTreeMap<GroupId, RowVersion>,
+}
+
+/// Returns the key of what a node has taken over.
+#[must_use]
+pub fn acceptance_key(node: &str) -> String {
+    format!("{ACCEPTANCE}{node}")
+}
+
+/// Returns a change that also tells that there is news.
+#[must_use]
+pub fn stamped(mut change: Change) -> Change {
+    change.set.insert(CHANGES.to_owned(), Vec::new());
+    change
+}
+
 /// Returns the key of a group's record.
 #[must_use]
 pub fn reign_key(group: &str) -> String {
@@ -61,6 +87,8 @@
     pub reigns: BTreeMap<GroupId, (Reign, RowVersion)>,
     /// Nodes that are up, or ended without a word.
     pub members: BTreeMap<NodeId, Member>,
+    /// What each node has taken over.
+    pub acceptances: BTreeMap<NodeId, Acceptance>,
     /// Nodes that can't reach a server, by group.
     pub losses: BTreeMap<GroupId, BTreeMap<NodeId, ServerId>>,
 }
@@ -87,6 +115,12 @@
             let reign = parse(value).map(|reign| (reign, version));
             return insert(&mut self.reigns, group.into(), reign);
         }
+        if key == CHANGES {
+            return true;
+        }
+        if let Some(node) = key.strip_prefix(ACCEPTANCE) {
+            return insert(&mut self.acceptances, node.into(), parse(value));
+        }
         if let Some(node) = key.strip_prefix(NODE) {
             return insert(&mut self.members, node.into(), parse(value));
         }
@@ -113,6 +147,19 @@
         })
     }
 
+    /// Tells whether every node has taken a group's record over.
+    #[must_use]
+    pub fn is_accepted(&self, group: &GroupId) -> bool {
+        let Some((_, version)) = self.reigns.get(group) else {
+            return false;
+        };
+        self.members.keys().all(|node| {
+            let acceptance = self.acceptances.get(node);
+            let accepted = acceptance.and_then(|one| one.versions.get(group));
+            accepted == Some(version)
+        })
+    }
+
     /// Returns the servers that a node can't reach, by group.
     #[must_use]
     pub fn losses_of(&self, node: &NodeId) -> BTreeMap<GroupId, ServerId> {
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -24,7 +24,7 @@
 
 /// Time after which an unused connection is closed, so that other nodes can
 /// have it.
-const IDLE_LIMIT: Duration = Duration::from_secs(3);
+const IDLE_LIMIT: Duration = Duration::from_secs(1);
 
 /// Age up to which a server's last known place still tells how far its log is.
 const PLACE_AGE: Duration = Duration::from_millis(150);
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -50,6 +50,9 @@
     /// Reads all rows.
     fn rows(&self) -> impl Future<Output = Result<Rows, Error>> + Send;
 
+    /// Reads one row; none if it isn't there.
+    fn row(&self, key: &str) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
+
     /// Changes rows, and returns their new version.
     fn change(&self, change: Change) -> impl Future<Output = Result<RowVersion, Error>> + Send;
 }
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -20,7 +20,7 @@
 /// How much more than its even share of a server's connections a node may use,
 /// as a factor; callers are spread unevenly, and the server refuses past its
 /// limit.
-const CONNECTION_OVERCOMMIT: usize = 2;
+const CONNECTION_OVERCOMMIT: usize = 1;
 
 /// Statements of one node at once at a server with this many nodes in use, over
 /// the server's slots, as a factor: enough that no slot waits for the network.
@@ -211,11 +211,12 @@
         }
     }
 
-    /// Takes in the store's records, asked for at `asked`.
-    pub fn apply_reigns(&self, reigns: &BTreeMap<GroupId, Reign>, asked: Uptime) {
+    /// Takes in the store's records; they are a proof if they were asked for at
+    /// `proven`.
+    pub fn apply_reigns(&self, reigns: &BTreeMap<GroupId, Reign>, proven: Option<Uptime>) {
         for group in self.groups() {
             let reign = reigns.get(&group).cloned();
-            self.group(&group).record(reign, asked);
+            self.group(&group).record(reign, proven);
         }
         self.elect();
     }
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -27,7 +27,7 @@
         async move { group.prove(&"one".into(), arrived, deadline).await }
     });
     tokio::task::yield_now().await;
-    group.record(Some(reign("two")), uptime());
+    group.record(Some(reign("two")), Some(uptime()));
     group.elect(&["two".into()]);
     assert!(!waiting.await.expect("the wait ends"));
     assert!(group.is_proven(&"two".into(), uptime()));
@@ -36,7 +36,7 @@
 #[test]
 fn a_server_leads_when_the_record_and_itself_say_so() {
     let group = Group::new("ledger".into());
-    group.record(Some(reign("two")), uptime());
+    group.record(Some(reign("two")), Some(uptime()));
     group.elect(&["one".into()]);
     assert_eq!(group.leader(), None);
     group.elect(&["one".into(), "two".into()]);
@@ -55,7 +55,7 @@
     };
     group.progress(&"one".into(), asked, place);
     let unproven = group.floor(asked, None);
-    group.record(None, asked);
+    group.record(None, Some(asked));
     let proven = group.floor(asked, None);
     let own = group.floor(
         asked,
