--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -19,7 +19,7 @@
 
 /// Time for which a group must need a record before a node without the duty
 /// takes it over: longer than the holder takes to notice and write.
-const PATIENCE: Duration = Duration::from_millis(1_000);
+const PATIENCE: Duration = Duration::from_secs(1);
 
 /// Time for which a group must need a later step before a node without the duty
 /// takes it over: longer than a grant's term and the platform's promotion.
--- a/crates/agateport-relay/src/control/witness.rs
+++ b/crates/agateport-relay/src/control/witness.rs
@@ -1,19 +1,19 @@
-//! Tells the other nodes, through the store, which primaries this node can't
-//! reach.
+//! Asks suspected servers what they are, and tells the other nodes, through the
+//! store, which primaries this node can't reach.
 
 use super::poll::Snapshot;
-use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::message::Order;
 use crate::record::{self, Witness};
 use crate::source::{Change, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
+use futures::future::join_all;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
-/// Time between two looks at the primaries; a suspected one is asked each time.
-const INTERVAL: Duration = Duration::from_millis(150);
+/// Time between two looks; suspected servers are asked each time.
+const INTERVAL: Duration = Duration::from_millis(100);
 
 /// Watches the primaries until the node ends.
 pub async fn run<D: Dialect, S: Store>(
@@ -35,12 +35,13 @@
         };
         // A former process of this node may have left its word behind.
         let known = told.get_or_insert_with(|| snapshot.records.losses_of(&node));
-        let mut lost = BTreeMap::new();
-        for (group, server) in primaries(&upstreams) {
-            if is_lost(&upstreams, &server).await {
-                lost.insert(group, server);
-            }
-        }
+        ask_suspects(&upstreams).await;
+        let mut lost = primaries(&upstreams);
+        lost.retain(|_, name| {
+            upstreams
+                .server(name)
+                .is_some_and(|server| server.is_lost())
+        });
         if lost != *known && tell(&node, store.as_ref(), known, &lost).await {
             told = Some(lost.clone());
         }
@@ -51,25 +52,29 @@
     }
 }
 
-fn primaries<D: Dialect>(upstreams: &Upstreams<D>) -> Vec<(GroupId, ServerId)> {
-    let leaders = upstreams.groups().into_iter().filter_map(|group| {
+fn primaries<D: Dialect>(upstreams: &Upstreams<D>) -> BTreeMap<GroupId, ServerId> {
+    let groups = upstreams.groups().into_iter();
+    let leaders = groups.filter_map(|group| {
         let leader = upstreams.group(&group).leader()?;
         Some((group, leader.server))
     });
     leaders.collect()
 }
 
-async fn is_lost<D: Dialect>(upstreams: &Upstreams<D>, name: &ServerId) -> bool {
-    let Some(server) = upstreams.server(name) else {
-        return false;
-    };
-    if !server.loss().is_suspected() {
-        return false;
-    }
-    if let Err(error) = server.status(Order::Status).await {
-        tracing::debug!(server = &**name, %error, "a suspected primary gave no status");
-    }
-    server.loss().is_lost(uptime())
+/// Asks every suspected server what it is; an answer ends the suspicion.
+async fn ask_suspects<D: Dialect>(upstreams: &Upstreams<D>) {
+    let registry = upstreams.registry();
+    let servers = registry.keys().filter_map(|name| upstreams.server(name));
+    let questions =
+        servers
+            .filter(|server| server.loss().is_suspected())
+            .map(|server| async move {
+                if let Err(error) = server.status(Order::Status).await {
+                    let name = &*server.listing().server;
+                    tracing::debug!(server = name, %error, "a suspected server gave no status");
+                }
+            });
+    join_all(questions).await;
 }
 
 async fn tell<S: Store>(
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -14,8 +14,8 @@
 use tokio::time::timeout;
 
 /// Time to open a connection: a few round trips, the server's work for a new
-/// connection, and one repeated packet.
-const OPEN_TIMEOUT: Duration = Duration::from_millis(500);
+/// connection, and its queue.
+const OPEN_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which unacknowledged bytes end a connection. Many round trips,
 /// even between regions.
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -19,8 +19,8 @@
 /// Requests of a priority that may wait for one server at one node.
 const WAITING: usize = 64;
 
-/// Time that a server gets to say what it is.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(400);
+/// Time that a server gets to say what it is: a round trip, and its queue.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
 
 /// Time after which an unused connection is closed, so that other nodes can
 /// have it.
@@ -285,6 +285,12 @@
         self.lock().loss
     }
 
+    /// Tells whether this node can't reach the server.
+    #[must_use]
+    pub fn is_lost(&self) -> bool {
+        self.loss().is_lost(uptime())
+    }
+
     /// Returns the place of the server's log that was heard last, and whether
     /// that was just now.
     #[must_use]
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -11,11 +11,16 @@
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 use agateport_domain::session::placement::{self, Spot};
+use std::pin::pin;
 use tokio::time::{Instant as Deadline, timeout_at};
 
 /// Servers that one statement is tried at before it is refused.
 const ATTEMPTS: usize = 4;
 
+/// Silence after which a server is suspected: the time of a long statement and a
+/// full queue.
+const SILENCE: Duration = Duration::from_millis(300);
+
 /// Part of the target for which a statement waits for a slot. A caller that is
 /// refused by then can still be served within the target at another node.
 const PATIENCE_SHARE: f64 = 0.22;
@@ -177,13 +182,10 @@
             return Try::Over(unprepared(State::Idle));
         };
         let asked = uptime();
-        let exchanged = exchange(&mut link, order, work.deadline()).await;
+        let exchanged = exchange(server, &mut link, order, work.deadline()).await;
         let answer = match exchanged {
             Ok(answer) => answer,
-            Err(Lost::Slow) => {
-                server.missed(asked);
-                return Try::Over(slow());
-            }
+            Err(Lost::Slow) => return Try::Over(slow()),
             Err(Lost::Broken) if access == Access::Read => {
                 return Try::Missed(Miss::Again("the connection broke"));
             }
@@ -274,8 +276,7 @@
             floor,
         };
         let asked = uptime();
-        let Ok(answer) = exchange(&mut link, order, work.deadline()).await else {
-            server.missed(asked);
+        let Ok(answer) = exchange(server, &mut link, order, work.deadline()).await else {
             return Try::Missed(Miss::Again("the connection broke"));
         };
         note(group, server, asked, &answer);
@@ -307,23 +308,21 @@
             return (Some(pinned), unprepared(State::Open));
         };
         let deadline = Instant::now() + work.route.timeout;
+        let server = pinned.slot.server().clone();
         pinned.slot.resume();
         let aligned = align(&mut pinned.link, work.context, Some(request), deadline).await;
         if aligned.is_err() {
             return (None, aborted("the connection broke"));
         }
         let asked = uptime();
-        let exchanged = exchange(&mut pinned.link, order, deadline).await;
+        let exchanged = exchange(&server, &mut pinned.link, order, deadline).await;
         let answer = match exchanged {
             Ok(answer) => answer,
-            Err(Lost::Slow) => {
-                pinned.slot.server().missed(asked);
-                return (None, aborted("the server took too long"));
-            }
+            Err(Lost::Slow) => return (None, aborted("the server took too long")),
             Err(Lost::Broken) => return (None, aborted("the connection broke")),
         };
         pinned.slot.pause();
-        note(&pinned.group, pinned.slot.server(), asked, &answer);
+        note(&pinned.group, &server, asked, &answer);
         pinned.has_written |= access == Access::Write;
         (Some(pinned), answer)
     }
@@ -341,20 +340,17 @@
             text: request.text.clone(),
         };
         let deadline = Instant::now() + work.route.timeout;
+        let server = pinned.slot.server().clone();
         pinned.slot.resume();
         let asked = uptime();
-        let answer = match exchange(&mut pinned.link, order, deadline).await {
+        let answer = match exchange(&server, &mut pinned.link, order, deadline).await {
             Ok(answer) => answer,
-            Err(Lost::Slow) => {
-                pinned.slot.server().missed(asked);
-                return slow();
-            }
+            Err(Lost::Slow) => return slow(),
             Err(Lost::Broken) => return unknown("the connection broke"),
         };
         let Pinned {
             link, slot, group, ..
         } = pinned;
-        let server = slot.server().clone();
         note(&group, &server, asked, &answer);
         if answer.state.is_idle() {
             server.give_back(link);
@@ -369,9 +365,10 @@
 
     /// Drops a transaction, and keeps its connection for others.
     pub async fn rollback(&self, mut pinned: Pinned<D>, limit: Duration) {
+        let server = pinned.slot.server().clone();
         pinned.slot.resume();
         let deadline = Instant::now() + limit;
-        let rolled = exchange(&mut pinned.link, Order::Rollback, deadline).await;
+        let rolled = exchange(&server, &mut pinned.link, Order::Rollback, deadline).await;
         let Pinned { link, slot, .. } = pinned;
         // Without an answer the connection is closed, which rolls back too.
         if rolled.is_ok_and(|answer| answer.state.is_idle()) {
@@ -392,7 +389,9 @@
             access == Access::Write || work.route.consistency == Consistency::Primary;
         if needs_leader {
             let leader = leader.filter(|leader| !excluded.contains(leader))?;
-            return self.upstreams.server(&leader);
+            // Nothing waits for a server that is out of reach.
+            let server = self.upstreams.server(&leader);
+            return server.filter(|server| !server.is_lost());
         }
         let floor = group.floor(work.oldest(), work.seen);
         let servers = self.upstreams.servers(&work.route.group);
@@ -411,7 +410,7 @@
         excluded: &BTreeSet<ServerId>,
     ) -> Option<Spot> {
         let listing = server.listing();
-        if listing.is_leaving || excluded.contains(&listing.server) {
+        if listing.is_leaving || excluded.contains(&listing.server) || server.is_lost() {
             return None;
         }
         let place = server.place();
@@ -466,16 +465,28 @@
     Slow,
 }
 
+/// Sends one order and waits for its answer; a server that is silent for long is
+/// suspected meanwhile.
 async fn exchange<D: Dialect>(
+    server: &Server<D>,
     link: &mut Link<D>,
     order: Order,
     deadline: Instant,
 ) -> Result<Answer, Lost> {
+    let asked = uptime();
     let orders = [order];
-    let exchanged = timeout_at(Deadline::from_std(deadline), link.exchange(&orders)).await;
+    let deadline = Deadline::from_std(deadline);
+    let suspicion = deadline.min(Deadline::now() + SILENCE);
+    let mut exchanging = pin!(link.exchange(&orders));
+    let mut exchanged = timeout_at(suspicion, &mut exchanging).await;
+    if exchanged.is_err() {
+        server.missed(asked);
+        exchanged = timeout_at(deadline, exchanging).await;
+    }
     let answers = exchanged.map_err(|_| Lost::Slow)?;
     let answers = answers.map_err(|error| {
         tracing::debug!(%error, "an exchange with a server broke off");
+        server.missed(asked);
         Lost::Broken
     })?;
     answers.into_iter().next().ok_or(Lost::Broken)
