relay: one node a zone asks the store and the others ask it

Proof on the way: a node counts the age of another's news back from its own question, so a grant is only ever shortened.

--- a/crates/agateport-relay/src/catalog.rs
+++ b/crates/agateport-relay/src/catalog.rs
@@ -1,9 +1,10 @@
 //! The configuration in force: which database goes where, and how.
 
 use agateport_domain::prelude::*;
+use serde::{Deserialize, Serialize};
 
 /// What a read may see.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Consistency {
     /// Everything that was acknowledged.
     Primary,
@@ -25,7 +26,7 @@
 }
 
 /// How one database's statements are served.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Route {
     /// Name of the database.
     pub database: DatabaseId,
@@ -42,7 +43,7 @@
 }
 
 /// The configuration in force.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Catalog {
     /// Version; a node never goes to a lower one.
     pub version: BundleVersion,
--- /dev/null
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -0,0 +1,193 @@
+//! News from one node to another, so that few of them have to ask the store.
+//!
+//! A node says how old its news is. Who asked counts that age back from the
+//! moment of its question, which is never later than the moment meant: the proof
+//! that comes with news is only ever shortened on the way.
+
+use crate::catalog::Catalog;
+use crate::clock::uptime;
+use crate::control::poll::Snapshot;
+use crate::dialect::Dialect;
+use crate::record::Records;
+use crate::registry::Edition;
+use crate::source::RowVersion;
+use crate::upstreams::Upstreams;
+use agateport_domain::prelude::*;
+use bytes::Bytes;
+use futures::{SinkExt, StreamExt};
+use serde::de::DeserializeOwned;
+use serde::{Deserialize, Serialize};
+use std::io;
+use std::net::SocketAddr;
+use thiserror::Error;
+use tokio::net::{TcpListener, TcpStream};
+use tokio::sync::watch;
+use tokio::time::timeout;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::sync::CancellationToken;
+
+/// Time for a question to another node, its connection included: some round
+/// trips, and the pauses of a busy VM.
+const LIMIT: Duration = Duration::from_millis(250);
+
+/// Time without a question after which a node's connection is closed.
+const IDLE: Duration = Duration::from_secs(10);
+
+/// News that doesn't come.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection broke.
+    #[error("the connection to the node broke")]
+    Broken(#[from] io::Error),
+    /// The node didn't answer in time.
+    #[error("the node didn't answer in time")]
+    Slow,
+    /// The node's words can't be read.
+    #[error("the node's words can't be read")]
+    Garbled(#[from] postcard::Error),
+}
+
+/// What the one who asks knows already.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+struct Question {
+    records: RowVersion,
+    catalog: BundleVersion,
+    /// Fingerprint of the list of servers.
+    registry: u64,
+}
+
+/// What another node knows; what the question names already is left out.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct News {
+    /// How long ago the store was asked; none if it never answered.
+    pub age: Option<Duration>,
+    /// The project's rows.
+    pub records: Option<Records>,
+    /// The configuration.
+    pub catalog: Option<Catalog>,
+    /// The list of servers.
+    pub edition: Option<Edition>,
+}
+
+type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+
+/// Answers other nodes until this one ends.
+pub async fn serve<D: Dialect>(
+    listener: TcpListener,
+    upstreams: Arc<Upstreams<D>>,
+    heard: watch::Receiver<Option<Snapshot>>,
+    token: CancellationToken,
+) {
+    loop {
+        let accepted = tokio::select! {
+            () = token.cancelled() => return,
+            accepted = listener.accept() => accepted,
+        };
+        match accepted {
+            Ok((stream, _)) => {
+                let answering = answer_all(stream, upstreams.clone(), heard.clone());
+                tokio::spawn(async move {
+                    if let Err(error) = answering.await {
+                        tracing::debug!(%error, "another node's questions ended");
+                    }
+                });
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error, "a node could not be taken in");
+                tokio::time::sleep(LIMIT).await;
+            }
+        }
+    }
+}
+
+async fn answer_all<D: Dialect>(
+    stream: TcpStream,
+    upstreams: Arc<Upstreams<D>>,
+    heard: watch::Receiver<Option<Snapshot>>,
+) -> Result<(), Error> {
+    stream.set_nodelay(true)?;
+    let mut connection = Framed::new(stream, LengthDelimitedCodec::new());
+    while let Ok(Some(frame)) = timeout(IDLE, connection.next()).await {
+        let question: Question = postcard::from_bytes(&frame?)?;
+        let snapshot = heard.borrow().clone();
+        let news = answer(&upstreams, snapshot.as_ref(), question);
+        connection.send(encode(&news)?).await?;
+    }
+    Ok(())
+}
+
+fn answer<D: Dialect>(
+    upstreams: &Upstreams<D>,
+    snapshot: Option<&Snapshot>,
+    question: Question,
+) -> News {
+    let records = snapshot.map(|snapshot| &snapshot.records);
+    let records = records.filter(|records| records.version > question.records);
+    let catalog = upstreams.catalog();
+    let is_newer = catalog.version > question.catalog;
+    let is_changed = upstreams.fingerprint() != question.registry;
+    News {
+        age: snapshot.map(|snapshot| uptime().saturating_sub(snapshot.asked)),
+        records: records.map(|records| Records::clone(records)),
+        catalog: is_newer.then(|| Catalog::clone(&catalog)),
+        edition: is_changed.then(|| upstreams.edition()),
+    }
+}
+
+/// The connections to the nodes that were asked.
+#[derive(Debug, Default)]
+pub struct Peers {
+    connections: BTreeMap<SocketAddr, Connection>,
+}
+
+impl Peers {
+    /// Asks another node for news, and returns it with the moment that the
+    /// store was asked at the latest.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if it doesn't answer.
+    pub async fn ask<D: Dialect>(
+        &mut self,
+        address: SocketAddr,
+        upstreams: &Upstreams<D>,
+        records: RowVersion,
+    ) -> Result<(News, Option<Uptime>), Error> {
+        let question = Question {
+            records,
+            catalog: upstreams.catalog().version,
+            registry: upstreams.fingerprint(),
+        };
+        let asked = uptime();
+        // A connection with an answer under way is of no use to another question.
+        let known = self.connections.remove(&address);
+        let asking = exchange(known, address, question);
+        let (connection, news): (_, News) =
+            timeout(LIMIT, asking).await.map_err(|_| Error::Slow)??;
+        self.connections.insert(address, connection);
+        let told = news.age.map(|age| asked.saturating_sub(age));
+        Ok((news, told))
+    }
+}
+
+async fn exchange<T: DeserializeOwned>(
+    known: Option<Connection>,
+    address: SocketAddr,
+    question: Question,
+) -> Result<(Connection, T), Error> {
+    let mut connection = if let Some(connection) = known {
+        connection
+    } else {
+        let stream = TcpStream::connect(address).await?;
+        stream.set_nodelay(true)?;
+        Framed::new(stream, LengthDelimitedCodec::new())
+    };
+    connection.send(encode(&question)?).await?;
+    let frame = connection.next().await;
+    let frame = frame.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))??;
+    Ok((connection, postcard::from_bytes(&frame)?))
+}
+
+fn encode<T: Serialize>(words: &T) -> Result<Bytes, Error> {
+    Ok(postcard::to_stdvec(words)?.into())
+}
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -1,21 +1,41 @@
-//! Reads the project's rows at a steady pace.
+//! Gets the news of the store at a steady pace, from the store or from a node
+//! that has just asked it.
 //!
 //! Each answer renews the proof that no group's primary has been replaced, so
-//! the pace follows from the time for which that proof holds.
+//! the pace follows from the time for which that proof holds. One node of each
+//! zone asks the store; it is the first by name that answers the others.
 
+use super::peer::Peers;
 use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::record::{self, Records};
-use crate::source::{self, RowVersion, Store};
+use crate::source::{self, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
+use std::net::SocketAddr;
 use tokio::sync::{Notify, watch};
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
-/// Time between two reads; three fit into a grant's term.
+/// Time between two questions; three fit into a grant's term.
 const INTERVAL: Duration = Duration::from_millis(400);
 
+/// Time between two questions to another node, which cost little.
+const PEER_INTERVAL: Duration = Duration::from_millis(250);
+
+/// Age up to which another node's news is taken: an interval of its own, and a
+/// slow answer of the store.
+const FRESH: Duration = Duration::from_millis(750);
+
+/// Nodes of the own zone that are asked before the store.
+const PEERS_BEFORE: usize = 2;
+
+/// Other nodes that are asked when the store doesn't answer.
+const PEERS_AFTER: usize = 3;
+
+/// Time for which a node goes on asking the store once it had to.
+const READER_TERM: Duration = Duration::from_secs(2);
+
 /// Time after which a failed read is tried again.
 const RETRY: Duration = Duration::from_millis(150);
 
@@ -31,48 +51,67 @@
     pub asked: Uptime,
 }
 
-/// Reads the rows until the node ends.
+/// Gets the news of the store.
 #[derive(Debug)]
 pub struct Poll<D, S> {
     /// Name of this node.
     pub node: NodeId,
+    /// Availability zone that it runs in.
+    pub zone: Zone,
     /// The store that is read.
     pub store: Arc<S>,
     /// Where the records go.
     pub upstreams: Arc<Upstreams<D>>,
     /// Who else wants to know.
     pub news: watch::Sender<Option<Snapshot>>,
+    /// Whether this node asks the store itself.
+    pub reading: watch::Sender<bool>,
     /// Makes the store be read at once.
     pub hurry: Arc<Notify>,
 }
 
 impl<D: Dialect, S: Store> Poll<D, S> {
-    /// Reads the rows until the node ends.
+    /// Gets news until the node ends.
     pub async fn run(self, token: CancellationToken) {
         let mut pause = INTERVAL;
         let mut is_reached = true;
-        let mut known = None;
+        let mut peers = Peers::default();
+        let mut reader_until = Uptime::ZERO;
         while !token.is_cancelled() {
-            let asked = uptime();
-            match self.read(&mut known).await {
-                Ok(snapshot) => {
-                    self.apply(snapshot);
-                    if !is_reached {
-                        tracing::info!(event = "store_regained", "the store answers again");
-                    }
-                    is_reached = true;
-                    pause = INTERVAL.saturating_sub(uptime().saturating_sub(asked));
+            let begun = uptime();
+            let known = self.known();
+            let is_told =
+                begun >= reader_until && self.ask_peers(&mut peers, &self.before(&known)).await;
+            self.reading
+                .send_if_modified(|is_reading| std::mem::replace(is_reading, !is_told) == is_told);
+            if is_told {
+                pause = PEER_INTERVAL.saturating_sub(uptime().saturating_sub(begun));
+            } else {
+                if !self.before(&known).is_empty() && begun >= reader_until {
+                    reader_until = begun + READER_TERM;
                 }
-                Err(error) => {
-                    if is_reached {
-                        tracing::warn!(event = "store_lost", %error, "the store can't be read");
-                        pause = RETRY;
-                    } else {
-                        pause = (pause * 2).min(LONGEST_RETRY);
+                match self.read(&known).await {
+                    Ok(snapshot) => {
+                        self.apply(snapshot);
+                        if !is_reached {
+                            tracing::info!(event = "store_regained", "the store answers again");
+                        }
+                        is_reached = true;
+                        pause = INTERVAL.saturating_sub(uptime().saturating_sub(begun));
+                    }
+                    Err(error) => {
+                        if is_reached {
+                            tracing::warn!(event = "store_lost", %error, "the store can't be read");
+                            pause = RETRY;
+                        } else {
+                            pause = (pause * 2).min(LONGEST_RETRY);
+                        }
+                        is_reached = false;
+                        if !self.ask_peers(&mut peers, &self.after(&known)).await {
+                            // The servers' own word is the proof that is left.
+                            self.upstreams.want_proofs();
+                        }
                     }
-                    is_reached = false;
-                    // Until the store answers, the servers' own word is the proof.
-                    self.upstreams.want_proofs();
                 }
             }
             tokio::select! {
@@ -83,29 +122,85 @@
         }
     }
 
+    fn known(&self) -> Arc<Records> {
+        let news = self.news.borrow();
+        news.as_ref()
+            .map(|snapshot| snapshot.records.clone())
+            .unwrap_or_default()
+    }
+
+    /// Returns the nodes to ask before the store: the first of the zone, as far
+    /// as they come before this one.
+    fn before(&self, known: &Records) -> Vec<SocketAddr> {
+        let members = known.members.iter();
+        let near = members.filter(|(_, member)| member.zone == self.zone);
+        let before = near.take_while(|(node, _)| **node != self.node);
+        before
+            .take(PEERS_BEFORE)
+            .map(|(_, member)| member.address)
+            .collect()
+    }
+
+    /// Returns the nodes to ask when the store doesn't answer: those that follow
+    /// this one by name, and in turn the first ones.
+    fn after(&self, known: &Records) -> Vec<SocketAddr> {
+        let members = &known.members;
+        let following = members.range(self.node.clone()..).chain(members);
+        following
+            .filter(|(node, _)| **node != self.node)
+            .take(PEERS_AFTER)
+            .map(|(_, member)| member.address)
+            .collect()
+    }
+
+    /// Asks nodes in order until one has fresh news.
+    async fn ask_peers(&self, peers: &mut Peers, addresses: &[SocketAddr]) -> bool {
+        for address in addresses {
+            let records = self.known();
+            let asked = peers.ask(*address, &self.upstreams, records.version).await;
+            let (news, told) = match asked {
+                Ok((news, told)) => (news, told),
+                Err(error) => {
+                    tracing::debug!(%address, %error, "another node gave no news");
+                    continue;
+                }
+            };
+            if let Some(catalog) = news.catalog {
+                self.upstreams.apply_catalog(catalog);
+            }
+            let fresh = told.filter(|told| uptime() < *told + FRESH);
+            let Some(asked) = fresh else { continue };
+            if let Some(edition) = news.edition {
+                self.upstreams.apply_registry(edition);
+            }
+            let records = news.records.map_or(records, Arc::new);
+            self.apply(Snapshot { records, asked });
+            return true;
+        }
+        false
+    }
+
     /// Reads whether there is news, and the rows if there is.
-    async fn read(
-        &self,
-        known: &mut Option<(RowVersion, Arc<Records>)>,
-    ) -> Result<Snapshot, source::Error> {
+    async fn read(&self, known: &Arc<Records>) -> Result<Snapshot, source::Error> {
         let asked = uptime();
         let row = self.store.row(record::CHANGES).await?;
         let version = row.map_or(0, |row| row.version);
-        if let Some((former, records)) = known.as_ref().filter(|(former, _)| *former == version) {
-            tracing::trace!(version = former, "no news");
-            let records = records.clone();
+        if version > 0 && version == known.version {
+            let records = known.clone();
             return Ok(Snapshot { records, asked });
         }
         let asked = uptime();
         let rows = self.store.rows().await?;
-        let version = rows.get(record::CHANGES).map_or(0, |row| row.version);
         let records = Arc::new(Records::parse(&rows));
-        *known = Some((version, records.clone()));
         Ok(Snapshot { records, asked })
     }
 
+    /// Takes news over, unless newer is known.
     fn apply(&self, snapshot: Snapshot) {
         let records = &snapshot.records;
+        if records.version < self.known().version {
+            return;
+        }
         let reigns = records.reigns.iter();
         let reigns = reigns.map(|(group, (reign, _))| (group.clone(), reign.clone()));
         // Who isn't known to the others isn't waited for, so it has no proof.
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -5,6 +5,7 @@
 use crate::record::{self, Acceptance, DUTY, Member, Records};
 use crate::source::{Change, Store};
 use agateport_domain::prelude::*;
+use std::net::SocketAddr;
 use tokio::sync::{Notify, watch};
 use tokio_util::sync::CancellationToken;
 
@@ -15,6 +16,8 @@
     pub node: NodeId,
     /// Availability zone that it runs in.
     pub zone: Zone,
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
     /// Where the others read of it.
     pub store: Arc<S>,
     /// Makes the store be read at once.
@@ -39,9 +42,11 @@
     /// Writes what the rows don't tell of this node yet.
     async fn tell(&self, records: &Records) {
         let mut change = Change::default();
-        if !records.members.contains_key(&self.node) {
+        let known = records.members.get(&self.node);
+        if known.is_none_or(|known| known.address != self.address) {
             let member = Member {
                 zone: self.zone.clone(),
+                address: self.address,
             };
             let key = record::node_key(&self.node);
             change.set.insert(key, record::value(&member));
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -3,6 +3,7 @@
 use crate::caller::Session;
 use crate::clock::uptime;
 use crate::control::duty::Handover;
+use crate::control::peer;
 use crate::control::poll::{Poll, Snapshot};
 use crate::control::presence::{self, Presence};
 use crate::control::{round, witness};
@@ -36,7 +37,7 @@
 const GRACE_SHARE: f64 = 0.85;
 
 /// Time between two looks for groups and idle connections.
-const UPKEEP: Duration = Duration::from_millis(500);
+const UPKEEP: Duration = Duration::from_millis(100);
 
 /// Where a node listens, and what it is.
 #[derive(Clone, Debug)]
@@ -53,6 +54,8 @@
     pub ready_path: &'static str,
     /// Address for metrics.
     pub metrics: SocketAddr,
+    /// Address for other nodes.
+    pub peers: SocketAddr,
     /// Time from a request to stop until the process is killed.
     pub grace: Duration,
 }
@@ -96,23 +99,40 @@
     let end = CancellationToken::new();
     let tasks = TaskTracker::new();
 
+    let (reading, is_reading) = watch::channel(true);
     tasks.spawn(declare(
         platform.declarations,
         upstreams.clone(),
+        is_reading.clone(),
+        end.clone(),
+    ));
+    tasks.spawn(list(
+        platform.listings,
+        upstreams.clone(),
+        is_reading,
         end.clone(),
     ));
-    tasks.spawn(list(platform.listings, upstreams.clone(), end.clone()));
     let poll = Poll {
         node: place.node.clone(),
+        zone: place.zone.clone(),
         store: store.clone(),
         upstreams: upstreams.clone(),
         news,
+        reading,
         hurry: hurry.clone(),
     };
+    let peers = TcpListener::bind(place.peers).await?;
+    tasks.spawn(peer::serve(
+        peers,
+        upstreams.clone(),
+        heard.clone(),
+        end.clone(),
+    ));
     tasks.spawn(poll.run(end.clone()));
     let presence = Presence {
         node: place.node.clone(),
         zone: place.zone.clone(),
+        address: place.peers,
         store: store.clone(),
         hurry: hurry.clone(),
     };
@@ -242,28 +262,38 @@
     presence::leave(&place.node, store).await;
 }
 
+/// Takes configurations over, while this node asks the store itself.
 async fn declare<D: Dialect, C: Declarations>(
     mut declarations: C,
     upstreams: Arc<Upstreams<D>>,
+    mut is_reading: watch::Receiver<bool>,
     end: CancellationToken,
 ) {
     loop {
         tokio::select! {
             () = end.cancelled() => return,
-            catalog = declarations.next() => upstreams.apply_catalog(catalog),
+            catalog = declarations.next(), if *is_reading.borrow() => {
+                upstreams.apply_catalog(catalog);
+            }
+            changed = is_reading.changed() => if changed.is_err() { return },
         }
     }
 }
 
+/// Takes lists of servers over, while this node asks the store itself.
 async fn list<D: Dialect, L: Listings>(
     mut listings: L,
     upstreams: Arc<Upstreams<D>>,
+    mut is_reading: watch::Receiver<bool>,
     end: CancellationToken,
 ) {
     loop {
         tokio::select! {
             () = end.cancelled() => return,
-            registry = listings.next() => upstreams.apply_registry(registry),
+            edition = listings.next(), if *is_reading.borrow() => {
+                upstreams.apply_registry(edition);
+            }
+            changed = is_reading.changed() => if changed.is_err() { return },
         }
     }
 }
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -5,6 +5,7 @@
 use agateport_domain::prelude::*;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
 
 /// Key of the row that names the holder of the promotion duty.
 pub const DUTY: &str = "duty";
@@ -30,6 +31,8 @@
 pub struct Member {
     /// Availability zone that it runs in.
     pub zone: Zone,
+    /// Where it answers other nodes.
+    pub address: SocketAddr,
 }
 
 /// A node's word that it can't reach a server.
@@ -79,8 +82,10 @@
 }
 
 /// All rows at one moment.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Records {
+    /// Version of the row that every change touches.
+    pub version: RowVersion,
     /// Who may order promotions, and the row's version.
     pub duty: Option<(Duty, RowVersion)>,
     /// The record of each group, and the row's version.
@@ -116,6 +121,7 @@
             return insert(&mut self.reigns, group.into(), reign);
         }
         if key == CHANGES {
+            self.version = version;
             return true;
         }
         if let Some(node) = key.strip_prefix(ACCEPTANCE) {
--- a/crates/agateport-relay/src/registry.rs
+++ b/crates/agateport-relay/src/registry.rs
@@ -1,10 +1,11 @@
 //! The upstream servers that are registered.
 
 use agateport_domain::prelude::*;
+use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
 /// One registered server.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
 pub struct Listing {
     /// Name of the server.
     pub server: ServerId,
@@ -26,3 +27,12 @@
 
 /// All registered servers, by name.
 pub type Registry = BTreeMap<ServerId, Listing>;
+
+/// A list of servers, and the store's version that it goes back to.
+#[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Edition {
+    /// The servers.
+    pub registry: Registry,
+    /// Version of the store; a node never goes to a lower one.
+    pub version: u64,
+}
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -26,6 +26,10 @@
 /// have it.
 const IDLE_LIMIT: Duration = Duration::from_secs(1);
 
+/// The same when the nodes are so many that each has less than
+/// two of the server's connections: a few statements' time.
+const CROWDED_IDLE_LIMIT: Duration = Duration::from_millis(100);
+
 /// Age up to which a server's last known place still tells how far its log is.
 const PLACE_AGE: Duration = Duration::from_millis(150);
 
@@ -54,6 +58,8 @@
     place: Option<(Uptime, Watermark)>,
     loss: Loss,
     next_request: RequestId,
+    /// Time after which an unused connection is closed.
+    idle_limit: Duration,
 }
 
 /// One upstream server, as one node sees it.
@@ -82,6 +88,7 @@
             place: None,
             loss: Loss::default(),
             next_request: 0,
+            idle_limit: IDLE_LIMIT,
         };
         Ok(Self {
             listing: RwLock::new(Arc::new(listing)),
@@ -232,9 +239,10 @@
     pub fn close_idle(&self) {
         let now = uptime();
         let mut inner = self.lock();
+        let idle_limit = inner.idle_limit;
         inner
             .idle
-            .retain(|link| now < link.idle_since + IDLE_LIMIT && link.is_open());
+            .retain(|link| now < link.idle_since + idle_limit && link.is_open());
     }
 
     /// Asks the server what it is.
@@ -307,9 +315,15 @@
         inner.queue.running() + inner.queue.waiting()
     }
 
-    /// Changes the connections that this node may use.
-    pub fn set_connections(&self, connections: usize) {
+    /// Changes the connections that this node may use, and whether unused ones
+    /// are soon wanted by others.
+    pub fn set_connections(&self, connections: usize, is_crowded: bool) {
         let mut inner = self.lock();
+        inner.idle_limit = if is_crowded {
+            CROWDED_IDLE_LIMIT
+        } else {
+            IDLE_LIMIT
+        };
         inner.queue.set_connections(connections);
         Self::pump(&mut inner);
     }
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -1,7 +1,7 @@
 //! What the runtime needs of the platform that it runs on.
 
 use crate::catalog::Catalog;
-use crate::registry::Registry;
+use crate::registry::Edition;
 use agateport_domain::prelude::*;
 use thiserror::Error;
 
@@ -66,7 +66,7 @@
 /// Where the list of servers comes from.
 pub trait Listings: Send + 'static {
     /// Waits for the next list.
-    fn next(&mut self) -> impl Future<Output = Registry> + Send;
+    fn next(&mut self) -> impl Future<Output = Edition> + Send;
 }
 
 /// Who carries out a promotion.
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -17,6 +17,10 @@
 /// Servers that one statement is tried at before it is refused.
 const ATTEMPTS: usize = 4;
 
+/// Pause before another try at a server that has no connection left; other
+/// nodes close theirs meanwhile.
+const CONNECTION_PAUSE: Duration = Duration::from_millis(15);
+
 /// Silence after which a server is suspected: the time of a long statement and a
 /// full queue.
 const SILENCE: Duration = Duration::from_millis(300);
@@ -431,7 +435,12 @@
         work: &Work<'_>,
         request: Option<&Request>,
     ) -> Result<Link<D>, Miss> {
-        let opened = server.link(work.context).await;
+        let mut opened = server.link(work.context).await;
+        let patience = Instant::now() + work.route.target.mul_f64(PATIENCE_SHARE);
+        while is_full(&opened) && Instant::now() < patience {
+            tokio::time::sleep(CONNECTION_PAUSE).await;
+            opened = server.link(work.context).await;
+        }
         let mut link = opened.map_err(|error| {
             tracing::info!(
                 event = "connection_failed",
@@ -456,6 +465,11 @@
         .await
 }
 
+/// Tells whether a server has no connection left.
+fn is_full<T>(opened: &Result<T, link::Error>) -> bool {
+    matches!(opened, Err(link::Error::Refused(Code::TooMany)))
+}
+
 /// Why an exchange has no answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Lost {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -4,13 +4,14 @@
 use crate::dialect::Dialect;
 use crate::group::Group;
 use crate::priority;
-use crate::registry::{Listing, Registry};
+use crate::registry::{Edition, Listing, Registry};
 use crate::server::Server;
 use agateport_domain::admission::Share;
 use agateport_domain::group::Reign;
 use agateport_domain::prelude::*;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::RwLock;
-use std::sync::atomic::{AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
 use tokio::sync::watch;
 
 /// Connections of a server that no node counts on: for the questions what the
@@ -22,6 +23,9 @@
 /// limit.
 const CONNECTION_OVERCOMMIT: usize = 1;
 
+/// Connections of a server for each node under which they are passed on soon.
+const CROWDED: usize = 2;
+
 /// Statements of one node at once at a server with this many nodes in use, over
 /// the server's slots, as a factor: enough that no slot waits for the network.
 const SLOT_OVERCOMMIT: usize = 3;
@@ -39,6 +43,10 @@
     catalog: RwLock<Arc<Catalog>>,
     versions: watch::Sender<BundleVersion>,
     nodes: AtomicUsize,
+    /// Version of the list of servers.
+    edition: AtomicU64,
+    /// Fingerprint of the list of servers; it tells nodes apart that differ.
+    fingerprint: AtomicU64,
 }
 
 impl<D: Dialect> Upstreams<D> {
@@ -53,6 +61,8 @@
             catalog: RwLock::default(),
             versions: watch::Sender::new(0),
             nodes: AtomicUsize::new(1),
+            edition: AtomicU64::new(0),
+            fingerprint: AtomicU64::new(0),
         }
     }
 
@@ -99,6 +109,21 @@
             .collect()
     }
 
+    /// Returns a number that differs between lists of servers.
+    #[must_use]
+    pub fn fingerprint(&self) -> u64 {
+        self.fingerprint.load(Ordering::Relaxed)
+    }
+
+    /// Returns the servers with the version that the list goes back to.
+    #[must_use]
+    pub fn edition(&self) -> Edition {
+        Edition {
+            registry: Registry::clone(&self.registry()),
+            version: self.edition.load(Ordering::Relaxed),
+        }
+    }
+
     /// Returns the group with this name.
     #[must_use]
     pub fn group(&self, name: &GroupId) -> Arc<Group> {
@@ -152,9 +177,13 @@
         self.share_connections();
     }
 
-    /// Takes over a list of servers.
-    pub fn apply_registry(&self, registry: Registry) {
+    /// Takes over a list of servers, unless a newer one is known.
+    pub fn apply_registry(&self, edition: Edition) {
+        let Edition { registry, version } = edition;
         let former = self.registry();
+        if version < self.edition.fetch_max(version, Ordering::Relaxed) || *former == registry {
+            return;
+        }
         for (name, listing) in &registry {
             if former.get(name) == Some(listing) {
                 continue;
@@ -173,6 +202,9 @@
             .registry
             .write()
             .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut hasher = DefaultHasher::new();
+        registry.hash(&mut hasher);
+        self.fingerprint.store(hasher.finish(), Ordering::Relaxed);
         *current = Arc::new(registry);
         drop(current);
         self.elect();
@@ -258,7 +290,7 @@
             .for_each(|_, server| servers.push(server.clone()));
         for server in servers {
             let share = self.share(&server.listing());
-            server.set_connections(share.connections);
+            server.set_connections(share.connections, share.connections < CROWDED);
         }
     }
 
