--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -97,6 +97,11 @@
         }
         return Step::Rest;
     }
+    if reign.is_settled {
+        // Orders are given under unsettled records alone, so that a new holder
+        // of the duty sees whether an order of the former one may be under way.
+        return replace(situation, &reign.primary);
+    }
     let is_stuck = now >= seen + TERM + CANDIDATE_PATIENCE;
     if recorded.is_leaving || (situation.is_lost && is_stuck) {
         return replace(situation, &reign.primary);
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -1,6 +1,7 @@
 //! Holds the promotion duty, and carries out changes of primaries.
 
 use super::poll::Snapshot;
+use super::wake::Wake;
 use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::group::{Group, VIEW_TERM};
@@ -11,7 +12,7 @@
 use agateport_domain::group::handover::{self, Candidate, Situation, Step};
 use agateport_domain::group::{GRANT_TERM, Reign};
 use agateport_domain::prelude::*;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks at all groups.
@@ -19,7 +20,7 @@
 
 /// Time for which a group must need a record before a node without the duty
 /// takes it over: longer than the holder takes to notice and write.
-const PATIENCE: Duration = Duration::from_secs(1);
+const PATIENCE: Duration = Duration::from_millis(800);
 
 /// Time for which a group must need a later step before a node without the duty
 /// takes it over: longer than a grant's term and the platform's promotion.
@@ -29,10 +30,10 @@
 const VACANT_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Further time for each node that comes earlier in the order of names.
-const PATIENCE_STEP: Duration = Duration::from_millis(250);
+const PATIENCE_STEP: Duration = Duration::from_millis(100);
 
-/// Time after taking the duty over from a node that may still be up before the
-/// first promotion: the former holder's view of the store and its last order
+/// Time after taking the duty over before the first promotion, if a handover of
+/// the former holder was under way: its view of the store and its last order
 /// have ended by then.
 const SUCCESSION: Duration = GRANT_TERM.saturating_add(ORDER_LIMIT);
 
@@ -56,31 +57,35 @@
     upstreams: Arc<Upstreams<D>>,
     store: Arc<S>,
     promoter: P,
-    hurry: Arc<Notify>,
+    wake: Arc<Wake>,
     courses: BTreeMap<GroupId, Course>,
     /// When each server was first seen on the list; none for the first list.
     listed: BTreeMap<ServerId, Option<Uptime>>,
+    /// When the duty was taken over, until it is known whether a handover was
+    /// under way.
+    taken: Option<Uptime>,
     may_order: Uptime,
 }
 
 impl<D: Dialect, S: Store, P: Promoter> Handover<D, S, P> {
-    /// Creates the task of `node`; `hurry` makes the store be read at once.
+    /// Creates the task of `node`; `wake` makes the store be read at once.
     #[must_use]
     pub fn new(
         node: NodeId,
         upstreams: Arc<Upstreams<D>>,
         store: Arc<S>,
         promoter: P,
-        hurry: Arc<Notify>,
+        wake: Arc<Wake>,
     ) -> Self {
         Self {
             node,
             upstreams,
             store,
             promoter,
-            hurry,
+            wake,
             courses: BTreeMap::new(),
             listed: BTreeMap::new(),
+            taken: None,
             may_order: Uptime::ZERO,
         }
     }
@@ -103,6 +108,20 @@
     }
 
     async fn look(&mut self, snapshot: &Snapshot) {
+        if let Some(taken) = self.taken {
+            if snapshot.asked < taken {
+                // What the former holder did last isn't known yet.
+                return;
+            }
+            let mut reigns = snapshot.records.reigns.values();
+            let is_under_way = reigns.any(|(reign, _)| !reign.is_settled);
+            self.may_order = if is_under_way {
+                taken + SUCCESSION
+            } else {
+                Uptime::ZERO
+            };
+            self.taken = None;
+        }
         let registry = self.upstreams.registry();
         let is_first = self.listed.is_empty();
         for server in registry.keys() {
@@ -180,7 +199,8 @@
         let candidates = servers.iter().map(|server| async move {
             let listing = server.listing();
             let mut last = server.place().map(|(place, _)| place);
-            if is_asked {
+            // Nobody waits for a server that could not be promoted anyway.
+            if is_asked && !listing.is_leaving && !server.is_lost() {
                 let status = server.status(Order::Status).await;
                 last = status.ok().map(|status| status.last);
             }
@@ -231,13 +251,8 @@
             outcome = outcome(&taken),
             "this node took the duty of promotions over, or tried to"
         );
-        let wait = if is_vacant {
-            Duration::ZERO
-        } else {
-            SUCCESSION
-        };
-        self.may_order = uptime() + wait;
-        self.hurry.notify_one();
+        self.taken = Some(uptime());
+        self.wake.reread();
     }
 
     async fn take_step(
@@ -309,13 +324,14 @@
             outcome = outcome(&written),
             "the record of a primary was written, or tried to be"
         );
-        self.hurry.notify_one();
+        self.wake.reread();
         written.is_ok()
     }
 
     /// Asks the former primary to take no more writes.
     async fn demote(&mut self, group: &Group, former: Option<ServerId>, primary: ServerId) {
         let former = former.and_then(|former| self.upstreams.server(&former));
+        let former = former.filter(|former| !former.is_lost());
         let mut is_demoted = false;
         if let Some(former) = former {
             is_demoted = match former.status(Order::Status).await {
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -6,4 +6,5 @@
 pub mod poll;
 pub mod presence;
 pub mod round;
+pub mod wake;
 pub mod witness;
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -6,6 +6,7 @@
 //! zone asks the store; it is the first by name that answers the others.
 
 use super::peer::Peers;
+use super::wake::Wake;
 use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::record::{self, Records};
@@ -13,7 +14,7 @@
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use std::net::SocketAddr;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio::time::timeout;
 use tokio_util::sync::CancellationToken;
 
@@ -67,7 +68,7 @@
     /// Whether this node asks the store itself.
     pub reading: watch::Sender<bool>,
     /// Makes the store be read at once.
-    pub hurry: Arc<Notify>,
+    pub wake: Arc<Wake>,
 }
 
 impl<D: Dialect, S: Store> Poll<D, S> {
@@ -80,14 +81,19 @@
         while !token.is_cancelled() {
             let begun = uptime();
             let known = self.known();
-            let is_told =
-                begun >= reader_until && self.ask_peers(&mut peers, &self.before(&known)).await;
-            self.reading
-                .send_if_modified(|is_reading| std::mem::replace(is_reading, !is_told) == is_told);
+            // An own change is read back from the store.
+            let is_own = self.wake.take_change();
+            let may_ask = begun >= reader_until && !is_own;
+            let is_told = may_ask && self.ask_peers(&mut peers, &self.before(&known)).await;
+            if !is_own {
+                self.reading.send_if_modified(|is_reading| {
+                    std::mem::replace(is_reading, !is_told) == is_told
+                });
+            }
             if is_told {
                 pause = PEER_INTERVAL.saturating_sub(uptime().saturating_sub(begun));
             } else {
-                if !self.before(&known).is_empty() && begun >= reader_until {
+                if may_ask && !self.before(&known).is_empty() {
                     reader_until = begun + READER_TERM;
                 }
                 match self.read(&known).await {
@@ -116,8 +122,7 @@
             }
             tokio::select! {
                 () = token.cancelled() => return,
-                // An own change is read back at once.
-                _ = timeout(pause, self.hurry.notified()) => {}
+                _ = timeout(pause, self.wake.wished()) => {}
             }
         }
     }
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -2,11 +2,12 @@
 //! it has taken over.
 
 use super::poll::Snapshot;
+use super::wake::Wake;
 use crate::record::{self, Acceptance, DUTY, Member, Records};
 use crate::source::{Change, Store};
 use agateport_domain::prelude::*;
 use std::net::SocketAddr;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Makes a node known to the others.
@@ -21,7 +22,7 @@
     /// Where the others read of it.
     pub store: Arc<S>,
     /// Makes the store be read at once.
-    pub hurry: Arc<Notify>,
+    pub wake: Arc<Wake>,
 }
 
 impl<S: Store> Presence<S> {
@@ -59,7 +60,7 @@
             return;
         }
         match self.store.change(record::stamped(change)).await {
-            Ok(_) => self.hurry.notify_one(),
+            Ok(_) => self.wake.reread(),
             Err(error) => tracing::warn!(
                 event = "presence_unsaid",
                 %error,
--- a/crates/agateport-relay/src/control/witness.rs
+++ b/crates/agateport-relay/src/control/witness.rs
@@ -2,14 +2,15 @@
 //! store, which primaries this node can't reach.
 
 use super::poll::Snapshot;
+use super::wake::Wake;
 use crate::dialect::Dialect;
 use crate::message::Order;
-use crate::record::{self, Witness};
+use crate::record::{self, Records, Witness};
 use crate::source::{Change, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use futures::future::join_all;
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
 /// Time between two looks; suspected servers are asked each time.
@@ -21,7 +22,7 @@
     store: Arc<S>,
     upstreams: Arc<Upstreams<D>>,
     news: watch::Receiver<Option<Snapshot>>,
-    hurry: Arc<Notify>,
+    wake: Arc<Wake>,
     token: CancellationToken,
 ) {
     let mut told: Option<BTreeMap<GroupId, ServerId>> = None;
@@ -35,8 +36,9 @@
         };
         // A former process of this node may have left its word behind.
         let known = told.get_or_insert_with(|| snapshot.records.losses_of(&node));
-        ask_suspects(&upstreams).await;
-        let mut lost = primaries(&upstreams);
+        let primaries = primaries(&upstreams);
+        ask_suspects(&upstreams, &snapshot.records, &primaries).await;
+        let mut lost = primaries;
         lost.retain(|_, name| {
             upstreams
                 .server(name)
@@ -47,7 +49,7 @@
         }
         if !lost.is_empty() {
             // What the other nodes say is wanted soon.
-            hurry.notify_one();
+            wake.hurry();
         }
     }
 }
@@ -61,19 +63,28 @@
     leaders.collect()
 }
 
-/// Asks every suspected server what it is; an answer ends the suspicion.
-async fn ask_suspects<D: Dialect>(upstreams: &Upstreams<D>) {
+/// Asks every suspected server what it is, and every primary that another node
+/// can't reach; an answer ends the suspicion.
+async fn ask_suspects<D: Dialect>(
+    upstreams: &Upstreams<D>,
+    records: &Records,
+    primaries: &BTreeMap<GroupId, ServerId>,
+) {
+    let doubted: BTreeSet<_> = primaries
+        .iter()
+        .filter(|(group, server)| records.witnesses(group, server) > 0)
+        .map(|(_, server)| server)
+        .collect();
     let registry = upstreams.registry();
     let servers = registry.keys().filter_map(|name| upstreams.server(name));
-    let questions =
-        servers
-            .filter(|server| server.loss().is_suspected())
-            .map(|server| async move {
-                if let Err(error) = server.status(Order::Status).await {
-                    let name = &*server.listing().server;
-                    tracing::debug!(server = name, %error, "a suspected server gave no status");
-                }
-            });
+    let questions = servers
+        .filter(|server| server.loss().is_suspected() || doubted.contains(&server.listing().server))
+        .map(|server| async move {
+            if let Err(error) = server.status(Order::Status).await {
+                let name = &*server.listing().server;
+                tracing::debug!(server = name, %error, "a suspected server gave no status");
+            }
+        });
     join_all(questions).await;
 }
 
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -6,6 +6,7 @@
 use crate::control::peer;
 use crate::control::poll::{Poll, Snapshot};
 use crate::control::presence::{self, Presence};
+use crate::control::wake::Wake;
 use crate::control::{round, witness};
 use crate::dialect::Dialect;
 use crate::error::Error;
@@ -19,7 +20,7 @@
 use axum::routing::get;
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
-use tokio::sync::{Notify, watch};
+use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
@@ -94,7 +95,7 @@
     let upstreams = Arc::new(Upstreams::<D>::new(place.zone.clone()));
     let callers = TcpListener::bind(place.callers).await?;
     let store = Arc::new(platform.store);
-    let hurry = Arc::new(Notify::new());
+    let wake = Arc::new(Wake::default());
     let (news, heard) = watch::channel(None);
     let end = CancellationToken::new();
     let tasks = TaskTracker::new();
@@ -119,7 +120,7 @@
         upstreams: upstreams.clone(),
         news,
         reading,
-        hurry: hurry.clone(),
+        wake: wake.clone(),
     };
     let peers = TcpListener::bind(place.peers).await?;
     tasks.spawn(peer::serve(
@@ -134,7 +135,7 @@
         zone: place.zone.clone(),
         address: place.peers,
         store: store.clone(),
-        hurry: hurry.clone(),
+        wake: wake.clone(),
     };
     tasks.spawn(presence.run(heard.clone(), end.clone()));
     tasks.spawn(witness::run(
@@ -142,7 +143,7 @@
         store.clone(),
         upstreams.clone(),
         heard.clone(),
-        hurry.clone(),
+        wake.clone(),
         end.clone(),
     ));
     let handover = Handover::new(
@@ -150,7 +151,7 @@
         upstreams.clone(),
         store.clone(),
         platform.promoter,
-        hurry,
+        wake,
     );
     tasks.spawn(handover.run(heard.clone(), end.clone()));
     tasks.spawn(keep_up(upstreams.clone(), end.clone()));
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -24,7 +24,7 @@
 
 /// Time after which an unused connection is closed, so that other nodes can
 /// have it.
-const IDLE_LIMIT: Duration = Duration::from_secs(1);
+const IDLE_LIMIT: Duration = Duration::from_millis(600);
 
 /// The same when the nodes are so many that each has less than
 /// two of the server's connections: a few statements' time.
