--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -2,22 +2,19 @@
 
 use crate::catalog::Route;
 use crate::clock::uptime;
+use crate::connection::Connection;
 use crate::dialect::Dialect;
 use crate::link::{self, Context};
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
 use crate::metrics::Metrics;
-use crate::statement::{self, Pinned, Runner, Work};
+use crate::reply;
+use crate::statement::Runner;
+use crate::transaction::Pinned;
+use crate::work::Work;
 use agateport_domain::prelude::*;
-use bytes::BytesMut;
 use std::io;
-use std::marker::PhantomData;
-use tokio::io::{AsyncReadExt, AsyncWriteExt};
-use tokio::net::TcpStream;
 use tokio::sync::watch;
 
-/// First size of a caller's buffers, in bytes; most messages fit.
-const BUFFER: usize = 1_024;
-
 /// Time that a caller waits for the first configuration of a node that has just
 /// started; callers give up after two seconds.
 const CONFIGURATION_PATIENCE: Duration = Duration::from_millis(1_800);
@@ -59,9 +56,7 @@
 /// One caller's session.
 #[derive(Debug)]
 pub struct Session<D: Dialect> {
-    stream: TcpStream,
-    input: BytesMut,
-    output: BytesMut,
+    connection: Connection<D>,
     runner: Runner<D>,
     metrics: Arc<Metrics>,
     database: DatabaseId,
@@ -70,22 +65,19 @@
     seen: Option<Watermark>,
     transaction: Transaction<D>,
     release: watch::Receiver<bool>,
-    dialect: PhantomData<fn() -> D>,
 }
 
 impl<D: Dialect> Session<D> {
     /// Creates the session of a caller that has just connected.
     #[must_use]
     pub fn new(
-        stream: TcpStream,
+        connection: Connection<D>,
         runner: Runner<D>,
         metrics: Arc<Metrics>,
         release: watch::Receiver<bool>,
     ) -> Self {
         Self {
-            stream,
-            input: BytesMut::with_capacity(BUFFER),
-            output: BytesMut::with_capacity(BUFFER),
+            connection,
             runner,
             metrics,
             database: "".into(),
@@ -94,7 +86,6 @@
             seen: None,
             transaction: Transaction::None,
             release,
-            dialect: PhantomData,
         }
     }
 
@@ -104,8 +95,7 @@
     ///
     /// [`io::Error`] if the connection breaks.
     pub async fn run(mut self) -> io::Result<()> {
-        self.stream.set_nodelay(true)?;
-        let Some(Message::Open { database, caller }) = self.message().await? else {
+        let Some(Message::Open { database, caller }) = self.connection.message().await? else {
             return Ok(());
         };
         self.database = database.into();
@@ -123,14 +113,14 @@
         upstreams.configured(CONFIGURATION_PATIENCE).await;
         if upstreams.route(&self.database).is_some() {
             self.metrics.count("session", "opened");
-            D::ready(State::Idle, None, &mut self.output);
-            self.flush().await?;
+            D::ready(State::Idle, None, &mut self.connection.output);
+            self.connection.flush().await?;
             return Ok(true);
         }
         self.metrics.count("session", "no_database");
         let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
-        D::outcome(&outcome, &mut self.output);
-        self.flush().await?;
+        D::outcome(&outcome, &mut self.connection.output);
+        self.connection.flush().await?;
         Ok(false)
     }
 
@@ -150,8 +140,8 @@
             let mut answer = self.handle(&request).await;
             answer.state = self.state();
             self.report(&request, &answer, started);
-            D::answer(&answer, &mut self.output);
-            self.flush().await?;
+            D::answer(&answer, &mut self.connection.output);
+            self.connection.flush().await?;
         }
     }
 
@@ -199,7 +189,7 @@
             }
             Verb::Deallocate { name } => match self.context.prepared.remove(name) {
                 Some(_) => self.done(),
-                None => statement::unprepared(self.state()),
+                None => reply::unprepared(self.state()),
             },
             Verb::Begin { is_read_only } => self.begin(*is_read_only),
             Verb::Rollback => {
@@ -211,7 +201,7 @@
             Verb::Write => self.run_statement(request, Access::Write).await,
             Verb::Execute { .. } => match link::prepared(&self.context, request) {
                 Some((access, _)) => self.run_statement(request, access).await,
-                None => statement::unprepared(self.state()),
+                None => reply::unprepared(self.state()),
             },
             Verb::Unknown => malformed("the statement can't be read", self.state()),
         }
@@ -225,7 +215,7 @@
             }
             Verb::Commit => {
                 self.transaction = Transaction::None;
-                statement::aborted("the transaction had failed")
+                reply::aborted("the transaction had failed")
             }
             _ => malformed("the transaction has failed", State::Failed),
         }
@@ -398,36 +388,13 @@
         let mut release = self.release.clone();
         tokio::select! {
             biased;
-            message = self.message() => {
+            message = self.connection.message() => {
                 Ok(message?.map_or(Event::End, Event::Message))
             }
             _ = release.wait_for(|is_released| *is_released), if is_idle => Ok(Event::End),
             () = sleep(limit) => Ok(Event::Idle),
         }
     }
-
-    /// Reads the next message; none if the caller left.
-    async fn message(&mut self) -> io::Result<Option<Message>> {
-        loop {
-            match D::message(&mut self.input) {
-                Ok(Some(message)) => return Ok(Some(message)),
-                Ok(None) => {}
-                Err(error) => {
-                    tracing::info!(event = "caller_garbled", %error, "a caller's bytes can't be read");
-                    return Ok(None);
-                }
-            }
-            if self.stream.read_buf(&mut self.input).await? == 0 {
-                return Ok(None);
-            }
-        }
-    }
-
-    async fn flush(&mut self) -> io::Result<()> {
-        let written = self.stream.write_all(&self.output).await;
-        self.output.clear();
-        written
-    }
 }
 
 async fn sleep(limit: Option<Duration>) {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -2,6 +2,7 @@
 
 use crate::caller::Session;
 use crate::clock::uptime;
+use crate::connection::Connection;
 use crate::control::duty::Handover;
 use crate::control::peer;
 use crate::control::poll::{Poll, Snapshot};
@@ -11,6 +12,7 @@
 use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::metrics::Metrics;
+use crate::readiness::{Readiness, UNLISTING, let_go};
 use crate::source::{Declarations, Listings, Promoter, Store};
 use crate::statement::Runner;
 use crate::upstreams::Upstreams;
@@ -24,16 +26,6 @@
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Time from not being ready until idle sessions are closed: the platform asks
-/// once a second and needs two refusals before it sends no new callers.
-const UNLISTING: Duration = Duration::from_millis(2_500);
-
-/// Time after its last proof for which a node still counts itself able to serve.
-const PROOF_AGE: Duration = Duration::from_millis(400);
-
-/// Time between two looks whether the node can serve.
-const READINESS: Duration = Duration::from_millis(100);
-
 /// Part of the grace that sessions get before the process ends.
 const GRACE_SHARE: f64 = 0.85;
 
@@ -220,8 +212,15 @@
     metrics: Arc<Metrics>,
     released: watch::Receiver<bool>,
 ) {
-    let session = Session::<D>::new(stream, runner, metrics, released);
-    if let Err(error) = session.run().await {
+    let served = match Connection::<D>::new(stream) {
+        Ok(connection) => {
+            Session::new(connection, runner, metrics, released)
+                .run()
+                .await
+        }
+        Err(error) => Err(error),
+    };
+    if let Err(error) = served {
         tracing::debug!(%error, "a caller's connection broke");
     }
 }
@@ -318,69 +317,6 @@
     }
 }
 
-/// What decides whether a node takes callers.
-#[derive(Debug)]
-struct Readiness<D> {
-    upstreams: Arc<Upstreams<D>>,
-    heard: watch::Receiver<Option<Snapshot>>,
-    stop: CancellationToken,
-}
-
-impl<D> Clone for Readiness<D> {
-    fn clone(&self) -> Self {
-        Self {
-            upstreams: self.upstreams.clone(),
-            heard: self.heard.clone(),
-            stop: self.stop.clone(),
-        }
-    }
-}
-
-impl<D: Dialect> Readiness<D> {
-    /// Tells whether the node can serve: it has a configuration and servers, and
-    /// can still prove which of them are primaries.
-    ///
-    /// A node that is cut off with its zone sends its callers elsewhere by this.
-    fn is_ready(&self) -> bool {
-        if self.stop.is_cancelled() || self.heard.borrow().is_none() {
-            return false;
-        }
-        let upstreams = &self.upstreams;
-        let has_routes = upstreams.catalog().version > 0;
-        let has_servers = !upstreams.registry().is_empty();
-        let proven = uptime().saturating_sub(PROOF_AGE);
-        has_routes && has_servers && upstreams.is_proven_since(proven)
-    }
-}
-
-/// Closes idle sessions while the node can't serve, once no new ones come.
-async fn let_go<D: Dialect>(
-    readiness: Readiness<D>,
-    release: Arc<watch::Sender<bool>>,
-    end: CancellationToken,
-) {
-    let mut unready: Option<Uptime> = None;
-    loop {
-        tokio::select! {
-            () = end.cancelled() => return,
-            () = tokio::time::sleep(READINESS) => {}
-        }
-        if readiness.stop.is_cancelled() {
-            return;
-        }
-        let has_started = readiness.heard.borrow().is_some();
-        if readiness.is_ready() || !has_started {
-            unready = None;
-            release.send_if_modified(std::mem::take);
-            continue;
-        }
-        let since = *unready.get_or_insert_with(uptime);
-        if uptime() >= since + UNLISTING {
-            release.send_if_modified(|is_released| !std::mem::replace(is_released, true));
-        }
-    }
-}
-
 async fn serve_ready<D: Dialect>(place: &Place, readiness: Readiness<D>) -> Result<(), Error> {
     let answer = move || {
         let status = if readiness.is_ready() {
--- /dev/null
+++ b/crates/agateport-relay/src/readiness.rs
@@ -0,0 +1,86 @@
+//! Whether a node takes callers, and when it lets idle ones go.
+
+use crate::clock::uptime;
+use crate::control::poll::Snapshot;
+use crate::dialect::Dialect;
+use crate::upstreams::Upstreams;
+use agateport_domain::prelude::*;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Time from not being ready until idle sessions are closed: the platform asks
+/// once a second and needs two refusals before it sends no new callers.
+pub const UNLISTING: Duration = Duration::from_millis(2_500);
+
+/// Time after its last proof for which a node still counts itself able to serve.
+const PROOF_AGE: Duration = Duration::from_millis(400);
+
+/// Time between two looks whether the node can serve.
+const READINESS: Duration = Duration::from_millis(100);
+
+/// What decides whether a node takes callers.
+#[derive(Debug)]
+pub struct Readiness<D> {
+    /// The groups and servers that the node knows.
+    pub upstreams: Arc<Upstreams<D>>,
+    /// What the store said last.
+    pub heard: watch::Receiver<Option<Snapshot>>,
+    /// Cancelled when the node is asked to stop.
+    pub stop: CancellationToken,
+}
+
+impl<D> Clone for Readiness<D> {
+    fn clone(&self) -> Self {
+        Self {
+            upstreams: self.upstreams.clone(),
+            heard: self.heard.clone(),
+            stop: self.stop.clone(),
+        }
+    }
+}
+
+impl<D: Dialect> Readiness<D> {
+    /// Tells whether the node can serve: it has a configuration and servers, and
+    /// can still prove which of them are primaries.
+    ///
+    /// A node that is cut off with its zone sends its callers elsewhere by this.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        if self.stop.is_cancelled() || self.heard.borrow().is_none() {
+            return false;
+        }
+        let upstreams = &self.upstreams;
+        let has_routes = upstreams.catalog().version > 0;
+        let has_servers = !upstreams.registry().is_empty();
+        let proven = uptime().saturating_sub(PROOF_AGE);
+        has_routes && has_servers && upstreams.is_proven_since(proven)
+    }
+}
+
+/// Closes idle sessions while the node can't serve, once no new ones come.
+pub async fn let_go<D: Dialect>(
+    readiness: Readiness<D>,
+    release: Arc<watch::Sender<bool>>,
+    end: CancellationToken,
+) {
+    let mut unready: Option<Uptime> = None;
+    loop {
+        tokio::select! {
+            () = end.cancelled() => return,
+            () = tokio::time::sleep(READINESS) => {}
+        }
+        if readiness.stop.is_cancelled() {
+            return;
+        }
+        let has_started = readiness.heard.borrow().is_some();
+        if readiness.is_ready() || !has_started {
+            unready = None;
+            release.send_if_modified(std::mem::take);
+            continue;
+        }
+        let since = *unready.get_or_insert_with(uptime);
+        if uptime() >= since + UNLISTING {
+            release.send_if_modified(|is_released| !std::mem::replace(is_released, true));
+        }
+    }
+}
--- /dev/null
+++ b/crates/agateport-relay/src/reply.rs
@@ -0,0 +1,79 @@
+//! The answers that the node gives itself.
+
+use crate::group::Group;
+use crate::message::{Answer, Code, Outcome, State};
+use crate::work::Miss;
+use agateport_domain::prelude::*;
+use agateport_domain::request::Refusal;
+
+/// Time after which a refused caller is told to come back when the group has no
+/// primary: about what is left of a handover on average.
+const HANDOVER_RETRY: Duration = Duration::from_millis(800);
+
+/// Time after which a refused caller is told to come back when no server that
+/// may run its statement could be reached.
+const UNREACHABLE_RETRY: Duration = Duration::from_millis(200);
+
+/// Returns what to do about a code that says that nothing was run.
+#[must_use]
+pub fn miss(code: &Code) -> Option<Miss> {
+    match code {
+        Code::Busy => Some(Miss::Elsewhere("the server is busy")),
+        Code::Lagging => Some(Miss::Elsewhere("the replica is behind")),
+        Code::Misdirected => Some(Miss::Elsewhere("the server is another one")),
+        Code::NoStatement => Some(Miss::Again("the statement had to be prepared again")),
+        Code::ReadOnly => Some(Miss::Elsewhere("the server isn't the primary")),
+        Code::TooMany => Some(Miss::Elsewhere("the server has no connection left")),
+        _ => None,
+    }
+}
+
+/// The answer to a statement that found no room.
+#[must_use]
+pub fn refused(refusal: &Refusal) -> Answer {
+    let retry = refusal.retry_after.unwrap_or(UNREACHABLE_RETRY);
+    busy(&refusal.to_string(), retry)
+}
+
+/// The answer to a statement that no server may run.
+#[must_use]
+pub fn unplaced(group: &Group, reason: &str) -> Answer {
+    let retry = match group.leader() {
+        None => HANDOVER_RETRY,
+        Some(_) => UNREACHABLE_RETRY,
+    };
+    busy(&format!("not run: {reason}"), retry)
+}
+
+fn busy(reason: &str, retry: Duration) -> Answer {
+    let text = format!("{reason}; retry after {} ms", retry.as_millis());
+    Answer::local(Outcome::error(Code::Busy, text), State::Idle)
+}
+
+/// The answer to a statement that may have run.
+#[must_use]
+pub fn unknown(reason: &str) -> Answer {
+    let text = format!("the outcome is unknown: {reason}");
+    Answer::local(Outcome::error(Code::Unknown, text), State::Idle)
+}
+
+/// The answer to a statement whose server was silent.
+#[must_use]
+pub fn slow() -> Answer {
+    let text = "the server took too long; it may have run";
+    Answer::local(Outcome::error(Code::Timeout, text), State::Idle)
+}
+
+/// The answer to a transaction that was rolled back.
+#[must_use]
+pub fn aborted(reason: &str) -> Answer {
+    let text = format!("rolled back: {reason}");
+    Answer::local(Outcome::error(Code::Aborted, text), State::Failed)
+}
+
+/// The answer to a statement that its session hasn't prepared.
+#[must_use]
+pub fn unprepared(state: State) -> Answer {
+    let text = "no such prepared statement";
+    Answer::local(Outcome::error(Code::NoStatement, text), state)
+}
--- /dev/null
+++ b/crates/agateport-relay/src/work.rs
@@ -0,0 +1,64 @@
+//! What a statement brings along, and how a try at a server ends.
+
+use crate::catalog::Route;
+use crate::link::Context;
+use agateport_domain::prelude::*;
+use agateport_domain::request::Refusal;
+
+/// What a statement brings along.
+#[derive(Debug)]
+pub struct Work<'a> {
+    /// How its database is served.
+    pub route: &'a Route,
+    /// Who asks, for fairness among callers.
+    pub caller: &'a CallerId,
+    /// What a connection must have for it.
+    pub context: &'a Context,
+    /// What its session has written.
+    pub seen: Option<Watermark>,
+    /// When it, or its transaction, came in, by the clock of proofs.
+    pub arrived: Uptime,
+    /// The same by the clock of limits.
+    pub started: Instant,
+}
+
+impl Work<'_> {
+    /// Returns when the statement's time is up.
+    #[must_use]
+    pub fn deadline(&self) -> Instant {
+        self.started + self.route.timeout
+    }
+
+    /// Returns when an answer is due within the target.
+    #[must_use]
+    pub fn due(&self) -> Instant {
+        self.started + self.route.target
+    }
+
+    /// Returns the moment before which everything acknowledged must be seen.
+    #[must_use]
+    pub fn oldest(&self) -> Uptime {
+        let staleness = self.route.consistency.staleness();
+        self.arrived.saturating_sub(staleness)
+    }
+}
+
+/// Why a statement wasn't run at one server.
+#[derive(Debug)]
+pub enum Miss {
+    /// Another server may run it.
+    Elsewhere(&'static str),
+    /// The same server may run it over another connection.
+    Again(&'static str),
+    /// No server is free in time.
+    Refused(Refusal),
+}
+
+/// How one try at a server ended.
+#[derive(Debug)]
+pub enum Try<T> {
+    /// It is over, well or not.
+    Over(T),
+    /// It certainly did not run, or may be run again.
+    Missed(Miss),
+}
