--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -15,6 +15,10 @@
 /// Above the second that the platform takes for a promotion.
 const REPEAT: Duration = Duration::from_millis(1_500);
 
+/// Time for which a group without a record must have no primary before one is
+/// chosen: entries that lapsed with the store are back by then.
+const LEADERLESS_PATIENCE: Duration = Duration::from_millis(2_500);
+
 /// Time that a recorded candidate gets before another one takes its place.
 const CANDIDATE_PATIENCE: Duration = Duration::from_secs(4);
 
@@ -49,6 +53,8 @@
     pub reign: Option<(&'a Reign, Uptime)>,
     /// Servers of the group that are registered.
     pub candidates: &'a [Candidate],
+    /// Since when no server says that it is the primary, if none does.
+    pub leaderless: Option<Uptime>,
     /// Whether most nodes can't reach the primary.
     pub is_lost: bool,
     /// Whether the former primary has confirmed that it takes no more writes.
@@ -78,7 +84,7 @@
 #[must_use]
 pub fn decide(situation: &Situation<'_>, now: Uptime) -> Step {
     let Some((reign, seen)) = situation.reign else {
-        return adopt(situation);
+        return adopt(situation, now);
     };
     let recorded = situation
         .candidates
@@ -117,11 +123,18 @@
 }
 
 /// Decides for a group without a record: its reported primary stays unless it
-/// leaves or is lost.
-fn adopt(situation: &Situation<'_>) -> Step {
+/// leaves or is lost; without one, the furthest log leads after a while.
+fn adopt(situation: &Situation<'_>, now: Uptime) -> Step {
     let primary = situation.candidates.iter().find(|one| one.is_primary);
     let Some(primary) = primary else {
-        return Step::Rest;
+        let is_due = situation
+            .leaderless
+            .is_some_and(|since| now >= since + LEADERLESS_PATIENCE);
+        return if is_due {
+            furthest(situation, None)
+        } else {
+            Step::Rest
+        };
     };
     if primary.is_leaving || situation.is_lost {
         return replace(situation, &primary.server);
@@ -131,10 +144,14 @@
 
 /// Chooses the candidate with the furthest log among those that stay.
 fn replace(situation: &Situation<'_>, former: &ServerId) -> Step {
+    furthest(situation, Some(former))
+}
+
+fn furthest(situation: &Situation<'_>, former: Option<&ServerId>) -> Step {
     let staying = situation
         .candidates
         .iter()
-        .filter(|one| one.server != *former && !one.is_leaving && one.last.is_some());
+        .filter(|one| Some(&one.server) != former && !one.is_leaving && one.last.is_some());
     let best = staying.max_by_key(|one| one.last);
     best.map_or(Step::Rest, |one| Step::Record(one.server.clone()))
 }
--- /dev/null
+++ b/crates/agateport-domain/tests/handover.rs
@@ -0,0 +1,191 @@
+//! Who is to be a group's primary, and for which moments that is proven.
+
+use agateport_domain::group::handover::{Candidate, Situation, Step, decide};
+use agateport_domain::group::{GRANT_TERM, Grant, Loss, Progress, Reign};
+use agateport_domain::prelude::*;
+use proptest::prelude::*;
+use std::fmt::Write;
+
+fn at(milliseconds: u64) -> Uptime {
+    Duration::from_millis(100_000 + milliseconds)
+}
+
+fn place(term: Term, position: Position) -> Watermark {
+    Watermark { term, position }
+}
+
+fn candidate(text: &str) -> Candidate {
+    let (name, marks) = text.split_once(':').unwrap_or((text, ""));
+    let position = marks.chars().find_map(|mark| mark.to_digit(10));
+    Candidate {
+        server: name.into(),
+        last: position.map(|position| place(1, u64::from(position))),
+        is_primary: marks.contains('p'),
+        is_leaving: marks.contains('l'),
+    }
+}
+
+fn reign(primary: &str, is_settled: bool) -> Reign {
+    Reign {
+        primary: primary.into(),
+        fence: 1,
+        is_settled,
+    }
+}
+
+/// One line of the table: the record, the servers (`p` primary, `l` leaving, a
+/// digit for the log), what else is known, and the moment after the record.
+fn row(record: Option<Reign>, servers: &str, marks: &str, milliseconds: u64) -> String {
+    let candidates: Vec<_> = servers.split(' ').map(candidate).collect();
+    let situation = Situation {
+        reign: record.as_ref().map(|reign| (reign, at(0))),
+        candidates: &candidates,
+        leaderless: marks.contains('n').then(|| at(0)),
+        is_lost: marks.contains('x'),
+        is_demoted: marks.contains('d'),
+        is_released: marks.contains('r'),
+        ordered: marks.contains('o').then(|| at(0)),
+    };
+    let step = decide(&situation, at(milliseconds));
+    let record = record.map_or_else(
+        || "-".to_owned(),
+        |reign| {
+            format!(
+                "{}{}",
+                reign.primary,
+                if reign.is_settled { "" } else { "?" }
+            )
+        },
+    );
+    format!("{record:4} {servers:24} {marks:3} {milliseconds:5} ms  {step:?}")
+}
+
+#[test]
+fn steps_of_a_handover() {
+    let settled = || Some(reign("a", true));
+    let under_way = || Some(reign("b", false));
+    let rows = [
+        row(None, "a:p5 b:5 c:4", "", 0),
+        row(None, "a:pl5 b:5 c:4", "", 0),
+        row(None, "b:5 c:6", "n", 100),
+        row(None, "b:5 c:6", "n", 3_000),
+        row(settled(), "a:p5 b:5 c:4", "", 0),
+        row(settled(), "a:p5 b:4 c:5", "x", 0),
+        row(settled(), "a:pl5 b:4 c:l5", "", 0),
+        row(settled(), "a:p5 b c", "x", 0),
+        row(settled(), "b:4 c:5", "", 0),
+        row(settled(), "a:5 b:4 c:5", "", 0),
+        row(under_way(), "a:p5 b:5 c:4", "", 100),
+        row(under_way(), "a:5 b:5 c:4", "d", 100),
+        row(under_way(), "a:p5 b:5 c:4", "r", 100),
+        row(under_way(), "a:p5 b:5 c:4", "", 1_200),
+        row(under_way(), "a:p5 b:5 c:4", "o", 1_300),
+        row(under_way(), "a:p5 b:5 c:4", "o", 1_600),
+        row(under_way(), "a:5 b:p5 c:4", "d", 1_000),
+        row(under_way(), "a:5 b:p5 c:4", "d", 1_200),
+        row(under_way(), "a:5 c:4", "", 100),
+        row(under_way(), "a:5 b:5 c:4", "x", 1_300),
+        row(under_way(), "a:5 b:5 c:4", "xo", 6_000),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
+#[test]
+fn a_server_is_lost_after_lasting_failures() {
+    let mut transcript = String::new();
+    let mut loss = Loss::default();
+    for (milliseconds, is_answer) in [(0, false), (100, true), (200, false), (300, false)] {
+        if is_answer {
+            loss.succeed();
+        } else {
+            loss.fail(at(milliseconds));
+        }
+        let later = [0, 200, 400].map(|later| loss.is_lost(at(milliseconds + later)));
+        writeln!(
+            transcript,
+            "{milliseconds} {is_answer} {} {later:?}",
+            loss.is_suspected()
+        )
+        .expect("a string takes text");
+    }
+    insta::assert_snapshot!(transcript);
+}
+
+/// A node with its own view of the record, as the property plays it.
+#[derive(Clone, Copy, Debug)]
+struct Node {
+    grant: Grant,
+}
+
+proptest! {
+    /// However the nodes' reads are spread, none may use the former primary once
+    /// an undemoted one may be replaced.
+    #[test]
+    fn nobody_uses_the_former_primary_when_the_next_is_promoted(
+        reads in prop::collection::vec((0_u64..5_000, 0_usize..4), 1..60),
+        written in 0_u64..4_000,
+        seen_after in 0_u64..800,
+    ) {
+        let mut nodes = [Node { grant: Grant::default() }; 4];
+        for (asked, node) in reads {
+            // A read that was answered after the record was written names the
+            // other primary and renews nothing for the former one.
+            if asked < written {
+                nodes[node].grant.renew(at(asked));
+            }
+        }
+        let record = reign("b", false);
+        let candidates = [candidate("a:p5"), candidate("b:5")];
+        let seen = at(written + seen_after);
+        for later in 0..2_000 {
+            let now = seen + Duration::from_millis(later);
+            let situation = Situation {
+                reign: Some((&record, seen)),
+                candidates: &candidates,
+                leaderless: None,
+                is_lost: true,
+                is_demoted: false,
+                is_released: false,
+                ordered: None,
+            };
+            if let Step::Promote(_) = decide(&situation, now) {
+                for node in &nodes {
+                    prop_assert!(!node.grant.covers(now));
+                }
+            }
+        }
+    }
+
+    /// A floor covers every write that was acknowledged before the moment asked.
+    #[test]
+    fn a_floor_covers_what_was_acknowledged(
+        steps in prop::collection::vec((1_u64..300, 0_u64..5), 1..60),
+        age in 0_u64..3_000,
+    ) {
+        let mut progress = Progress::default();
+        let (mut now, mut position) = (0, 0);
+        let mut acknowledged = Vec::new();
+        for (pause, writes) in steps {
+            now += pause;
+            position += writes;
+            acknowledged.push((at(now), position));
+            progress.record(at(now) + Duration::from_millis(1), place(1, position));
+        }
+        let oldest = at(now).saturating_sub(Duration::from_millis(age));
+        if let Some((_, floor)) = progress.floor(oldest) {
+            let before = acknowledged.iter().filter(|(moment, _)| *moment < oldest);
+            let needed = before.map(|(_, position)| *position).max().unwrap_or(0);
+            prop_assert!(floor.position >= needed);
+        }
+    }
+}
+
+#[test]
+fn a_grant_holds_for_its_term() {
+    let mut grant = Grant::default();
+    grant.renew(at(0));
+    grant.observe(at(500));
+    let end = at(0) + GRANT_TERM;
+    assert!(grant.covers(end.saturating_sub(Duration::from_millis(1))));
+    assert!(!grant.covers(end));
+}
--- /dev/null
+++ b/crates/agateport-domain/tests/placement.rs
@@ -0,0 +1,40 @@
+//! Which server runs a read.
+
+use agateport_domain::prelude::*;
+use agateport_domain::session::placement::{Spot, order};
+
+/// Reads a server: its name, then `p` primary, `n` near, `r` heard just now, a
+/// number for its log and one for its load.
+fn spot(text: &str) -> Spot {
+    let words: Vec<&str> = text.split(',').collect();
+    let position = words[2].parse().ok();
+    Spot {
+        server: words[0].into(),
+        is_primary: words[1].contains('p'),
+        is_near: words[1].contains('n'),
+        place: position.map(|position| Watermark { term: 1, position }),
+        is_recent: words[1].contains('r'),
+        load: words[3].parse().expect("a number"),
+    }
+}
+
+fn row(servers: &str, floor: Option<u64>) -> String {
+    let spots: Vec<_> = servers.split(' ').map(spot).collect();
+    let floor = floor.map(|position| Watermark { term: 1, position });
+    let order = order(&spots, floor);
+    format!("{servers:40} {floor:?}\n    {}", order.join(" "))
+}
+
+#[test]
+fn servers_for_a_read() {
+    let rows = [
+        row("a,p,9,0 b,n,9,0 c,,9,0", Some(7)),
+        row("a,p,9,0 b,n,9,3 c,,9,0", Some(7)),
+        row("a,p,9,0 b,n,9,9 c,,9,9", Some(7)),
+        row("a,p,9,0 b,nr,5,0 c,,5,0", Some(7)),
+        row("a,p,9,0 b,n,-,0 c,,9,0", Some(7)),
+        row("a,pn,9,0 b,n,9,0 c,,9,0", None),
+        row("b,n,9,0 c,,9,0", None),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -48,6 +48,8 @@
     is_demoted: bool,
     ordered: Option<Uptime>,
     needed: Option<Uptime>,
+    /// Since when no server says that it leads.
+    leaderless: Option<Uptime>,
 }
 
 /// Holds the promotion duty, and carries out changes of primaries.
@@ -169,11 +171,14 @@
             *course = Course {
                 primary: recorded,
                 needed: course.needed,
+                leaderless: course.leaderless,
                 ..Course::default()
             };
         }
         let course = course.clone();
         let candidates = self.candidates(group, is_asked).await;
+        let has_leader = candidates.iter().any(|one| one.is_primary);
+        let leaderless = self.note_leaderless(group, has_leader);
         let primary = candidates.iter().find(|one| one.is_primary);
         let primary = course
             .primary
@@ -185,6 +190,7 @@
         let situation = Situation {
             reign: reign.as_ref().map(|(reign, seen)| (reign, *seen)),
             candidates: &candidates,
+            leaderless,
             is_lost,
             is_demoted: course.is_demoted,
             is_released: records.is_accepted(&group.name),
@@ -193,12 +199,25 @@
         handover::decide(&situation, uptime())
     }
 
+    /// Returns since when no server says that it leads the group.
+    fn note_leaderless(&mut self, group: &Group, has_leader: bool) -> Option<Uptime> {
+        let course = self.courses.entry(group.name.clone()).or_default();
+        if has_leader {
+            course.leaderless = None;
+        } else {
+            course.leaderless.get_or_insert_with(uptime);
+        }
+        course.leaderless
+    }
+
     async fn candidates(&self, group: &Arc<Group>, is_asked: bool) -> Vec<Candidate> {
         let now = uptime();
         let servers = self.upstreams.servers(&group.name);
         let candidates = servers.iter().map(|server| async move {
             let listing = server.listing();
-            let mut last = server.place().map(|(place, _)| place);
+            // Before a server was asked, it may be as far as any other.
+            let known = server.place().map(|(place, _)| place);
+            let mut last = (!is_asked).then(|| known.unwrap_or_default());
             // Nobody waits for a server that could not be promoted anyway.
             if is_asked && !listing.is_leaving && !server.is_lost() {
                 let status = server.status(Order::Status).await;
