relay: a failed statement is one line with all tries, lines are bounded and never block

Each failure names its request, the servers that did not run it, why, and what was known of them; a budget bounds the lines of a kind and counts what it leaves out; the writer drops what a slow reader doesn't take.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -6,12 +6,12 @@
 use crate::dialect::Dialect;
 use crate::link::{self, Context};
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
-use crate::metrics::Metrics;
 use crate::reply;
 use crate::statement::Runner;
 use crate::transaction::Pinned;
 use crate::work::Work;
 use agateport_domain::prelude::*;
+use bytes::Bytes;
 use std::io;
 use tokio::sync::watch;
 
@@ -58,7 +58,6 @@
 pub struct Session<D: Dialect> {
     connection: Connection<D>,
     runner: Runner<D>,
-    metrics: Arc<Metrics>,
     database: DatabaseId,
     caller: CallerId,
     context: Context,
@@ -73,13 +72,11 @@
     pub fn new(
         connection: Connection<D>,
         runner: Runner<D>,
-        metrics: Arc<Metrics>,
         release: watch::Receiver<bool>,
     ) -> Self {
         Self {
             connection,
             runner,
-            metrics,
             database: "".into(),
             caller: "".into(),
             context: Context::default(),
@@ -112,12 +109,12 @@
         let upstreams = self.runner.upstreams().clone();
         upstreams.configured(CONFIGURATION_PATIENCE).await;
         if upstreams.route(&self.database).is_some() {
-            self.metrics.count("session", "opened");
+            self.runner.metrics().count("session", "opened");
             D::ready(State::Idle, None, &mut self.connection.output);
             self.connection.flush().await?;
             return Ok(true);
         }
-        self.metrics.count("session", "no_database");
+        self.runner.metrics().count("session", "no_database");
         let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
         D::outcome(&outcome, &mut self.connection.output);
         self.connection.flush().await?;
@@ -129,7 +126,7 @@
             let request = match self.event().await? {
                 Event::Message(Message::Ask(request)) => request,
                 Event::Idle => {
-                    self.metrics.count("transaction", "idle");
+                    self.runner.metrics().count("transaction", "idle");
                     self.roll_back();
                     self.transaction = Transaction::Failed;
                     continue;
@@ -149,14 +146,17 @@
     fn report(&self, request: &Request, answer: &Answer, started: Instant) {
         let took = started.elapsed();
         let Some(code) = answer.code() else {
-            self.metrics.count("answer", "done");
-            self.metrics.record(took);
+            self.runner.metrics().count("answer", "done");
+            self.runner.metrics().record(took);
             return;
         };
-        self.metrics.count("answer", code.name());
+        self.runner.metrics().count("answer", code.name());
         let Outcome::Error { text, .. } = &answer.outcome else {
             return;
         };
+        let Some(omitted) = self.runner.metrics().line("statement_failed") else {
+            return;
+        };
         tracing::info!(
             event = "statement_failed",
             request = &*String::from_utf8_lossy(&request.id),
@@ -164,7 +164,9 @@
             code = code.name(),
             reason = &*String::from_utf8_lossy(text),
             took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+            tries = ?answer.tries,
             configuration = self.runner.upstreams().catalog().version,
+            omitted,
             "a statement failed"
         );
     }
@@ -241,7 +243,7 @@
         if let Transaction::None = self.transaction {
             return self.run_single(request, access).await;
         }
-        if let Err(answer) = self.open().await {
+        if let Err(answer) = self.open(request).await {
             return answer;
         }
         let Transaction::Open {
@@ -252,7 +254,7 @@
         else {
             return malformed("no transaction is open", State::Failed);
         };
-        let work = self.work(&route, arrived, Instant::now());
+        let work = self.work(&request.id, &route, arrived, Instant::now());
         let (pinned, answer) = self.runner.within(*pinned, &work, request, access).await;
         let Some(pinned) = pinned else {
             return answer;
@@ -274,7 +276,7 @@
         let Some(route) = self.runner.upstreams().route(&self.database) else {
             return no_database();
         };
-        let work = self.work(&route, uptime(), Instant::now());
+        let work = self.work(&request.id, &route, uptime(), Instant::now());
         let answer = self.runner.single(&work, request, access).await;
         if access == Access::Write {
             self.see(&answer);
@@ -283,7 +285,7 @@
     }
 
     /// Opens a begun transaction at a server.
-    async fn open(&mut self) -> Result<(), Answer> {
+    async fn open(&mut self, request: &Request) -> Result<(), Answer> {
         let Transaction::Begun {
             is_read_only,
             route,
@@ -296,7 +298,7 @@
         let (route, arrived) = (route.clone(), *arrived);
         // The pause before the first statement isn't the system's.
         let started = (*started).max(Instant::now());
-        let work = self.work(&route, arrived, started);
+        let work = self.work(&request.id, &route, arrived, started);
         let opened = self.runner.begin(&work, *is_read_only).await;
         match opened {
             Ok(pinned) => {
@@ -319,7 +321,7 @@
         if let Transaction::None = self.transaction {
             return malformed("no transaction is open", State::Idle);
         }
-        if let Err(answer) = self.open().await {
+        if let Err(answer) = self.open(request).await {
             self.transaction = Transaction::None;
             return answer;
         }
@@ -332,7 +334,7 @@
         else {
             return malformed("no transaction is open", State::Idle);
         };
-        let work = self.work(&route, arrived, Instant::now());
+        let work = self.work(&request.id, &route, arrived, Instant::now());
         let answer = self.runner.commit(*pinned, &work, request).await;
         self.see(&answer);
         answer
@@ -348,8 +350,15 @@
         tokio::spawn(async move { runner.rollback(*pinned, ROLLBACK_LIMIT).await });
     }
 
-    fn work<'a>(&'a self, route: &'a Route, arrived: Uptime, started: Instant) -> Work<'a> {
+    fn work<'a>(
+        &'a self,
+        id: &'a Bytes,
+        route: &'a Route,
+        arrived: Uptime,
+        started: Instant,
+    ) -> Work<'a> {
         Work {
+            id,
             route,
             caller: &self.caller,
             context: &self.context,
--- a/crates/agateport-relay/src/exchange.rs
+++ b/crates/agateport-relay/src/exchange.rs
@@ -22,6 +22,17 @@
     Slow,
 }
 
+impl Lost {
+    /// Returns the name used in logs and counters.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Broken => "broken",
+            Self::Slow => "slow",
+        }
+    }
+}
+
 /// Sends one order and waits for its answer; a server that is silent for long is
 /// suspected meanwhile.
 ///
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -122,6 +122,12 @@
         inner.leader = leader.cloned();
     }
 
+    /// Returns the moment up to which the primary is proven to be the only one.
+    #[must_use]
+    pub fn proven_until(&self) -> Uptime {
+        self.lock().grant.until()
+    }
+
     /// Tells whether the primary was the only one at some moment after `moment`.
     #[must_use]
     pub fn was_proven(&self, moment: Uptime) -> bool {
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! encodes messages, and the traits of [`source`] stand for what a platform
 //! offers. What is decided comes from `agateport-domain`.
 
+pub mod budget;
 pub mod caller;
 pub mod catalog;
 pub mod clock;
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -228,6 +228,7 @@
                         outcome,
                         state,
                         place,
+                        tries: Vec::new(),
                     });
                 }
             }
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -186,6 +186,25 @@
     pub state: State,
     /// Place of the server's log, if it was told.
     pub place: Option<Watermark>,
+    /// Servers that did not run the statement, for the log.
+    pub tries: Vec<Tried>,
+}
+
+/// Why one server did not run a statement, and what was known then.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Tried {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Why.
+    pub reason: &'static str,
+    /// Requests of this node that used the server or waited for it.
+    pub load: usize,
+    /// Last place of its log that was heard.
+    pub place: Option<Watermark>,
+    /// How long the proof of the group's primary still held; zero if it didn't.
+    pub proof_left: Duration,
+    /// Time since the statement came in.
+    pub waited: Duration,
 }
 
 impl Answer {
@@ -197,6 +216,7 @@
             outcome,
             state,
             place: None,
+            tries: Vec::new(),
         }
     }
 
--- a/crates/agateport-relay/src/metrics.rs
+++ b/crates/agateport-relay/src/metrics.rs
@@ -1,5 +1,6 @@
 //! Counters and latencies, in the text format that scrapers read.
 
+use crate::budget::Budget;
 use agateport_domain::prelude::*;
 use hdrhistogram::Histogram;
 use std::fmt::Write;
@@ -14,11 +15,18 @@
 /// Parts of the requests that the latencies are told for.
 const QUANTILES: [f64; 3] = [0.5, 0.9, 0.99];
 
+/// Returns a time in milliseconds, for a log line.
+#[must_use]
+pub fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
+}
+
 /// Counters and latencies of a node.
 #[derive(Debug)]
 pub struct Metrics {
     counts: Sharded<(&'static str, &'static str), u64>,
     latencies: Mutex<Histogram<u64>>,
+    budgets: Sharded<&'static str, Budget>,
 }
 
 impl Metrics {
@@ -32,6 +40,7 @@
         Ok(Self {
             counts: Sharded::new(),
             latencies: Mutex::new(latencies),
+            budgets: Sharded::new(),
         })
     }
 
@@ -42,6 +51,20 @@
             .with(&key, |counts| *counts.entry(key).or_insert(0) += 1);
     }
 
+    /// Tells whether a line about `event` may be written, and how many were left
+    /// out before it; lines that are left out are counted.
+    pub fn line(&self, event: &'static str) -> Option<u64> {
+        let now = Instant::now();
+        let omitted = self.budgets.with(&event, |budgets| {
+            let budget = budgets.entry(event).or_insert_with(|| Budget::new(now));
+            budget.take(now)
+        });
+        if omitted.is_none() {
+            self.count("line_omitted", event);
+        }
+        omitted
+    }
+
     /// Takes in how long a statement took that was answered.
     pub fn record(&self, took: Duration) {
         let micros = u64::try_from(took.as_micros()).unwrap_or(HIGHEST);
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -164,9 +164,9 @@
         zone = &*place.zone,
         "the node is up"
     );
-    let runner = Runner::new(upstreams);
+    let runner = Runner::new(upstreams, metrics);
     let sessions = TaskTracker::new();
-    let accepting = accept(callers, &sessions, runner, metrics, released);
+    let accepting = accept(callers, &sessions, runner, released);
     tokio::select! {
         () = accepting => {}
         () = drain(&place, store.as_ref(), stop, heard.clone(), &release, &sessions) => {}
@@ -185,7 +185,6 @@
     listener: TcpListener,
     sessions: &TaskTracker,
     runner: Runner<D>,
-    metrics: Arc<Metrics>,
     released: watch::Receiver<bool>,
 ) {
     loop {
@@ -197,27 +196,13 @@
                 continue;
             }
         };
-        sessions.spawn(serve(
-            stream,
-            runner.clone(),
-            metrics.clone(),
-            released.clone(),
-        ));
+        sessions.spawn(serve(stream, runner.clone(), released.clone()));
     }
 }
 
-async fn serve<D: Dialect>(
-    stream: TcpStream,
-    runner: Runner<D>,
-    metrics: Arc<Metrics>,
-    released: watch::Receiver<bool>,
-) {
+async fn serve<D: Dialect>(stream: TcpStream, runner: Runner<D>, released: watch::Receiver<bool>) {
     let served = match Connection::<D>::new(stream) {
-        Ok(connection) => {
-            Session::new(connection, runner, metrics, released)
-                .run()
-                .await
-        }
+        Ok(connection) => Session::new(connection, runner, released).run().await,
         Err(error) => Err(error),
     };
     if let Err(error) = served {
--- a/crates/agateport-relay/src/placing.rs
+++ b/crates/agateport-relay/src/placing.rs
@@ -1,11 +1,12 @@
 //! Finds the server for a statement, with a slot and a connection.
 
 use crate::catalog::Consistency;
+use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::exchange::align;
 use crate::group::Group;
 use crate::link::{self, Link};
-use crate::message::{Access, Answer, Code, Request};
+use crate::message::{Access, Answer, Code, Request, Tried};
 use crate::proof::{floor, is_leader, prove_before};
 use crate::reply;
 use crate::server::{Server, Slot};
@@ -55,15 +56,24 @@
     {
         let mut excluded = BTreeSet::new();
         let mut reason = "no server may run it";
+        let mut tries = Vec::new();
         for _ in 0..ATTEMPTS {
             let Some(server) = self.choose(group, work, access, &excluded) else {
                 break;
             };
-            match attempt(server.clone()).await {
+            let miss = match attempt(server.clone()).await {
                 Try::Over(result) => return Ok(result),
-                Try::Missed(Miss::Refused(refusal)) => return Err(reply::refused(&refusal)),
-                Try::Missed(Miss::Again(why)) => reason = why,
-                Try::Missed(Miss::Elsewhere(why)) => {
+                Try::Missed(miss) => miss,
+            };
+            self.metrics().count("missed", miss.reason());
+            tries.push(tried(group, &server, work, &miss));
+            match miss {
+                Miss::Refused(refusal) => {
+                    let answer = reply::refused(&refusal);
+                    return Err(Answer { tries, ..answer });
+                }
+                Miss::Again(why) => reason = why,
+                Miss::Elsewhere(why) => {
                     reason = why;
                     excluded.insert(server.listing().server.clone());
                 }
@@ -72,7 +82,8 @@
                 break;
             }
         }
-        Err(reply::unplaced(group, reason))
+        let answer = reply::unplaced(group, reason);
+        Err(Answer { tries, ..answer })
     }
 
     /// Gets a slot and a connection at a server, and the proof that it may run
@@ -152,6 +163,18 @@
     }
 }
 
+/// Returns why a server didn't run a statement, with what decided it.
+fn tried<D: Dialect>(group: &Group, server: &Server<D>, work: &Work<'_>, miss: &Miss) -> Tried {
+    Tried {
+        server: server.listing().server.clone(),
+        reason: miss.reason(),
+        load: server.load(),
+        place: server.place().map(|(place, _)| place),
+        proof_left: group.proven_until().saturating_sub(uptime()),
+        waited: work.started.elapsed(),
+    }
+}
+
 /// Returns a connection with the session's values and prepared statements.
 async fn aligned<D: Dialect>(
     server: &Arc<Server<D>>,
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -6,6 +6,7 @@
 use crate::group::Group;
 use crate::link;
 use crate::message::{Access, Answer, Code, Outcome, Request, State};
+use crate::metrics::{Metrics, millis};
 use crate::placing::Place;
 use crate::proof::{note, prove_after};
 use crate::reply::{miss, slow, unknown, unprepared};
@@ -18,20 +19,53 @@
 #[derive(Debug)]
 pub struct Runner<D> {
     upstreams: Arc<Upstreams<D>>,
+    metrics: Arc<Metrics>,
 }
 
 impl<D> Clone for Runner<D> {
     fn clone(&self) -> Self {
-        let upstreams = self.upstreams.clone();
-        Self { upstreams }
+        Self {
+            upstreams: self.upstreams.clone(),
+            metrics: self.metrics.clone(),
+        }
     }
 }
 
 impl<D: Dialect> Runner<D> {
     /// Creates a runner over these servers.
     #[must_use]
-    pub fn new(upstreams: Arc<Upstreams<D>>) -> Self {
-        Self { upstreams }
+    pub fn new(upstreams: Arc<Upstreams<D>>, metrics: Arc<Metrics>) -> Self {
+        Self { upstreams, metrics }
+    }
+
+    /// Returns the counters of what it does.
+    #[must_use]
+    pub fn metrics(&self) -> &Arc<Metrics> {
+        &self.metrics
+    }
+
+    /// Counts and writes down that a server's answer didn't come.
+    pub(crate) fn report_lost(
+        &self,
+        server: &Server<D>,
+        work: &Work<'_>,
+        asked: Uptime,
+        lost: Lost,
+    ) {
+        self.metrics.count("answer_lost", lost.name());
+        let Some(omitted) = self.metrics.line("answer_lost") else {
+            return;
+        };
+        tracing::info!(
+            event = "answer_lost",
+            request = &*String::from_utf8_lossy(work.id),
+            server = &*server.listing().server,
+            cause = lost.name(),
+            waited_ms = millis(uptime().saturating_sub(asked)),
+            is_server_lost = server.is_lost(),
+            omitted,
+            "a server's answer did not come"
+        );
     }
 
     /// Returns the servers that it runs statements at.
@@ -76,6 +110,9 @@
         };
         let asked = uptime();
         let exchanged = exchange(server, &mut link, order, work.deadline()).await;
+        let exchanged = exchanged.inspect_err(|lost| {
+            self.report_lost(server, work, asked, *lost);
+        });
         let answer = match exchanged {
             Ok(answer) => answer,
             Err(Lost::Slow) => return Try::Over(slow()),
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -108,6 +108,9 @@
         }
         let asked = uptime();
         let exchanged = exchange(&server, &mut pinned.link, order, deadline).await;
+        let exchanged = exchanged.inspect_err(|lost| {
+            self.report_lost(&server, work, asked, *lost);
+        });
         let answer = match exchanged {
             Ok(answer) => answer,
             Err(Lost::Slow) => return (None, aborted("the server took too long")),
@@ -135,7 +138,11 @@
         let server = pinned.slot.server().clone();
         pinned.slot.resume();
         let asked = uptime();
-        let answer = match exchange(&server, &mut pinned.link, order, deadline).await {
+        let exchanged = exchange(&server, &mut pinned.link, order, deadline).await;
+        let exchanged = exchanged.inspect_err(|lost| {
+            self.report_lost(&server, work, asked, *lost);
+        });
+        let answer = match exchanged {
             Ok(answer) => answer,
             Err(Lost::Slow) => return slow(),
             Err(Lost::Broken) => return unknown("the connection broke"),
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -4,10 +4,13 @@
 use crate::link::Context;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
+use bytes::Bytes;
 
 /// What a statement brings along.
 #[derive(Debug)]
 pub struct Work<'a> {
+    /// The caller's name for it, or for its transaction's first statement.
+    pub id: &'a Bytes,
     /// How its database is served.
     pub route: &'a Route,
     /// Who asks, for fairness among callers.
@@ -54,6 +57,17 @@
     Refused(Refusal),
 }
 
+impl Miss {
+    /// Returns the name used in logs and counters.
+    #[must_use]
+    pub fn reason(&self) -> &'static str {
+        match self {
+            Self::Elsewhere(reason) | Self::Again(reason) => reason,
+            Self::Refused(refusal) => refusal.reason.name(),
+        }
+    }
+}
+
 /// How one try at a server ended.
 #[derive(Debug)]
 pub enum Try<T> {
