relay: one bounded wait over all tries, one trait for what is told

Cause: each try at a server waited anew for up to 22% of the target, so a refusal could come later than that. Configurations and lists of servers were followed by two copies of the same loop.

--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -1,6 +1,7 @@
 //! The node: joins sessions, servers and the tasks beside them.
 
 use crate::caller::Session;
+use crate::catalog::Catalog;
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::control::duty::Handover;
@@ -13,7 +14,8 @@
 use crate::error::Error;
 use crate::metrics::Metrics;
 use crate::readiness::{Readiness, UNLISTING, let_go};
-use crate::source::{Declarations, Listings, Promoter, Store};
+use crate::registry::Edition;
+use crate::source::{Promoter, Source, Store};
 use crate::statement::Runner;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
@@ -79,8 +81,8 @@
 where
     D: Dialect,
     S: Store,
-    C: Declarations,
-    L: Listings,
+    C: Source<Told = Catalog>,
+    L: Source<Told = Edition>,
     P: Promoter,
 {
     let metrics = Arc::new(Metrics::new()?);
@@ -93,18 +95,13 @@
     let tasks = TaskTracker::new();
 
     let (reading, is_reading) = watch::channel(true);
-    tasks.spawn(declare(
-        platform.declarations,
-        upstreams.clone(),
-        is_reading.clone(),
-        end.clone(),
-    ));
-    tasks.spawn(list(
-        platform.listings,
-        upstreams.clone(),
-        is_reading,
-        end.clone(),
-    ));
+    let known = upstreams.clone();
+    let apply = move |catalog| known.apply_catalog(catalog);
+    let declarations = platform.declarations;
+    tasks.spawn(follow(declarations, apply, is_reading.clone(), end.clone()));
+    let known = upstreams.clone();
+    let apply = move |edition| known.apply_registry(edition);
+    tasks.spawn(follow(platform.listings, apply, is_reading, end.clone()));
     let poll = Poll {
         node: place.node.clone(),
         zone: place.zone.clone(),
@@ -247,37 +244,17 @@
     presence::leave(&place.node, store).await;
 }
 
-/// Takes configurations over, while this node asks the store itself.
-async fn declare<D: Dialect, C: Declarations>(
-    mut declarations: C,
-    upstreams: Arc<Upstreams<D>>,
+/// Takes over what a source tells, while this node asks the store itself.
+async fn follow<T: Source>(
+    mut source: T,
+    apply: impl Fn(T::Told) + Send,
     mut is_reading: watch::Receiver<bool>,
     end: CancellationToken,
 ) {
     loop {
         tokio::select! {
             () = end.cancelled() => return,
-            catalog = declarations.next(), if *is_reading.borrow() => {
-                upstreams.apply_catalog(catalog);
-            }
-            changed = is_reading.changed() => if changed.is_err() { return },
-        }
-    }
-}
-
-/// Takes lists of servers over, while this node asks the store itself.
-async fn list<D: Dialect, L: Listings>(
-    mut listings: L,
-    upstreams: Arc<Upstreams<D>>,
-    mut is_reading: watch::Receiver<bool>,
-    end: CancellationToken,
-) {
-    loop {
-        tokio::select! {
-            () = end.cancelled() => return,
-            edition = listings.next(), if *is_reading.borrow() => {
-                upstreams.apply_registry(edition);
-            }
+            told = source.next(), if *is_reading.borrow() => apply(told),
             changed = is_reading.changed() => if changed.is_err() { return },
         }
     }
--- a/crates/agateport-relay/src/placing.rs
+++ b/crates/agateport-relay/src/placing.rs
@@ -182,8 +182,7 @@
     request: Option<&Request>,
 ) -> Result<Link<D>, Miss> {
     let mut opened = server.link(work.context).await;
-    let patience = Instant::now() + work.route.target.mul_f64(PATIENCE_SHARE);
-    while is_full(&opened) && Instant::now() < patience {
+    while is_full(&opened) && Instant::now() < latest(work) {
         tokio::time::sleep(CONNECTION_PAUSE).await;
         opened = server.link(work.context).await;
     }
@@ -204,12 +203,17 @@
 
 /// Waits for a slot at a server, while there is time to try elsewhere.
 async fn admit<D: Dialect>(server: &Arc<Server<D>>, work: &Work<'_>) -> Result<Slot<D>, Refusal> {
-    let patience = work.route.target.mul_f64(PATIENCE_SHARE);
     server
-        .admit(&work.route.priority, work.caller, work.due(), patience)
+        .admit(&work.route.priority, work.caller, work.due(), latest(work))
         .await
 }
 
+/// Returns when a statement that no server has taken is refused, however many
+/// were tried.
+fn latest(work: &Work<'_>) -> Instant {
+    work.started + work.route.target.mul_f64(PATIENCE_SHARE)
+}
+
 /// Tells whether a server has no connection left.
 fn is_full<T>(opened: &Result<T, link::Error>) -> bool {
     matches!(opened, Err(link::Error::Refused(Code::TooMany)))
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -119,7 +119,7 @@
         priority: &PriorityId,
         caller: &CallerId,
         due: Instant,
-        patience: Duration,
+        latest: Instant,
     ) -> Result<Slot<D>, Refusal> {
         let (request, offer, receiver) = self.offer(priority, caller, due)?;
         let slot = Slot {
@@ -129,7 +129,7 @@
         let Offer::Queued { latest_start, .. } = offer else {
             return Ok(slot);
         };
-        let latest_start = latest_start.min(Instant::now() + patience);
+        let latest_start = latest_start.min(latest);
         match tokio::time::timeout_at(latest_start.into(), receiver).await {
             Ok(Ok(Ok(()))) => Ok(slot),
             Ok(Ok(Err(refusal))) => Err(refusal),
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -1,7 +1,5 @@
 //! What the runtime needs of the platform that it runs on.
 
-use crate::catalog::Catalog;
-use crate::registry::Edition;
 use agateport_domain::prelude::*;
 use thiserror::Error;
 
@@ -57,16 +55,15 @@
     fn change(&self, change: Change) -> impl Future<Output = Result<RowVersion, Error>> + Send;
 }
 
-/// Where configurations come from.
-pub trait Declarations: Send + 'static {
-    /// Waits for the next configuration.
-    fn next(&mut self) -> impl Future<Output = Catalog> + Send;
-}
+/// Where configurations, or lists of servers, come from.
+pub trait Source: Send + 'static {
+    /// What it tells.
+    type Told: Send;
 
-/// Where the list of servers comes from.
-pub trait Listings: Send + 'static {
-    /// Waits for the next list.
-    fn next(&mut self) -> impl Future<Output = Edition> + Send;
+    /// Waits for the next one.
+    ///
+    /// The wait may be given up at any time; nothing is lost by it.
+    fn next(&mut self) -> impl Future<Output = Self::Told> + Send;
 }
 
 /// Who carries out a promotion.
