--- /dev/null
+++ b/crates/agateport-relay/tests/record.rs
@@ -0,0 +1,66 @@
+//! What the project's rows tell.
+
+use agateport_domain::prelude::*;
+use agateport_relay::record::{self, Records};
+use agateport_relay::source::{Change, Row, Rows};
+
+/// Rows as a handover leaves them when one of two nodes has taken it over.
+fn rows() -> Rows {
+    let row = |key: &str, value: &str, version| {
+        let value = value.as_bytes().to_vec();
+        (key.to_owned(), Row { value, version })
+    };
+    let member = r#"{"zone":"a","address":"10.1.0.8:7441"}"#;
+    Rows::from([
+        row("changes", "", 9),
+        row("duty", r#"{"holder":"node-a"}"#, 3),
+        row("node/node-a", member, 1),
+        row("node/node-b", member, 2),
+        row(
+            "reign/ledger",
+            r#"{"primary":"two","fence":3,"is_settled":false}"#,
+            8,
+        ),
+        row("acceptance/node-a", r#"{"versions":{"ledger":8}}"#, 9),
+        row("loss/ledger/node-a", r#"{"server":"one"}"#, 5),
+        row("loss/ledger/node-b", r#"{"server":"one"}"#, 6),
+        row("loss/ledger/node-gone", r#"{"server":"one"}"#, 6),
+        row("reign/garbled", "not JSON", 4),
+    ])
+}
+
+#[test]
+fn rows_become_records() {
+    insta::assert_debug_snapshot!(Records::parse(&rows()));
+}
+
+#[test]
+fn only_nodes_that_are_up_count() {
+    let records = Records::parse(&rows());
+    let group: GroupId = "ledger".into();
+    assert_eq!(records.witnesses(&group, &"one".into()), 2);
+    assert_eq!(records.witnesses(&group, &"two".into()), 0);
+    assert_eq!(records.rank(&"node-b".into()), 1);
+}
+
+#[test]
+fn a_record_is_accepted_by_all_or_not_at_all() {
+    let mut rows = rows();
+    let group: GroupId = "ledger".into();
+    assert!(!Records::parse(&rows).is_accepted(&group));
+    let value = |version: u64| format!(r#"{{"versions":{{"ledger":{version}}}}}"#).into_bytes();
+    for (version, is_accepted) in [(7, false), (8, true)] {
+        let row = Row {
+            value: value(version),
+            version: 10,
+        };
+        rows.insert("acceptance/node-b".to_owned(), row);
+        assert_eq!(Records::parse(&rows).is_accepted(&group), is_accepted);
+    }
+}
+
+#[test]
+fn every_change_tells_that_there_is_news() {
+    let change = record::stamped(Change::default());
+    assert!(change.set.contains_key(record::CHANGES));
+}
