relay: nodes that end without a word leave the list

Cause: rows of removed VMs stayed for good, so that they counted in the majority that misses a primary, in the share of connections, and in who has to take a record over; after enough replacements no handover could begin.

A node asks its neighbour by name, marks it after 15 s without an answer, and its row is dropped 5 s later: proofs of a marked node end before nobody waits for it.

--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! to do about a primary that is lost.
 
 pub mod duty;
+pub mod neighbour;
 pub mod peer;
 pub mod poll;
 pub mod presence;
--- /dev/null
+++ b/crates/agateport-relay/src/control/neighbour.rs
@@ -0,0 +1,122 @@
+//! Takes nodes off the list that ended without a word.
+//!
+//! Each node asks the next one by name. One that doesn't answer for long is first
+//! marked and later dropped: a node that is marked gets no more proofs, but those
+//! that it has must end before nobody waits for it any more. A node that is up
+//! after all finds its mark and writes its row anew.
+
+use super::peer::Peers;
+use super::poll::Snapshot;
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::record::{self, Member, Records};
+use crate::source::{Change, Store};
+use crate::upstreams::Upstreams;
+use agateport_domain::group::GRANT_TERM;
+use agateport_domain::prelude::*;
+use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
+
+/// Time between two questions to the neighbour.
+const INTERVAL: Duration = Duration::from_secs(2);
+
+/// Time without an answer after which the neighbour is marked: longer than a
+/// restart, a freeze or a short cut.
+const SILENCE: Duration = Duration::from_secs(15);
+
+/// Time from the mark until the row is dropped; several times a grant's term.
+const GONE_TERM: Duration = Duration::from_secs(5);
+
+/// Watches the next node by name.
+#[derive(Debug)]
+pub struct Neighbour<D, S> {
+    /// Name of this node.
+    pub node: NodeId,
+    /// Where the list of nodes is kept.
+    pub store: Arc<S>,
+    /// What this node knows.
+    pub upstreams: Arc<Upstreams<D>>,
+}
+
+impl<D: Dialect, S: Store> Neighbour<D, S> {
+    /// Watches the next node until this one ends.
+    pub async fn run(self, news: watch::Receiver<Option<Snapshot>>, token: CancellationToken) {
+        let mut peers = Peers::default();
+        let mut silent: Option<(NodeId, Uptime)> = None;
+        let mut marked: BTreeMap<NodeId, Uptime> = BTreeMap::new();
+        loop {
+            tokio::select! {
+                () = token.cancelled() => return,
+                () = tokio::time::sleep(INTERVAL) => {}
+            }
+            let snapshot = news.borrow().clone();
+            let fresh = snapshot.filter(|one| uptime() < one.asked + GRANT_TERM);
+            let Some(Snapshot { records, .. }) = fresh else {
+                continue;
+            };
+            self.drop_marked(&records, &mut marked).await;
+            let Some((next, member)) = records.after(&self.node).next() else {
+                continue;
+            };
+            let asked = uptime();
+            let version = records.version;
+            match peers.ask(member.address, &self.upstreams, version).await {
+                Ok(_) => silent = None,
+                Err(error) => {
+                    let known = silent.take().filter(|(node, _)| node == next);
+                    let (_, since) = silent.insert(known.unwrap_or((next.clone(), asked)));
+                    if uptime() >= *since + SILENCE {
+                        tracing::warn!(event = "node_gone", node = &**next, %error, "a node doesn't answer");
+                        self.mark(&records, next, member).await;
+                    }
+                }
+            }
+        }
+    }
+
+    async fn mark(&self, records: &Records, node: &NodeId, member: &Member) {
+        let gone = Member {
+            is_gone: true,
+            ..member.clone()
+        };
+        let key = record::node_key(node);
+        let change = Change {
+            expected: expected(records, node),
+            set: BTreeMap::from([(key, record::value(&gone))]),
+            ..Change::default()
+        };
+        self.change(change, node).await;
+    }
+
+    /// Drops the rows of nodes that were marked long enough ago.
+    async fn drop_marked(&self, records: &Records, marked: &mut BTreeMap<NodeId, Uptime>) {
+        marked.retain(|node, _| records.gone.contains_key(node));
+        for node in records.gone.keys() {
+            let since = *marked.entry(node.clone()).or_insert_with(uptime);
+            let is_mine = records.before(node) == Some(&self.node);
+            if !is_mine || uptime() < since + GONE_TERM {
+                continue;
+            }
+            let dropped = [record::node_key(node), record::acceptance_key(node)];
+            let change = Change {
+                expected: expected(records, node),
+                dropped: dropped.into(),
+                ..Change::default()
+            };
+            self.change(change, node).await;
+        }
+    }
+
+    async fn change(&self, change: Change, node: &NodeId) {
+        if let Err(error) = self.store.change(record::stamped(change)).await {
+            tracing::info!(event = "node_kept", node = &**node, %error, "a silent node's row was not changed");
+        }
+    }
+}
+
+/// Returns the version that a node's row must still have.
+fn expected(records: &Records, node: &NodeId) -> BTreeMap<String, u64> {
+    let version = records.member_versions.get(node).copied();
+    let version = version.unwrap_or_default();
+    BTreeMap::from([(record::node_key(node), version)])
+}
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -149,10 +149,8 @@
     /// Returns the nodes to ask when the store doesn't answer: those that follow
     /// this one by name, and in turn the first ones.
     fn after(&self, known: &Records) -> Vec<SocketAddr> {
-        let members = &known.members;
-        let following = members.range(self.node.clone()..).chain(members);
-        following
-            .filter(|(node, _)| **node != self.node)
+        known
+            .after(&self.node)
             .take(PEERS_AFTER)
             .map(|(_, member)| member.address)
             .collect()
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -48,6 +48,7 @@
             let member = Member {
                 zone: self.zone.clone(),
                 address: self.address,
+                is_gone: false,
             };
             let key = record::node_key(&self.node);
             change.set.insert(key, record::value(&member));
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -5,6 +5,7 @@
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::control::duty::Handover;
+use crate::control::neighbour::Neighbour;
 use crate::control::peer;
 use crate::control::poll::{Poll, Snapshot};
 use crate::control::presence::{self, Presence};
@@ -119,6 +120,12 @@
         end.clone(),
     ));
     tasks.spawn(poll.run(end.clone()));
+    let neighbour = Neighbour {
+        node: place.node.clone(),
+        store: store.clone(),
+        upstreams: upstreams.clone(),
+    };
+    tasks.spawn(neighbour.run(heard.clone(), end.clone()));
     let presence = Presence {
         node: place.node.clone(),
         zone: place.zone.clone(),
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -33,6 +33,9 @@
     pub zone: Zone,
     /// Where it answers other nodes.
     pub address: SocketAddr,
+    /// Whether another node found that it doesn't answer any more.
+    #[serde(default)]
+    pub is_gone: bool,
 }
 
 /// A node's word that it can't reach a server.
@@ -92,6 +95,10 @@
     pub reigns: BTreeMap<GroupId, (Reign, RowVersion)>,
     /// Nodes that are up, or ended without a word.
     pub members: BTreeMap<NodeId, Member>,
+    /// Nodes that don't answer any more; their proofs may not have ended yet.
+    pub gone: BTreeMap<NodeId, Member>,
+    /// Versions of the nodes' rows.
+    pub member_versions: BTreeMap<NodeId, RowVersion>,
     /// What each node has taken over.
     pub acceptances: BTreeMap<NodeId, Acceptance>,
     /// Nodes that can't reach a server, by group.
@@ -128,7 +135,15 @@
             return insert(&mut self.acceptances, node.into(), parse(value));
         }
         if let Some(node) = key.strip_prefix(NODE) {
-            return insert(&mut self.members, node.into(), parse(value));
+            self.member_versions.insert(node.into(), version);
+            let member: Option<Member> = parse(value);
+            let is_gone = member.as_ref().is_some_and(|member| member.is_gone);
+            let members = if is_gone {
+                &mut self.gone
+            } else {
+                &mut self.members
+            };
+            return insert(members, node.into(), member);
         }
         let loss = key
             .strip_prefix(LOSS)
@@ -153,13 +168,28 @@
         })
     }
 
+    /// Returns the nodes after `node` in the order of names, and in turn from
+    /// the first on.
+    pub fn after<'a>(&'a self, node: &'a NodeId) -> impl Iterator<Item = (&'a NodeId, &'a Member)> {
+        let following = self.members.range(node.clone()..).chain(&self.members);
+        following.filter(move |(one, _)| *one != node)
+    }
+
+    /// Returns the node before `node` in the order of names, in turn the last.
+    #[must_use]
+    pub fn before(&self, node: &NodeId) -> Option<&NodeId> {
+        let preceding = self.members.range(..node.clone()).next_back();
+        let before = preceding.or_else(|| self.members.last_key_value());
+        before.map(|(one, _)| one)
+    }
+
     /// Tells whether every node has taken a group's record over.
     #[must_use]
     pub fn is_accepted(&self, group: &GroupId) -> bool {
         let Some((_, version)) = self.reigns.get(group) else {
             return false;
         };
-        self.members.keys().all(|node| {
+        self.members.keys().chain(self.gone.keys()).all(|node| {
             let acceptance = self.acceptances.get(node);
             let accepted = acceptance.and_then(|one| one.versions.get(group));
             accepted == Some(version)
--- a/crates/agateport-relay/tests/record.rs
+++ b/crates/agateport-relay/tests/record.rs
@@ -11,11 +11,13 @@
         (key.to_owned(), Row { value, version })
     };
     let member = r#"{"zone":"a","address":"10.1.0.8:7441"}"#;
+    let gone = r#"{"zone":"a","address":"10.1.0.9:7441","is_gone":true}"#;
     Rows::from([
         row("changes", "", 9),
         row("duty", r#"{"holder":"node-a"}"#, 3),
         row("node/node-a", member, 1),
         row("node/node-b", member, 2),
+        row("node/node-gone", gone, 7),
         row(
             "reign/ledger",
             r#"{"primary":"two","fence":3,"is_settled":false}"#,
@@ -41,6 +43,8 @@
     assert_eq!(records.witnesses(&group, &"one".into()), 2);
     assert_eq!(records.witnesses(&group, &"two".into()), 0);
     assert_eq!(records.rank(&"node-b".into()), 1);
+    assert_eq!(records.before(&"node-gone".into()), Some(&"node-b".into()));
+    assert_eq!(records.before(&"node-a".into()), Some(&"node-b".into()));
 }
 
 #[test]
@@ -49,12 +53,17 @@
     let group: GroupId = "ledger".into();
     assert!(!Records::parse(&rows).is_accepted(&group));
     let value = |version: u64| format!(r#"{{"versions":{{"ledger":{version}}}}}"#).into_bytes();
-    for (version, is_accepted) in [(7, false), (8, true)] {
+    let steps = [
+        ("node-b", 7, false),
+        ("node-b", 8, false),
+        ("node-gone", 8, true),
+    ];
+    for (node, version, is_accepted) in steps {
         let row = Row {
             value: value(version),
             version: 10,
         };
-        rows.insert("acceptance/node-b".to_owned(), row);
+        rows.insert(format!("acceptance/{node}"), row);
         assert_eq!(Records::parse(&rows).is_accepted(&group), is_accepted);
     }
 }
