--- a/crates/agateport-domain/src/owner/mod.rs
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -7,11 +7,13 @@
 mod even;
 mod order;
 mod rendezvous;
+mod roster;
 
 pub use allowance::{Allowance, RAISE_DELAY, allowance, even_part};
 pub use even::Even;
 pub use order::Order;
 pub use rendezvous::Rendezvous;
+pub use roster::{Room, first, owners};
 
 use crate::admission::Share;
 use crate::bundle::Server;
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -8,8 +8,12 @@
 use crate::clock::uptime;
 use crate::control::poll::Snapshot;
 use crate::dialect::Dialect;
+use crate::lane::{self, Run};
+use crate::lend::Lender;
+use crate::link::watch_peer;
 use crate::record::Records;
 use crate::registry::Edition;
+use crate::seat::Claim;
 use crate::source::RowVersion;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
@@ -45,11 +49,25 @@
     /// The node's words can't be read.
     #[error("the node's words can't be read")]
     Garbled(#[from] postcard::Error),
+    /// The seat that was lent over the connection ended with it.
+    #[error("a lane ended")]
+    Lane(#[from] lane::Error),
+}
+
+/// What a node asks another one.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Call {
+    /// Asks for a seat at a server; the connection is a lane from then on.
+    Claim(Claim),
+    /// Asks for news.
+    News(Question),
+    /// Runs an order at the seat.
+    Run(Run),
 }
 
 /// What the one who asks knows already.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
-struct Question {
+pub struct Question {
     records: RowVersion,
     catalog: BundleVersion,
     /// Fingerprint of the list of servers.
@@ -74,7 +92,7 @@
 /// Answers other nodes until this one ends.
 pub async fn serve<D: Dialect>(
     listener: TcpListener,
-    upstreams: Arc<Upstreams<D>>,
+    lender: Lender<D>,
     heard: watch::Receiver<Option<Snapshot>>,
     token: CancellationToken,
 ) {
@@ -85,7 +103,7 @@
         };
         match accepted {
             Ok((stream, _)) => {
-                let answering = answer_all(stream, upstreams.clone(), heard.clone());
+                let answering = answer_all(stream, lender.clone(), heard.clone());
                 tokio::spawn(async move {
                     if let Err(error) = answering.await {
                         tracing::debug!(%error, "another node's questions ended");
@@ -102,15 +120,20 @@
 
 async fn answer_all<D: Dialect>(
     stream: TcpStream,
-    upstreams: Arc<Upstreams<D>>,
+    lender: Lender<D>,
     heard: watch::Receiver<Option<Snapshot>>,
 ) -> Result<(), Error> {
-    stream.set_nodelay(true)?;
+    watch_peer(&stream)?;
     let mut connection = Framed::new(stream, LengthDelimitedCodec::new());
     while let Ok(Some(frame)) = timeout(IDLE, connection.next()).await {
-        let question: Question = postcard::from_bytes(&frame?)?;
+        let question = match postcard::from_bytes(&frame?)? {
+            Call::News(question) => question,
+            Call::Claim(claim) => return Ok(lender.serve(connection, claim).await?),
+            // There is no seat to run it at.
+            Call::Run(_) => return Ok(()),
+        };
         let snapshot = heard.borrow().clone();
-        let news = answer(&upstreams, snapshot.as_ref(), question);
+        let news = answer(&lender.upstreams, snapshot.as_ref(), question);
         connection.send(encode(&news)?).await?;
     }
     Ok(())
@@ -182,7 +205,7 @@
         stream.set_nodelay(true)?;
         Framed::new(stream, LengthDelimitedCodec::new())
     };
-    connection.send(encode(&question)?).await?;
+    connection.send(encode(&Call::News(question))?).await?;
     let frame = connection.next().await;
     let frame = frame.ok_or_else(|| io::Error::from(io::ErrorKind::UnexpectedEof))??;
     Ok((connection, postcard::from_bytes(&frame)?))
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -210,7 +210,7 @@
         let is_known = records.members.contains_key(&self.node);
         let proven = is_known.then_some(snapshot.asked);
         self.upstreams.apply_reigns(&reigns.collect(), proven);
-        self.upstreams.apply_nodes(records.members.len());
+        self.upstreams.apply_members(&records.members);
         self.news.send_replace(Some(snapshot));
     }
 }
--- a/crates/agateport-relay/src/exchange.rs
+++ b/crates/agateport-relay/src/exchange.rs
@@ -2,10 +2,13 @@
 
 use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::link::{Context, Link};
-use crate::message::{Answer, Order, Outcome, Request};
+use crate::group::Group;
+use crate::link::Setup;
+use crate::message::{Answer, Order};
+use crate::seat::Seat;
 use crate::server::Server;
 use agateport_domain::prelude::*;
+use serde::{Deserialize, Serialize};
 use std::pin::pin;
 use tokio::time::{Instant as Deadline, timeout_at};
 
@@ -14,12 +17,16 @@
 const SILENCE: Duration = Duration::from_millis(300);
 
 /// Why an exchange has no answer.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Lost {
-    /// The connection broke.
+    /// The server's connection broke.
     Broken,
+    /// The node that lent the connection broke off.
+    Lane,
     /// No answer came in time.
     Slow,
+    /// The connection broke before the order was sent; it wasn't run.
+    Unsent,
 }
 
 impl Lost {
@@ -28,67 +35,47 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Broken => "broken",
+            Self::Lane => "lane",
             Self::Slow => "slow",
+            Self::Unsent => "unsent",
         }
     }
 }
 
-/// Sends one order and waits for its answer; a server that is silent for long is
-/// suspected meanwhile.
-///
-/// # Errors
-///
-/// [`Lost`] if no answer came; what was sent may have run.
-pub async fn exchange<D: Dialect>(
-    server: &Server<D>,
-    link: &mut Link<D>,
-    order: Order,
-    deadline: Instant,
-) -> Result<Answer, Lost> {
-    let asked = uptime();
-    let orders = [order];
-    let deadline = Deadline::from_std(deadline);
-    let suspicion = deadline.min(Deadline::now() + SILENCE);
-    let mut exchanging = pin!(link.exchange(&orders));
-    let mut exchanged = timeout_at(suspicion, &mut exchanging).await;
-    if exchanged.is_err() {
-        server.missed(asked);
-        exchanged = timeout_at(deadline, exchanging).await;
-    }
-    let answers = exchanged.map_err(|_| Lost::Slow)?;
-    let answers = answers.map_err(|error| {
-        tracing::debug!(%error, "an exchange with a server broke off");
-        server.missed(asked);
-        Lost::Broken
-    })?;
-    answers.into_iter().next().ok_or(Lost::Broken)
+/// One order to a server at a seat there.
+#[derive(Debug)]
+pub struct Exchange<'a, D: Dialect> {
+    /// Group of the server.
+    pub group: &'a Group,
+    /// The server.
+    pub server: &'a Server<D>,
+    /// The right to run it.
+    pub seat: &'a mut Seat<D>,
+    /// When its answer is no longer waited for.
+    pub deadline: Instant,
 }
 
-/// Brings a connection to a session's values and prepared statements.
-///
-/// # Errors
-///
-/// [`Lost`] if the connection can't be used; no statement was run.
-pub async fn align<D: Dialect>(
-    link: &mut Link<D>,
-    context: &Context,
-    request: Option<&Request>,
-    deadline: Instant,
-) -> Result<(), Lost> {
-    let orders = link.alignment(context, request);
-    if orders.is_empty() {
-        return Ok(());
-    }
-    let exchanged = timeout_at(Deadline::from_std(deadline), link.exchange(&orders)).await;
-    let answers = exchanged.map_err(|_| Lost::Slow)?;
-    let answers = answers.map_err(|_| Lost::Broken)?;
-    let is_done = |answer: &Answer| matches!(answer.outcome, Outcome::Done(_));
-    if answers.iter().all(is_done) {
-        return Ok(());
+impl<D: Dialect> Exchange<'_, D> {
+    /// Runs the order and waits for its answer; a server that is silent for long
+    /// is suspected meanwhile.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost`] if no answer came; but for [`Lost::Unsent`], it may have run.
+    pub async fn run(self, setup: &Setup<'_>, order: Order) -> Result<Answer, Lost> {
+        let asked = uptime();
+        let deadline = Deadline::from_std(self.deadline);
+        let suspicion = deadline.min(Deadline::now() + SILENCE);
+        let mut running = pin!(self.seat.run(setup, order, self.deadline));
+        let mut exchanged = timeout_at(suspicion, &mut running).await;
+        if exchanged.is_err() {
+            self.server.missed(asked);
+            exchanged = timeout_at(deadline, running).await;
+        }
+        let exchanged = exchanged.unwrap_or(Err(Lost::Slow));
+        if exchanged == Err(Lost::Broken) {
+            self.server.missed(asked);
+        }
+        exchanged
     }
-    tracing::warn!(
-        event = "alignment_failed",
-        "a server refused a session's value or prepared statement"
-    );
-    Err(Lost::Broken)
 }
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -56,6 +56,35 @@
     pub prepared: BTreeMap<Bytes, (Access, Bytes)>,
 }
 
+/// What a connection must have for an order.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Setup<'a> {
+    /// Values of the session, by name; none if any will do.
+    pub values: Option<&'a BTreeMap<Bytes, Bytes>>,
+    /// The prepared statement that the order runs, if it does.
+    pub prepared: Option<(Access, Bytes)>,
+}
+
+impl<'a> Setup<'a> {
+    /// Returns what an order needs that goes by no values.
+    #[must_use]
+    pub fn any() -> Self {
+        Self {
+            values: None,
+            prepared: None,
+        }
+    }
+
+    /// Returns what a session's statement needs, or an order of the node's own.
+    #[must_use]
+    pub fn new(context: &'a Context, request: Option<&Request>) -> Self {
+        Self {
+            values: Some(&context.values),
+            prepared: request.and_then(|request| prepared(context, request)),
+        }
+    }
+}
+
 /// One connection to an upstream server.
 #[derive(Debug)]
 pub struct Link<D> {
@@ -119,42 +148,67 @@
         }
     }
 
-    /// Returns the orders that bring the connection to a session's context.
+    /// Brings the connection to what an order needs.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if it can't be used; no statement was run.
+    pub async fn align(&mut self, setup: &Setup<'_>) -> Result<(), Error> {
+        let orders = self.alignment(setup);
+        if orders.is_empty() {
+            return Ok(());
+        }
+        let answers = self.exchange(&orders).await?;
+        let is_done = |answer: &Answer| matches!(answer.outcome, Outcome::Done(_));
+        if answers.iter().all(is_done) {
+            return Ok(());
+        }
+        tracing::warn!(
+            event = "alignment_failed",
+            "a server refused a session's value or prepared statement"
+        );
+        Err(dialect::Error::Garbled("an alignment's outcome").into())
+    }
+
+    /// Returns the orders that bring the connection to what an order needs.
     #[must_use]
-    pub fn alignment(&self, context: &Context, request: Option<&Request>) -> Vec<Order> {
+    pub fn alignment(&self, setup: &Setup<'_>) -> Vec<Order> {
         let mut orders = Vec::new();
-        let has_foreign = self
-            .values
-            .keys()
-            .any(|name| !context.values.contains_key(name));
+        let Some(values) = setup.values else {
+            return orders;
+        };
+        let has_foreign = self.values.keys().any(|name| !values.contains_key(name));
         if has_foreign {
             orders.push(Order::Reset);
         }
-        for (name, value) in &context.values {
+        for (name, value) in values {
             if has_foreign || self.values.get(name) != Some(value) {
                 let (name, value) = (name.clone(), value.clone());
                 orders.push(Order::Set { name, value });
             }
         }
-        let execute = request.and_then(|request| prepared(context, request));
-        if let Some((access, shape)) = execute {
-            let name = statement_name(access, &shape);
+        if let Some((access, shape)) = &setup.prepared {
+            let name = statement_name(*access, shape);
             if has_foreign || !self.prepared.contains(&name) {
                 orders.push(Order::Prepare {
                     name,
-                    access,
-                    shape,
+                    access: *access,
+                    shape: shape.clone(),
                 });
             }
         }
         orders
     }
 
-    /// Tells how far the connection is from a session's context; the nearest
-    /// one is taken.
+    /// Tells how far the connection is from a session's values; the nearest one
+    /// is taken.
     #[must_use]
-    pub fn distance(&self, context: &Context) -> usize {
-        self.alignment(context, None).len()
+    pub fn distance(&self, values: &BTreeMap<Bytes, Bytes>) -> usize {
+        let setup = Setup {
+            values: Some(values),
+            prepared: None,
+        };
+        self.alignment(&setup).len()
     }
 
     /// Sends orders and returns the answer to each.
@@ -248,7 +302,7 @@
 }
 
 /// Makes a connection end by itself when its peer can't be reached.
-fn watch_peer(stream: &TcpStream) -> io::Result<()> {
+pub(crate) fn watch_peer(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(SILENT_PEER))?;
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -2,6 +2,7 @@
 
 use agateport_domain::prelude::*;
 use bytes::Bytes;
+use serde::{Deserialize, Serialize};
 
 /// A message of a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -31,7 +32,7 @@
 }
 
 /// What a prepared statement does.
-#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Copy, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Access {
     /// Reads an item.
     Read,
@@ -88,7 +89,7 @@
 }
 
 /// State of a session or of a server's connection.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub enum State {
     /// Outside of any transaction.
     #[default]
@@ -100,7 +101,7 @@
 }
 
 /// Why a statement failed.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd)]
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub enum Code {
     /// The transaction was ended, and nothing of it is kept.
     Aborted,
@@ -153,7 +154,7 @@
 }
 
 /// How a statement ended.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Outcome {
     /// It ran; the server's receipt, or none for what needs no server.
     Done(Option<Bytes>),
@@ -247,7 +248,7 @@
 }
 
 /// What a server is asked.
-#[derive(Clone, Debug, Eq, PartialEq)]
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Order {
     /// Opens the connection.
     Open {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -13,6 +13,7 @@
 use crate::control::{round, witness};
 use crate::dialect::Dialect;
 use crate::error::Error;
+use crate::lend::Lender;
 use crate::metrics::Metrics;
 use crate::readiness::{Readiness, UNLISTING, let_go};
 use crate::registry::Edition;
@@ -87,7 +88,10 @@
     P: Promoter,
 {
     let metrics = Arc::new(Metrics::new()?);
-    let upstreams = Arc::new(Upstreams::<D>::new(place.zone.clone()));
+    let upstreams = Arc::new(Upstreams::<D>::new(
+        place.node.clone(),
+        place.zone.clone(),
+    ));
     let callers = TcpListener::bind(place.callers).await?;
     let store = Arc::new(platform.store);
     let wake = Arc::new(Wake::default());
@@ -113,12 +117,13 @@
         wake: wake.clone(),
     };
     let peers = TcpListener::bind(place.peers).await?;
-    tasks.spawn(peer::serve(
-        peers,
-        upstreams.clone(),
-        heard.clone(),
-        end.clone(),
-    ));
+    let lender = Lender {
+        upstreams: upstreams.clone(),
+        stop: stop.clone(),
+        lent: TaskTracker::new(),
+    };
+    let lent = lender.lent.clone();
+    tasks.spawn(peer::serve(peers, lender, heard.clone(), end.clone()));
     tasks.spawn(poll.run(end.clone()));
     let neighbour = Neighbour {
         node: place.node.clone(),
@@ -173,7 +178,7 @@
     let accepting = accept(callers, &sessions, runner, released);
     tokio::select! {
         () = accepting => {}
-        () = drain(&place, store.as_ref(), stop, heard.clone(), &release, &sessions) => {}
+        () = drain(&place, store.as_ref(), stop, heard.clone(), &release, [&sessions, &lent]) => {}
     }
     end.cancel();
     tracing::info!(
@@ -221,7 +226,7 @@
     stop: CancellationToken,
     heard: watch::Receiver<Option<Snapshot>>,
     release: &watch::Sender<bool>,
-    sessions: &TaskTracker,
+    [sessions, lent]: [&TaskTracker; 2],
 ) {
     stop.cancelled().await;
     let begun = Instant::now();
@@ -237,14 +242,20 @@
     tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
     release.send_replace(true);
     sessions.close();
+    lent.close();
     let rest = place
         .grace
         .mul_f64(GRACE_SHARE)
         .saturating_sub(begun.elapsed());
-    if tokio::time::timeout(rest, sessions.wait()).await.is_err() {
+    let ending = async {
+        sessions.wait().await;
+        lent.wait().await;
+    };
+    if tokio::time::timeout(rest, ending).await.is_err() {
         tracing::warn!(
             event = "sessions_cut",
             sessions = sessions.len(),
+            lent = lent.len(),
             "sessions outlast the grace"
         );
     }
--- a/crates/agateport-relay/src/placing.rs
+++ b/crates/agateport-relay/src/placing.rs
@@ -1,28 +1,22 @@
-//! Finds the server for a statement, with a slot and a connection.
+//! Finds the server for a statement, and a seat at it.
 
 use crate::catalog::Consistency;
 use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::exchange::align;
 use crate::group::Group;
-use crate::link::{self, Link};
-use crate::message::{Access, Answer, Code, Request, Tried};
+use crate::message::{Access, Answer, State, Tried};
 use crate::proof::{floor, is_leader, prove_before};
 use crate::reply;
-use crate::server::{Server, Slot};
+use crate::seat::{self, Claim, Denial, Gap, Seat};
+use crate::server::Server;
 use crate::statement::Runner;
 use crate::work::{Miss, Try, Work};
 use agateport_domain::prelude::*;
-use agateport_domain::request::Refusal;
 use agateport_domain::session::placement::{self, Spot};
 
 /// Servers that one statement is tried at before it is refused.
 const ATTEMPTS: usize = 4;
 
-/// Pause before another try at a server that has no connection left; other
-/// nodes close theirs meanwhile.
-const CONNECTION_PAUSE: Duration = Duration::from_millis(15);
-
 /// Part of the target for which a statement waits for a slot. A caller that is
 /// refused by then can still be served within the target at another node.
 const PATIENCE_SHARE: f64 = 0.22;
@@ -30,10 +24,8 @@
 /// Everything that a statement needs at one server.
 #[derive(Debug)]
 pub struct Place<D: Dialect> {
-    /// The right to a slot.
-    pub slot: Slot<D>,
-    /// A connection with the session's values and prepared statements.
-    pub link: Link<D>,
+    /// The right to run statements.
+    pub seat: Seat<D>,
     /// What the server's log must hold.
     pub floor: Option<Watermark>,
 }
@@ -86,8 +78,7 @@
         Err(Answer { tries, ..answer })
     }
 
-    /// Gets a slot and a connection at a server, and the proof that it may run
-    /// the statement.
+    /// Gets a seat at a server, and the proof that it may run the statement.
     ///
     /// # Errors
     ///
@@ -97,21 +88,25 @@
         group: &Group,
         server: &Arc<Server<D>>,
         work: &Work<'_>,
-        request: Option<&Request>,
         access: Access,
     ) -> Result<Place<D>, Miss> {
         let at_leader = is_leader(group, server);
         if at_leader && !prove_before(group, server, work, access).await {
             return Err(Miss::Elsewhere("the primary isn't proven"));
         }
-        let slot = admit(server, work).await.map_err(Miss::Refused)?;
-        let link = aligned(server, work, request).await?;
+        let claim = claim(server, work);
+        let claimed = seat::claim(server, self.upstreams().lanes(), &claim).await;
+        let seat = claimed.map_err(|denial| match denial {
+            Denial::Refused(refusal) => Miss::Refused(refusal),
+            Denial::Missed(Gap::Full) => Miss::Elsewhere("the server has no connection left"),
+            Denial::Missed(_) => Miss::Elsewhere("the server can't be reached"),
+        })?;
         if at_leader && !is_leader(group, server) {
-            server.give_back(link);
+            seat.release(State::Idle);
             return Err(Miss::Elsewhere("the primary was replaced"));
         }
         let floor = floor(group, work, at_leader);
-        Ok(Place { slot, link, floor })
+        Ok(Place { seat, floor })
     }
 
     /// Returns the best server for a statement.
@@ -175,37 +170,17 @@
     }
 }
 
-/// Returns a connection with the session's values and prepared statements.
-async fn aligned<D: Dialect>(
-    server: &Arc<Server<D>>,
-    work: &Work<'_>,
-    request: Option<&Request>,
-) -> Result<Link<D>, Miss> {
-    let mut opened = server.link(work.context).await;
-    while is_full(&opened) && Instant::now() < latest(work) {
-        tokio::time::sleep(CONNECTION_PAUSE).await;
-        opened = server.link(work.context).await;
+/// Returns what a statement asks of a server before it is sent.
+fn claim<D: Dialect>(server: &Server<D>, work: &Work<'_>) -> Claim {
+    let now = Instant::now();
+    Claim {
+        server: server.listing().server.clone(),
+        priority: work.route.priority.clone(),
+        caller: work.caller.clone(),
+        due: work.due().saturating_duration_since(now),
+        patience: latest(work).saturating_duration_since(now),
+        values: work.context.values.clone(),
     }
-    let mut link = opened.map_err(|error| {
-        tracing::info!(
-            event = "connection_failed",
-            server = &*server.listing().server,
-            %error,
-            "no connection to a server"
-        );
-        Miss::Elsewhere("the server can't be reached")
-    })?;
-    align(&mut link, work.context, request, work.deadline())
-        .await
-        .map_err(|_| Miss::Again("the connection broke"))?;
-    Ok(link)
-}
-
-/// Waits for a slot at a server, while there is time to try elsewhere.
-async fn admit<D: Dialect>(server: &Arc<Server<D>>, work: &Work<'_>) -> Result<Slot<D>, Refusal> {
-    server
-        .admit(&work.route.priority, work.caller, work.due(), latest(work))
-        .await
 }
 
 /// Returns when a statement that no server has taken is refused, however many
@@ -213,8 +188,3 @@
 fn latest(work: &Work<'_>) -> Instant {
     work.started + work.route.target.mul_f64(PATIENCE_SHARE)
 }
-
-/// Tells whether a server has no connection left.
-fn is_full<T>(opened: &Result<T, link::Error>) -> bool {
-    matches!(opened, Err(link::Error::Refused(Code::TooMany)))
-}
--- /dev/null
+++ b/crates/agateport-relay/src/seat.rs
@@ -0,0 +1,218 @@
+//! The right to run statements at a server: over an own connection, or over one
+//! that another node lends.
+
+use crate::dialect::Dialect;
+use crate::exchange::Lost;
+use crate::lane::{Lane, Lanes};
+use crate::link::{self, Link, Setup};
+use crate::message::{Answer, Code, Order, State};
+use crate::server::{Server, Slot, Standing, Visit};
+use agateport_domain::prelude::*;
+use agateport_domain::request::Refusal;
+use bytes::Bytes;
+use serde::{Deserialize, Serialize};
+use std::net::SocketAddr;
+
+/// Pause before another try at a server that has no connection left; other
+/// nodes close theirs meanwhile.
+const CONNECTION_PAUSE: Duration = Duration::from_millis(15);
+
+/// What a request asks of a server before it is sent.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Claim {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Rank of the work.
+    pub priority: PriorityId,
+    /// Who asks, for fairness among callers.
+    pub caller: CallerId,
+    /// Time until the answer is due.
+    pub due: Duration,
+    /// Time that it waits for a slot and a connection.
+    pub patience: Duration,
+    /// Values of its session; a connection that has them is preferred.
+    pub values: BTreeMap<Bytes, Bytes>,
+}
+
+/// Why a node has no seat to give.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Gap {
+    /// The node isn't an owner of the server.
+    NotOwner,
+    /// The node is about to stop.
+    Leaving,
+    /// The node gave no word.
+    Silent,
+    /// The server can't be reached.
+    Unreachable,
+    /// The server has no connection left.
+    Full,
+}
+
+/// Why a claim got no seat; nothing was run.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Denial {
+    /// No slot comes in time.
+    Refused(Refusal),
+    /// There is no seat to give.
+    Missed(Gap),
+}
+
+/// The right to run statements at a server.
+#[derive(Debug)]
+pub enum Seat<D: Dialect> {
+    /// Over a connection of this node.
+    Own {
+        /// The right to a slot.
+        slot: Slot<D>,
+        /// The connection.
+        link: Link<D>,
+    },
+    /// Over a connection of the server's owner.
+    Lent {
+        /// The connection to the owner.
+        lane: Lane,
+        /// Counts this use of the server.
+        visit: Visit<D>,
+    },
+}
+
+impl<D: Dialect> Seat<D> {
+    /// Runs one order, after what its connection must have for it.
+    ///
+    /// # Errors
+    ///
+    /// [`Lost`] if no answer came.
+    pub async fn run(
+        &mut self,
+        setup: &Setup<'_>,
+        order: Order,
+        deadline: Instant,
+    ) -> Result<Answer, Lost> {
+        match self {
+            Self::Own { slot, link } => {
+                slot.resume();
+                run_at(link, setup, order).await
+            }
+            Self::Lent { lane, .. } => {
+                let limit = deadline.saturating_duration_since(Instant::now());
+                lane.run(setup, order, limit).await
+            }
+        }
+    }
+
+    /// Gives the slot back between two statements of a transaction.
+    pub fn pause(&self) {
+        match self {
+            Self::Own { slot, .. } => slot.pause(),
+            // The owner does it by itself.
+            Self::Lent { .. } => {}
+        }
+    }
+
+    /// Gives the seat up; its connection is kept for others if it is outside of
+    /// any transaction, and closed else, which rolls back.
+    pub fn release(self, state: State) {
+        if !state.is_idle() {
+            return;
+        }
+        match self {
+            Self::Own { slot, link } => slot.server().give_back(link),
+            Self::Lent { lane, .. } => lane.give_back(),
+        }
+    }
+}
+
+async fn run_at<D: Dialect>(
+    link: &mut Link<D>,
+    setup: &Setup<'_>,
+    order: Order,
+) -> Result<Answer, Lost> {
+    link.align(setup).await.map_err(|error| {
+        tracing::debug!(%error, "a connection could not be brought to a session's values");
+        Lost::Unsent
+    })?;
+    let answers = link.exchange(&[order]).await.map_err(|error| {
+        tracing::debug!(%error, "an exchange with a server broke off");
+        Lost::Broken
+    })?;
+    let answer = answers.into_iter().next().ok_or(Lost::Broken)?;
+    if answer.code() == Some(&Code::NoStatement) {
+        link.forget_prepared();
+    }
+    Ok(answer)
+}
+
+/// Finds a seat at a server: at this node, or at an owner of the server.
+///
+/// # Errors
+///
+/// [`Denial`] if there is none; nothing was run.
+pub async fn claim<D: Dialect>(
+    server: &Arc<Server<D>>,
+    lanes: &Arc<Lanes>,
+    claim: &Claim,
+) -> Result<Seat<D>, Denial> {
+    if let Standing::Guest(owners) = &*server.standing() {
+        for owner in owners {
+            match claim_at(server, lanes, *owner, claim).await {
+                Err(Denial::Missed(Gap::NotOwner | Gap::Leaving | Gap::Silent)) => {}
+                claimed => return claimed,
+            }
+        }
+    }
+    // Owners out of reach say nothing about the server.
+    take(server, claim).await
+}
+
+async fn claim_at<D: Dialect>(
+    server: &Arc<Server<D>>,
+    lanes: &Arc<Lanes>,
+    owner: SocketAddr,
+    claim: &Claim,
+) -> Result<Seat<D>, Denial> {
+    let visit = server.visit();
+    let (lane, load) = lanes.claim(owner, claim).await?;
+    server.note_load(load);
+    Ok(Seat::Lent { lane, visit })
+}
+
+/// Takes a seat over a connection of this node.
+///
+/// # Errors
+///
+/// [`Denial`] if there is none; nothing was run.
+pub async fn take<D: Dialect>(
+    server: &Arc<Server<D>>,
+    claim: &Claim,
+) -> Result<Seat<D>, Denial> {
+    let now = Instant::now();
+    let latest = now + claim.patience;
+    let slot = server
+        .admit(&claim.priority, &claim.caller, now + claim.due, latest)
+        .await
+        .map_err(Denial::Refused)?;
+    let mut opened = server.link(&claim.values).await;
+    while is_full(&opened) && Instant::now() < latest {
+        tokio::time::sleep(CONNECTION_PAUSE).await;
+        opened = server.link(&claim.values).await;
+    }
+    if is_full(&opened) {
+        return Err(Denial::Missed(Gap::Full));
+    }
+    let link = opened.map_err(|error| {
+        tracing::info!(
+            event = "connection_failed",
+            server = &*server.listing().server,
+            %error,
+            "no connection to a server"
+        );
+        Denial::Missed(Gap::Unreachable)
+    })?;
+    Ok(Seat::Own { slot, link })
+}
+
+/// Tells whether a server has no connection left.
+fn is_full<T>(opened: &Result<T, link::Error>) -> bool {
+    matches!(opened, Err(link::Error::Refused(Code::TooMany)))
+}
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -3,7 +3,7 @@
 
 use crate::clock::uptime;
 use crate::dialect::{self, Dialect};
-use crate::link::{self, Context, Link};
+use crate::link::{self, Link};
 use crate::message::{Order, Status};
 use crate::registry::Listing;
 use agateport_domain::admission::{Decision, Offer, Queue, Share, Ticket};
@@ -11,6 +11,8 @@
 use agateport_domain::group::Loss;
 use agateport_domain::prelude::*;
 use agateport_domain::request::{Reason, Refusal};
+use bytes::Bytes;
+use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 use thiserror::Error;
 use tokio::sync::oneshot;
@@ -30,6 +32,13 @@
 /// two of the server's connections: a few statements' time.
 const CROWDED_IDLE_LIMIT: Duration = Duration::from_millis(100);
 
+/// Connections of a server for each node that connects under which they are
+/// passed on soon.
+const CROWDED: usize = 2;
+
+/// Age up to which a load that the server's owner told says something.
+const LOAD_AGE: Duration = Duration::from_millis(500);
+
 /// Age up to which a server's last known place still tells how far its log is.
 const PLACE_AGE: Duration = Duration::from_millis(150);
 
@@ -50,14 +59,29 @@
     Garbled(#[from] dialect::Error),
 }
 
+/// How a node gets at a server.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub enum Standing {
+    /// It connects itself, as every node does, or a few do for all.
+    #[default]
+    Owner,
+    /// It asks one of these nodes, the first one first.
+    Guest(Vec<SocketAddr>),
+}
+
 #[derive(Debug)]
 struct Inner<D> {
     queue: Queue,
     waiting: BTreeMap<RequestId, oneshot::Sender<Result<(), Refusal>>>,
     idle: Vec<Link<D>>,
     place: Option<(Uptime, Watermark)>,
+    /// Requests at the server's owner, as it told last.
+    told_load: Option<(Uptime, usize)>,
+    /// Requests of this node at seats that the owner lends.
+    visits: usize,
     loss: Loss,
     next_request: RequestId,
+    share: Share,
     /// Time after which an unused connection is closed.
     idle_limit: Duration,
 }
@@ -66,9 +90,23 @@
 #[derive(Debug)]
 pub struct Server<D> {
     listing: RwLock<Arc<Listing>>,
+    standing: RwLock<Arc<Standing>>,
     inner: Mutex<Inner<D>>,
 }
 
+impl<D> Inner<D> {
+    fn change_share(&mut self, share: Share, priorities: &[Priority]) {
+        if self.share.slots == share.slots {
+            // What was measured of the slots stays.
+            self.queue.set_connections(share.connections);
+        } else if let Err(error) = self.queue.apply(share, WAITING, priorities, Instant::now()) {
+            tracing::warn!(event = "share_unusable", %error, "a server's part can't be used");
+            return;
+        }
+        self.share = share;
+    }
+}
+
 impl<D: Dialect> Server<D> {
     /// Creates a server that nobody uses yet.
     ///
@@ -86,12 +124,16 @@
             waiting: BTreeMap::new(),
             idle: Vec::new(),
             place: None,
+            told_load: None,
+            visits: 0,
             loss: Loss::default(),
             next_request: 0,
+            share,
             idle_limit: IDLE_LIMIT,
         };
         Ok(Self {
             listing: RwLock::new(Arc::new(listing)),
+            standing: RwLock::default(),
             inner: Mutex::new(inner),
         })
     }
@@ -189,17 +231,17 @@
         }
     }
 
-    /// Returns a connection that nobody uses, the nearest to `context`; none if
+    /// Returns a connection that nobody uses, the nearest to `values`; none if
     /// a new one has to be opened.
     #[must_use]
-    pub fn idle_link(&self, context: &Context) -> Option<Link<D>> {
+    pub fn idle_link(&self, values: &BTreeMap<Bytes, Bytes>) -> Option<Link<D>> {
         let mut inner = self.lock();
         inner.idle.retain(Link::is_open);
         let nearest = inner
             .idle
             .iter()
             .enumerate()
-            .min_by_key(|(_, link)| link.distance(context));
+            .min_by_key(|(_, link)| link.distance(values));
         let (index, _) = nearest?;
         Some(inner.idle.swap_remove(index))
     }
@@ -209,8 +251,8 @@
     /// # Errors
     ///
     /// [`link::Error`] if the server can't be reached or refuses.
-    pub async fn link(&self, context: &Context) -> Result<Link<D>, link::Error> {
-        if let Some(link) = self.idle_link(context) {
+    pub async fn link(&self, values: &BTreeMap<Bytes, Bytes>) -> Result<Link<D>, link::Error> {
+        if let Some(link) = self.idle_link(values) {
             return Ok(link);
         }
         let begun = uptime();
@@ -263,7 +305,7 @@
     }
 
     async fn ask_status(&self, order: Order) -> Result<Status, Error> {
-        let mut link = self.link(&Context::default()).await?;
+        let mut link = self.link(&BTreeMap::new()).await?;
         let answers = link.exchange(&[order]).await?;
         let row = answers.first().and_then(|answer| answer.rows.first());
         let status = D::status(row.ok_or(Error::NoStatus)?)?;
@@ -308,23 +350,58 @@
         place.map(|(asked, place)| (place, now < asked + PLACE_AGE))
     }
 
-    /// Returns the number of requests that use the server or wait for it.
+    /// Returns the number of requests that use the server or wait for it, as far
+    /// as this node knows.
     #[must_use]
     pub fn load(&self) -> usize {
+        let now = uptime();
         let inner = self.lock();
-        inner.queue.running() + inner.queue.waiting()
+        let own = inner.queue.running() + inner.queue.waiting() + inner.visits;
+        let told = inner.told_load.filter(|(at, _)| now < *at + LOAD_AGE);
+        told.map_or(own, |(_, told)| told.max(own))
+    }
+
+    /// Takes in how many requests the server's owner has for it.
+    pub fn note_load(&self, load: usize) {
+        self.lock().told_load = Some((uptime(), load));
+    }
+
+    /// Counts a request at a seat that the owner lends.
+    #[must_use]
+    pub fn visit(self: &Arc<Self>) -> Visit<D> {
+        self.lock().visits += 1;
+        Visit {
+            server: self.clone(),
+        }
+    }
+
+    /// Returns how this node gets at the server.
+    #[must_use]
+    pub fn standing(&self) -> Arc<Standing> {
+        let standing = self.standing.read();
+        standing.unwrap_or_else(PoisonError::into_inner).clone()
     }
 
-    /// Changes the connections that this node may use, and whether unused ones
-    /// are soon wanted by others.
-    pub fn set_connections(&self, connections: usize, is_crowded: bool) {
+    /// Changes how this node gets at the server, and the part that it may use.
+    pub fn stand(&self, standing: Standing, share: Share, priorities: &[Priority]) {
+        let is_guest = matches!(standing, Standing::Guest(_));
+        let mut current = self
+            .standing
+            .write()
+            .unwrap_or_else(PoisonError::into_inner);
+        if **current != standing {
+            *current = Arc::new(standing);
+        }
+        drop(current);
         let mut inner = self.lock();
-        inner.idle_limit = if is_crowded {
+        inner.idle_limit = if is_guest || share.connections < CROWDED {
             CROWDED_IDLE_LIMIT
         } else {
             IDLE_LIMIT
         };
-        inner.queue.set_connections(connections);
+        if inner.share != share {
+            inner.change_share(share, priorities);
+        }
         Self::pump(&mut inner);
     }
 
@@ -369,3 +446,16 @@
         Server::pump(&mut inner);
     }
 }
+
+/// A request at a seat that a server's owner lends.
+#[derive(Debug)]
+pub struct Visit<D: Dialect> {
+    server: Arc<Server<D>>,
+}
+
+impl<D: Dialect> Drop for Visit<D> {
+    fn drop(&mut self) {
+        let mut inner = self.server.lock();
+        inner.visits = inner.visits.saturating_sub(1);
+    }
+}
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -2,10 +2,10 @@
 
 use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::exchange::{Lost, exchange};
+use crate::exchange::{Exchange, Lost};
 use crate::group::Group;
-use crate::link;
-use crate::message::{Access, Answer, Code, Outcome, Request, State};
+use crate::link::{self, Setup};
+use crate::message::{Access, Answer, Order, Outcome, Request, State};
 use crate::metrics::{Metrics, millis};
 use crate::placing::Place;
 use crate::proof::{note, prove_after};
@@ -44,14 +44,27 @@
         &self.metrics
     }
 
-    /// Counts and writes down that a server's answer didn't come.
-    pub(crate) fn report_lost(
+    /// Runs one order at a seat, takes in what its answer tells of the server, and
+    /// writes down an answer that didn't come.
+    pub(crate) async fn exchange(
         &self,
-        server: &Server<D>,
+        exchange: Exchange<'_, D>,
         work: &Work<'_>,
-        asked: Uptime,
-        lost: Lost,
-    ) {
+        setup: &Setup<'_>,
+        order: Order,
+    ) -> Result<Answer, Lost> {
+        let Exchange { group, server, .. } = exchange;
+        let asked = uptime();
+        let exchanged = exchange.run(setup, order).await;
+        match &exchanged {
+            Ok(answer) => note(group, server, asked, answer),
+            Err(lost) => self.report_lost(server, work, asked, *lost),
+        }
+        exchanged
+    }
+
+    /// Counts and writes down that a server's answer didn't come.
+    fn report_lost(&self, server: &Server<D>, work: &Work<'_>, asked: Uptime, lost: Lost) {
         self.metrics.count("answer_lost", lost.name());
         let Some(omitted) = self.metrics.line("answer_lost") else {
             return;
@@ -94,42 +107,32 @@
         request: &Request,
         access: Access,
     ) -> Try<Answer> {
-        let occupied = self
-            .occupy(group, server, work, Some(request), access)
-            .await;
-        let Place {
-            slot,
-            mut link,
-            floor,
-        } = match occupied {
+        let occupied = self.occupy(group, server, work, access).await;
+        let Place { mut seat, floor } = match occupied {
             Ok(place) => place,
             Err(miss) => return Try::Missed(miss),
         };
         let Some(order) = link::order(request, work.context, floor) else {
+            seat.release(State::Idle);
             return Try::Over(unprepared(State::Idle));
         };
-        let asked = uptime();
-        let exchanged = exchange(server, &mut link, order, work.deadline()).await;
-        let exchanged = exchanged.inspect_err(|lost| {
-            self.report_lost(server, work, asked, *lost);
-        });
-        let answer = match exchanged {
+        let setup = Setup::new(work.context, Some(request));
+        let exchange = Exchange {
+            group,
+            server,
+            seat: &mut seat,
+            deadline: work.deadline(),
+        };
+        let answer = match self.exchange(exchange, work, &setup, order).await {
             Ok(answer) => answer,
             Err(Lost::Slow) => return Try::Over(slow()),
-            Err(Lost::Broken) if access == Access::Read => {
-                return Try::Missed(Miss::Again("the connection broke"));
+            Err(Lost::Broken | Lost::Lane) if access == Access::Write => {
+                return Try::Over(unknown("the connection broke"));
             }
-            Err(Lost::Broken) => return Try::Over(unknown("the connection broke")),
+            Err(_) => return Try::Missed(Miss::Again("the connection broke")),
         };
-        note(group, server, asked, &answer);
+        seat.release(answer.state);
         let code = answer.code().cloned();
-        if code == Some(Code::NoStatement) {
-            link.forget_prepared();
-        }
-        if answer.state.is_idle() {
-            server.give_back(link);
-        }
-        drop(slot);
         if let Some(miss) = code.and_then(|code| miss(&code)) {
             return Try::Missed(miss);
         }
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -1,15 +1,15 @@
 //! Runs transactions, each on one connection of one server.
 
-use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::exchange::{Lost, align, exchange};
+use crate::exchange::{Exchange, Lost};
 use crate::group::Group;
-use crate::link::{self, Link};
+use crate::link::{self, Setup};
 use crate::message::{Access, Answer, Order, Outcome, Request, State};
 use crate::placing::Place;
-use crate::proof::{note, prove_after};
+use crate::proof::prove_after;
 use crate::reply::{aborted, miss, slow, unknown, unprepared};
-use crate::server::{Server, Slot};
+use crate::seat::Seat;
+use crate::server::Server;
 use crate::statement::Runner;
 use crate::work::{Miss, Try, Work};
 use agateport_domain::prelude::*;
@@ -17,12 +17,23 @@
 /// An open transaction's connection.
 #[derive(Debug)]
 pub struct Pinned<D: Dialect> {
-    link: Link<D>,
-    slot: Slot<D>,
+    seat: Seat<D>,
+    server: Arc<Server<D>>,
     group: Arc<Group>,
     has_written: bool,
 }
 
+impl<D: Dialect> Pinned<D> {
+    fn exchange(&mut self, limit: Duration) -> Exchange<'_, D> {
+        Exchange {
+            group: &self.group,
+            server: &self.server,
+            seat: &mut self.seat,
+            deadline: Instant::now() + limit,
+        }
+    }
+}
+
 impl<D: Dialect> Runner<D> {
     /// Opens a transaction at a server, for its first statement.
     ///
@@ -55,11 +66,8 @@
         } else {
             Access::Write
         };
-        let Place {
-            slot,
-            mut link,
-            floor,
-        } = match self.occupy(group, server, work, None, access).await {
+        let occupied = self.occupy(group, server, work, access).await;
+        let Place { mut seat, floor } = match occupied {
             Ok(place) => place,
             Err(miss) => return Try::Missed(miss),
         };
@@ -67,21 +75,26 @@
             is_read_only,
             floor,
         };
-        let asked = uptime();
-        let Ok(answer) = exchange(server, &mut link, order, work.deadline()).await else {
+        let setup = Setup::new(work.context, None);
+        let exchange = Exchange {
+            group,
+            server,
+            seat: &mut seat,
+            deadline: work.deadline(),
+        };
+        let Ok(answer) = self.exchange(exchange, work, &setup, order).await else {
             return Try::Missed(Miss::Again("the connection broke"));
         };
-        note(group, server, asked, &answer);
         if answer.state == State::Open {
             return Try::Over(Pinned {
-                link,
-                slot,
+                seat,
+                server: server.clone(),
                 group: group.clone(),
                 has_written: false,
             });
         }
         let miss = answer.code().and_then(miss);
-        server.give_back(link);
+        seat.release(answer.state);
         Try::Missed(miss.unwrap_or(Miss::Elsewhere("the server opened no transaction")))
     }
 
@@ -99,25 +112,14 @@
         let Some(order) = link::order(request, work.context, None) else {
             return (Some(pinned), unprepared(State::Open));
         };
-        let deadline = Instant::now() + work.route.timeout;
-        let server = pinned.slot.server().clone();
-        pinned.slot.resume();
-        let aligned = align(&mut pinned.link, work.context, Some(request), deadline).await;
-        if aligned.is_err() {
-            return (None, aborted("the connection broke"));
-        }
-        let asked = uptime();
-        let exchanged = exchange(&server, &mut pinned.link, order, deadline).await;
-        let exchanged = exchanged.inspect_err(|lost| {
-            self.report_lost(&server, work, asked, *lost);
-        });
-        let answer = match exchanged {
+        let setup = Setup::new(work.context, Some(request));
+        let exchange = pinned.exchange(work.route.timeout);
+        let answer = match self.exchange(exchange, work, &setup, order).await {
             Ok(answer) => answer,
             Err(Lost::Slow) => return (None, aborted("the server took too long")),
-            Err(Lost::Broken) => return (None, aborted("the connection broke")),
+            Err(_) => return (None, aborted("the connection broke")),
         };
-        pinned.slot.pause();
-        note(&pinned.group, &server, asked, &answer);
+        pinned.seat.pause();
         pinned.has_written |= access == Access::Write;
         (Some(pinned), answer)
     }
@@ -134,29 +136,23 @@
             floor: None,
             text: request.text.clone(),
         };
-        let deadline = Instant::now() + work.route.timeout;
-        let server = pinned.slot.server().clone();
-        pinned.slot.resume();
-        let asked = uptime();
-        let exchanged = exchange(&server, &mut pinned.link, order, deadline).await;
-        let exchanged = exchanged.inspect_err(|lost| {
-            self.report_lost(&server, work, asked, *lost);
-        });
-        let answer = match exchanged {
+        let exchange = pinned.exchange(work.route.timeout);
+        let deadline = exchange.deadline;
+        let answer = match self.exchange(exchange, work, &Setup::any(), order).await {
             Ok(answer) => answer,
             Err(Lost::Slow) => return slow(),
-            Err(Lost::Broken) => return unknown("the connection broke"),
+            Err(Lost::Unsent) => return aborted("the connection broke"),
+            Err(Lost::Broken | Lost::Lane) => return unknown("the connection broke"),
         };
         let Pinned {
-            link, slot, group, ..
+            seat,
+            server,
+            group,
+            has_written,
         } = pinned;
-        note(&group, &server, asked, &answer);
-        if answer.state.is_idle() {
-            server.give_back(link);
-        }
-        drop(slot);
+        seat.release(answer.state);
         let is_done = matches!(answer.outcome, Outcome::Done(_));
-        if pinned.has_written && is_done && !prove_after(&group, &server, deadline).await {
+        if has_written && is_done && !prove_after(&group, &server, deadline).await {
             return unknown("the primary may have been replaced");
         }
         answer
@@ -164,14 +160,10 @@
 
     /// Drops a transaction, and keeps its connection for others.
     pub async fn rollback(&self, mut pinned: Pinned<D>, limit: Duration) {
-        let server = pinned.slot.server().clone();
-        pinned.slot.resume();
-        let deadline = Instant::now() + limit;
-        let rolled = exchange(&server, &mut pinned.link, Order::Rollback, deadline).await;
-        let Pinned { link, slot, .. } = pinned;
+        let exchange = pinned.exchange(limit);
         // Without an answer the connection is closed, which rolls back too.
-        if rolled.is_ok_and(|answer| answer.state.is_idle()) {
-            slot.server().give_back(link);
+        if let Ok(answer) = exchange.run(&Setup::any(), Order::Rollback).await {
+            pinned.seat.release(answer.state);
         }
     }
 }
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -3,46 +3,50 @@
 use crate::catalog::Catalog;
 use crate::dialect::Dialect;
 use crate::group::Group;
+use crate::lane::Lanes;
 use crate::priority;
+use crate::record::Member;
 use crate::registry::{Edition, Listing, Registry};
-use crate::server::Server;
+use crate::server::{Server, Standing};
 use agateport_domain::admission::Share;
 use agateport_domain::group::Reign;
+use agateport_domain::owner::{self, Room};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::RwLock;
-use std::sync::atomic::{AtomicU64, AtomicUsize, Ordering};
+use std::sync::atomic::{AtomicU64, Ordering};
 use tokio::sync::watch;
 
 /// Connections of a server that no node counts on: for the questions what the
 /// server is, and for nodes that start.
 const RESERVED_CONNECTIONS: usize = 2;
 
-/// How much more than its even share of a server's connections a node may use,
-/// as a factor; callers are spread unevenly, and the server refuses past its
-/// limit.
-const CONNECTION_OVERCOMMIT: usize = 1;
-
-/// Connections of a server for each node under which they are passed on soon.
-const CROWDED: usize = 2;
-
-/// Statements of one node at once at a server with this many nodes in use, over
-/// the server's slots, as a factor: enough that no slot waits for the network.
-const SLOT_OVERCOMMIT: usize = 3;
+/// Part of a server that a node may use before it knows the others.
+const LEAST: Share = Share {
+    slots: 1,
+    connections: 1,
+};
 
 /// Connections that a server is taken to have if the configuration doesn't say.
 const DEFAULT_CONNECTIONS: usize = 16;
 
+/// Nodes that are up, by name.
+pub type Members = BTreeMap<NodeId, Member>;
+
 /// All groups and servers that a node knows.
 #[derive(Debug)]
 pub struct Upstreams<D> {
+    node: NodeId,
     zone: Zone,
     groups: Sharded<GroupId, Arc<Group>>,
     servers: Sharded<ServerId, Arc<Server<D>>>,
     registry: RwLock<Arc<Registry>>,
     catalog: RwLock<Arc<Catalog>>,
     versions: watch::Sender<BundleVersion>,
-    nodes: AtomicUsize,
+    /// Nodes that are up.
+    members: RwLock<Arc<Members>>,
+    /// Connections to the nodes that lend seats at servers.
+    lanes: Arc<Lanes>,
     /// Version of the list of servers.
     edition: AtomicU64,
     /// Fingerprint of the list of servers; it tells nodes apart that differ.
@@ -50,17 +54,19 @@
 }
 
 impl<D: Dialect> Upstreams<D> {
-    /// Creates the view of a node in `zone` that knows nothing yet.
+    /// Creates the view of `node` in `zone`, which knows nothing yet.
     #[must_use]
-    pub fn new(zone: Zone) -> Self {
+    pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
+            node,
             zone,
             groups: Sharded::new(),
             servers: Sharded::new(),
             registry: RwLock::default(),
             catalog: RwLock::default(),
             versions: watch::Sender::new(0),
-            nodes: AtomicUsize::new(1),
+            members: RwLock::default(),
+            lanes: Arc::default(),
             edition: AtomicU64::new(0),
             fingerprint: AtomicU64::new(0),
         }
@@ -174,7 +180,7 @@
         self.versions.send_replace(catalog.version);
         *current = Arc::new(catalog);
         drop(current);
-        self.share_connections();
+        self.share_servers();
     }
 
     /// Takes over a list of servers, unless a newer one is known.
@@ -228,12 +234,14 @@
             server.relist(listing.clone());
             return;
         }
-        let share = self.share(listing);
-        match Server::new(listing.clone(), share, &priority::all()) {
-            Ok(server) => drop(
+        let (standing, share) = self.share(listing);
+        let priorities = priority::all();
+        match Server::new(listing.clone(), share, &priorities) {
+            Ok(server) => {
+                server.stand(standing, share, &priorities);
                 self.servers
-                    .insert(listing.server.clone(), Arc::new(server)),
-            ),
+                    .insert(listing.server.clone(), Arc::new(server));
+            }
             Err(error) => tracing::warn!(
                 event = "server_unusable",
                 server = &*listing.server,
@@ -271,41 +279,77 @@
         proven.count() * 2 >= groups.len()
     }
 
-    /// Takes in how many nodes use the servers.
-    pub fn apply_nodes(&self, nodes: usize) {
-        let nodes = nodes.max(1);
-        if self.nodes.swap(nodes, Ordering::Relaxed) != nodes {
-            self.share_connections();
+    /// Takes in which nodes use the servers.
+    pub fn apply_members(&self, members: &Members) {
+        let mut current = self
+            .members
+            .write()
+            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        if **current == *members {
+            return;
         }
+        *current = Arc::new(members.clone());
+        drop(current);
+        self.share_servers();
+    }
+
+    /// Returns the connections to the nodes that lend seats at servers.
+    #[must_use]
+    pub fn lanes(&self) -> &Arc<Lanes> {
+        &self.lanes
     }
 
     /// Closes connections that weren't used for a while.
     pub fn close_idle(&self) {
         self.servers.for_each(|_, server| server.close_idle());
+        self.lanes.close_idle();
     }
 
-    fn share_connections(&self) {
+    fn members(&self) -> Arc<Members> {
+        let members = self.members.read();
+        members
+            .unwrap_or_else(std::sync::PoisonError::into_inner)
+            .clone()
+    }
+
+    fn share_servers(&self) {
         let mut servers = Vec::new();
         self.servers
             .for_each(|_, server| servers.push(server.clone()));
+        let priorities = priority::all();
         for server in servers {
-            let share = self.share(&server.listing());
-            server.set_connections(share.connections, share.connections < CROWDED);
+            let (standing, share) = self.share(&server.listing());
+            server.stand(standing, share, &priorities);
         }
     }
 
-    /// Returns the part of a server that this node may use.
-    fn share(&self, listing: &Listing) -> Share {
-        let nodes = self.nodes.load(Ordering::Relaxed);
+    /// Returns how this node gets at a server, and the part that it may use.
+    fn share(&self, listing: &Listing) -> (Standing, Share) {
         let declared = self.catalog().connections.get(&listing.group).copied();
         let all = declared.unwrap_or(DEFAULT_CONNECTIONS);
-        let all = all.saturating_sub(RESERVED_CONNECTIONS).max(1);
-        let connections = (all * CONNECTION_OVERCOMMIT).div_ceil(nodes).min(all);
-        let slots = (listing.slots * SLOT_OVERCOMMIT).div_ceil(nodes);
-        Share {
-            slots: slots.clamp(1, listing.slots.max(1)),
-            connections,
+        let room = Room {
+            slots: listing.slots,
+            connections: all.saturating_sub(RESERVED_CONNECTIONS).max(1),
+        };
+        let members = self.members();
+        if members.is_empty() {
+            // Others may use all of the server already.
+            return (Standing::Guest(Vec::new()), LEAST);
+        }
+        let even = room.even_part(members.len());
+        if !room.is_crowded(members.len()) {
+            return (Standing::Owner, even);
+        }
+        let nodes = members.iter().map(|(node, member)| (node, &member.zone));
+        let owners = owner::owners(&listing.server, &listing.zone, nodes);
+        if owners.contains(&self.node) {
+            return (Standing::Owner, room.owner_part());
         }
+        let first = owner::first(&self.node, &listing.server, owners.len());
+        let turns = owners.iter().cycle().skip(first).take(owners.len());
+        let addresses = turns.filter_map(|owner| members.get(owner));
+        let addresses = addresses.map(|member| member.address).collect();
+        (Standing::Guest(addresses), even)
     }
 
     /// Lets each group know which servers say that they lead it.
