owner: deputies in place of direct connections past the owners

Cause: frontends whose owners gave no word connected themselves, and 78 nodes that started at once took the connections from the owners.

--- a/crates/agateport-domain/src/owner/mod.rs
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -13,7 +13,7 @@
 pub use even::Even;
 pub use order::Order;
 pub use rendezvous::Rendezvous;
-pub use roster::{Room, first, owners};
+pub use roster::{Room, Roster};
 
 use crate::admission::Share;
 use crate::bundle::Server;
--- a/crates/agateport-domain/src/owner/roster.rs
+++ b/crates/agateport-domain/src/owner/roster.rs
@@ -4,10 +4,14 @@
 use crate::admission::Share;
 use crate::id::{NodeId, ServerId, Zone};
 
-/// Nodes that connect to a crowded server. Few, so that their queues order nearly
-/// all of its work; more than one, so that the loss of one leaves the others.
+/// Nodes that share the work of a crowded server. Few, so that their queues order
+/// nearly all of it; more than one, so that the loss of one leaves the others.
 const OWNERS: usize = 3;
 
+/// Nodes that are asked when no owner answers. All owners of a server are in its
+/// zone, so nodes that reach none of either rarely reach the server.
+const DEPUTIES: usize = 3;
+
 /// Part of a crowded server's connections that each owner may use, as a divisor:
 /// all of them rarely need theirs at once, and the server refuses past its limit.
 const CONNECTION_PART: usize = 2;
@@ -59,29 +63,45 @@
     }
 }
 
-/// Returns the owners of a crowded server, the preferred one first: by a hash
-/// that every node works out alike, those in the server's zone before others.
-#[must_use]
-pub fn owners<'a>(
-    server: &ServerId,
-    zone: &Zone,
-    nodes: impl Iterator<Item = (&'a NodeId, &'a Zone)>,
-) -> Vec<NodeId> {
-    let mut ranked: Vec<_> = nodes
-        .map(|(node, other)| (other != zone, score(node, server), node))
-        .collect();
-    ranked.sort();
-    ranked
-        .into_iter()
-        .take(OWNERS)
-        .map(|(_, _, node)| node.clone())
-        .collect()
+/// Nodes that connect to a crowded server, by a hash that every node works out
+/// alike; those in the server's zone come before others.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Roster {
+    order: Vec<NodeId>,
 }
 
-/// Returns which of `count` owners a node asks first, so that they share the
-/// nodes evenly.
-#[must_use]
-pub fn first(node: &NodeId, server: &ServerId, count: usize) -> usize {
-    let [high, low, ..] = score(node, server);
-    usize::from(u16::from_be_bytes([high, low])) % count.max(1)
+impl Roster {
+    /// Chooses among `nodes` for a server in `zone`.
+    #[must_use]
+    pub fn new<'a>(
+        server: &ServerId,
+        zone: &Zone,
+        nodes: impl Iterator<Item = (&'a NodeId, &'a Zone)>,
+    ) -> Self {
+        let mut ranked: Vec<_> = nodes
+            .map(|(node, other)| (other != zone, score(node, server), node))
+            .collect();
+        ranked.sort();
+        let chosen = ranked.into_iter().take(OWNERS + DEPUTIES);
+        Self {
+            order: chosen.map(|(_, _, node)| node.clone()).collect(),
+        }
+    }
+
+    /// Tells whether a node connects itself.
+    #[must_use]
+    pub fn contains(&self, node: &NodeId) -> bool {
+        self.order.contains(node)
+    }
+
+    /// Returns the nodes that `guest` asks, the first one first: the owners, from
+    /// one on that differs among the guests, and then the deputies.
+    pub fn turns(&self, guest: &NodeId, server: &ServerId) -> impl Iterator<Item = &NodeId> {
+        let owners = self.order.len().min(OWNERS);
+        let (owners, deputies) = self.order.split_at(owners);
+        let [high, low, ..] = score(guest, server);
+        let first = usize::from(u16::from_be_bytes([high, low])) % owners.len().max(1);
+        let (later, earlier) = owners.split_at(first);
+        earlier.iter().chain(later).chain(deputies)
+    }
 }
--- a/crates/agateport-relay/src/seat.rs
+++ b/crates/agateport-relay/src/seat.rs
@@ -153,16 +153,22 @@
     lanes: &Arc<Lanes>,
     claim: &Claim,
 ) -> Result<Seat<D>, Denial> {
-    if let Standing::Guest(owners) = &*server.standing() {
-        for owner in owners {
-            match claim_at(server, lanes, *owner, claim).await {
-                Err(Denial::Missed(Gap::NotOwner | Gap::Leaving | Gap::Silent)) => {}
-                claimed => return claimed,
-            }
+    let standing = server.standing();
+    let Standing::Guest(owners) = &*standing else {
+        return take(server, claim).await;
+    };
+    let latest = Instant::now() + claim.patience;
+    for owner in owners {
+        match claim_at(server, lanes, *owner, claim).await {
+            Err(Denial::Missed(Gap::NotOwner | Gap::Leaving | Gap::Silent)) => {}
+            claimed => return claimed,
+        }
+        if Instant::now() >= latest {
+            break;
         }
     }
-    // Owners out of reach say nothing about the server.
-    take(server, claim).await
+    // A connection of its own would take one from the owners, which order them.
+    Err(Denial::Missed(Gap::Silent))
 }
 
 async fn claim_at<D: Dialect>(
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -10,7 +10,7 @@
 use crate::server::{Server, Standing};
 use agateport_domain::admission::Share;
 use agateport_domain::group::Reign;
-use agateport_domain::owner::{self, Room};
+use agateport_domain::owner::{Room, Roster};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::RwLock;
@@ -341,12 +341,11 @@
             return (Standing::Owner, even);
         }
         let nodes = members.iter().map(|(node, member)| (node, &member.zone));
-        let owners = owner::owners(&listing.server, &listing.zone, nodes);
-        if owners.contains(&self.node) {
+        let roster = Roster::new(&listing.server, &listing.zone, nodes);
+        if roster.contains(&self.node) {
             return (Standing::Owner, room.owner_part());
         }
-        let first = owner::first(&self.node, &listing.server, owners.len());
-        let turns = owners.iter().cycle().skip(first).take(owners.len());
+        let turns = roster.turns(&self.node, &listing.server);
         let addresses = turns.filter_map(|owner| members.get(owner));
         let addresses = addresses.map(|member| member.address).collect();
         (Standing::Guest(addresses), even)
