relay: doubts and panels in place of rows of witnesses

Cause: a primary counted as lost when half of all nodes had written so into the store; with a zone cut off and nodes restarting that took 1.7 s, and with the duty's holder in that zone 3.8 s. Change: a node whose question stays open tells the holder and six successors; they ask three nodes of each zone. Owners without a word put their server in doubt; a silent holder is followed sooner, and a new one gets its own time. Ruled out: longer waits for owners.

--- a/crates/agateport-domain/src/owner/mod.rs
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -13,6 +13,7 @@
 pub use even::Even;
 pub use order::Order;
 pub use rendezvous::Rendezvous;
+pub(crate) use rendezvous::score;
 pub use roster::{Room, Roster};
 
 use crate::admission::Share;
--- a/crates/agateport-domain/src/owner/rendezvous.rs
+++ b/crates/agateport-domain/src/owner/rendezvous.rs
@@ -43,7 +43,7 @@
 }
 
 /// A hash that every node works out alike, whatever program version it runs.
-pub(super) fn score(node: &NodeId, server: &ServerId) -> [u8; 32] {
+pub(crate) fn score(node: &NodeId, server: &ServerId) -> [u8; 32] {
     let mut hash = Sha256::new();
     hash.update(node.as_bytes());
     hash.update([0]);
--- /dev/null
+++ b/crates/agateport-relay/src/control/doubt.rs
@@ -0,0 +1,218 @@
+//! Servers that nodes take for lost, until the others were asked.
+//!
+//! A node whose question to a primary stays open tells those who may order
+//! promotions; they ask a panel of nodes from all zones. So a primary is found to
+//! be lost within about two limits of an answer, and no node alone can say so.
+
+use super::peer::Peers;
+use super::poll::Snapshot;
+use crate::clock::uptime;
+use crate::dialect::Dialect;
+use crate::lane::Sight;
+use crate::message::Order;
+use crate::record::Records;
+use crate::server::Server;
+use crate::upstreams::Upstreams;
+use agateport_domain::group::Panel;
+use agateport_domain::prelude::*;
+use futures::future::join_all;
+use std::net::SocketAddr;
+use std::sync::{Mutex, MutexGuard, PoisonError};
+use tokio::sync::{Notify, watch};
+use tokio_util::sync::CancellationToken;
+
+/// Time between two looks for suspected servers.
+const INTERVAL: Duration = Duration::from_millis(50);
+
+/// Time between two questions to a suspected server, or two words of doubt.
+const SPACING: Duration = Duration::from_millis(100);
+
+/// Nodes that hear of a doubt besides the holder of the duty: two of each of
+/// three zones, so that some of them are up and reach the store.
+const CONFIDANTS: usize = 6;
+
+/// Time between two questions to a panel about one server.
+const PANEL_SPACING: Duration = Duration::from_millis(250);
+
+/// Age up to which what a panel found counts: until the record is written.
+const FINDING_AGE: Duration = Duration::from_secs(1);
+
+#[derive(Debug, Default)]
+struct Inner {
+    raised: BTreeMap<ServerId, Uptime>,
+    /// What the panel found, and when it was asked.
+    findings: BTreeMap<ServerId, (Uptime, bool)>,
+}
+
+/// Servers that nodes take for lost, and what panels found of them.
+#[derive(Debug, Default)]
+pub struct Doubts {
+    inner: Mutex<Inner>,
+    /// Wakes the one who asks the panels.
+    raised: Notify,
+}
+
+impl Doubts {
+    /// Takes in that a node takes a server for lost.
+    pub fn raise(&self, server: &ServerId) {
+        self.lock().raised.insert(server.clone(), uptime());
+        self.raised.notify_one();
+    }
+
+    /// Waits for a doubt.
+    pub async fn wait(&self) {
+        self.raised.notified().await;
+    }
+
+    /// Tells whether a panel found a server to be lost just now.
+    #[must_use]
+    pub fn is_lost(&self, server: &ServerId) -> bool {
+        let finding = self.lock().findings.get(server).copied();
+        finding.is_some_and(|(asked, is_lost)| is_lost && uptime() < asked + FINDING_AGE)
+    }
+
+    /// Returns the servers whose panels are to be asked now.
+    fn take(&self) -> Vec<ServerId> {
+        let now = uptime();
+        let mut inner = self.lock();
+        let raised = std::mem::take(&mut inner.raised);
+        let is_due = |server: &ServerId| {
+            let finding = inner.findings.get(server);
+            finding.is_none_or(|(asked, _)| now >= *asked + PANEL_SPACING)
+        };
+        raised.into_keys().filter(is_due).collect()
+    }
+
+    /// Asks the panels of the servers that are in doubt.
+    pub async fn settle<D: Dialect>(&self, upstreams: &Upstreams<D>, records: &Records) {
+        let asked = uptime();
+        let questions = self.take().into_iter().map(|server| async move {
+            let is_lost = ask_panel(&server, upstreams, records).await;
+            (server, is_lost)
+        });
+        let found = join_all(questions).await;
+        if found.iter().any(|(_, is_lost)| *is_lost) {
+            check_holder(upstreams, records).await;
+        }
+        let mut inner = self.lock();
+        for (server, is_lost) in found {
+            inner.findings.insert(server, (asked, is_lost));
+        }
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Inner> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Finds out whether the holder of the duty is there to act on a finding.
+async fn check_holder<D: Dialect>(upstreams: &Upstreams<D>, records: &Records) {
+    let Some(holder) = records.holder() else { return };
+    let version = records.version;
+    let asked = Peers::default().ask(holder.address, upstreams, version).await;
+    upstreams.lanes().note(holder.address, asked.is_ok());
+}
+
+/// Tells whether most nodes of a server's panel can't reach it.
+async fn ask_panel<D: Dialect>(
+    server: &ServerId,
+    upstreams: &Upstreams<D>,
+    records: &Records,
+) -> bool {
+    let members = &records.members;
+    let nodes = members.iter().map(|(node, member)| (node, &member.zone));
+    let panel = Panel::new(server, nodes);
+    let addresses = panel.nodes().iter().filter_map(|node| members.get(node));
+    let questions = addresses.map(|member| upstreams.lanes().sight(member.address, server));
+    let sights = join_all(questions).await;
+    let missing = sights
+        .iter()
+        .filter(|sight| **sight == Sight::Unreached)
+        .count();
+    let is_lost = panel.finds_lost(missing);
+    tracing::info!(
+        event = "panel_asked",
+        server = &**server,
+        nodes = panel.nodes().len(),
+        missing,
+        is_lost,
+        "some nodes of every zone were asked whether they reach a server"
+    );
+    is_lost
+}
+
+/// Watches the servers that this node suspects until it ends.
+pub async fn run<D: Dialect>(
+    node: NodeId,
+    upstreams: Arc<Upstreams<D>>,
+    doubts: Arc<Doubts>,
+    news: watch::Receiver<Option<Snapshot>>,
+    token: CancellationToken,
+) {
+    let mut told: BTreeMap<ServerId, Uptime> = BTreeMap::new();
+    loop {
+        tokio::select! {
+            () = token.cancelled() => return,
+            () = tokio::time::sleep(INTERVAL) => {}
+        }
+        let Some(snapshot) = news.borrow().clone() else {
+            continue;
+        };
+        let now = uptime();
+        told.retain(|_, at| now < *at + SPACING);
+        let primaries = primaries(&upstreams);
+        for server in upstreams.suspects() {
+            let name = server.listing().server.clone();
+            if told.contains_key(&name) {
+                continue;
+            }
+            told.insert(name.clone(), now);
+            tokio::spawn(ask(server));
+            if primaries.contains(&name) {
+                let hearers = hearers(&node, &snapshot.records, &doubts, &name);
+                tokio::spawn(tell(upstreams.clone(), hearers, name));
+            }
+        }
+    }
+}
+
+/// Asks a suspected server what it is; an answer ends the suspicion.
+async fn ask<D: Dialect>(server: Arc<Server<D>>) {
+    if let Err(error) = server.status(Order::Status).await {
+        let name = &*server.listing().server;
+        tracing::debug!(server = name, %error, "a suspected server gave no status");
+    }
+}
+
+async fn tell<D: Dialect>(
+    upstreams: Arc<Upstreams<D>>,
+    hearers: Vec<SocketAddr>,
+    server: ServerId,
+) {
+    let lanes = upstreams.lanes();
+    let words = hearers.iter().map(|address| lanes.doubt(*address, &server));
+    join_all(words).await;
+}
+
+fn primaries<D: Dialect>(upstreams: &Upstreams<D>) -> BTreeSet<ServerId> {
+    let groups = upstreams.groups().into_iter();
+    let leaders = groups.filter_map(|group| upstreams.group(&group).leader());
+    leaders.map(|leader| leader.server).collect()
+}
+
+/// Returns the nodes that are told of a doubt; this node itself is told at once.
+fn hearers(
+    node: &NodeId,
+    records: &Records,
+    doubts: &Doubts,
+    server: &ServerId,
+) -> Vec<SocketAddr> {
+    let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
+    let confidants = records.successors().into_iter().take(CONFIDANTS);
+    let mut hearers: BTreeSet<_> = confidants.chain(holder).collect();
+    if hearers.remove(node) {
+        doubts.raise(server);
+    }
+    let members = hearers.into_iter().filter_map(|one| records.members.get(one));
+    members.map(|member| member.address).collect()
+}
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -1,5 +1,6 @@
 //! Holds the promotion duty, and carries out changes of primaries.
 
+use super::doubt::Doubts;
 use super::poll::Snapshot;
 use super::wake::Wake;
 use crate::clock::uptime;
@@ -26,7 +27,7 @@
 /// takes it over: longer than a grant's term and the platform's promotion.
 const LONG_PATIENCE: Duration = Duration::from_millis(3_500);
 
-/// The same when nobody holds the duty, or its holder has left.
+/// The same when nobody holds the duty, or its holder has left or is silent.
 const VACANT_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Further time for each node that comes earlier in the order of names.
@@ -60,6 +61,9 @@
     store: Arc<S>,
     promoter: P,
     wake: Arc<Wake>,
+    doubts: Arc<Doubts>,
+    /// The holder of the duty that groups have waited for since they need a step.
+    holder: Option<NodeId>,
     courses: BTreeMap<GroupId, Course>,
     /// When each server was first seen on the list; none for the first list.
     listed: BTreeMap<ServerId, Option<Uptime>>,
@@ -78,6 +82,7 @@
         store: Arc<S>,
         promoter: P,
         wake: Arc<Wake>,
+        doubts: Arc<Doubts>,
     ) -> Self {
         Self {
             node,
@@ -85,6 +90,8 @@
             store,
             promoter,
             wake,
+            doubts,
+            holder: None,
             courses: BTreeMap::new(),
             listed: BTreeMap::new(),
             taken: None,
@@ -97,6 +104,7 @@
         loop {
             tokio::select! {
                 () = token.cancelled() => return,
+                () = self.doubts.wait() => {}
                 () = tokio::time::sleep(INTERVAL) => {}
             }
             let Some(snapshot) = news.borrow().clone() else {
@@ -110,6 +118,9 @@
     }
 
     async fn look(&mut self, snapshot: &Snapshot) {
+        self.doubts
+            .settle(&self.upstreams, &snapshot.records)
+            .await;
         if let Some(taken) = self.taken {
             if snapshot.asked < taken {
                 // What the former holder did last isn't known yet.
@@ -184,9 +195,7 @@
             .primary
             .clone()
             .or_else(|| primary.map(|one| one.server.clone()));
-        let is_lost = primary.is_some_and(|primary| {
-            records.witnesses(&group.name, &primary) * 2 > records.members.len()
-        });
+        let is_lost = primary.is_some_and(|primary| self.doubts.is_lost(&primary));
         let situation = Situation {
             reign: reign.as_ref().map(|(reign, seen)| (reign, *seen)),
             candidates: &candidates,
@@ -243,10 +252,20 @@
     /// Takes the duty over when its holder lets a group wait for too long.
     async fn succeed(&mut self, group: &Group, records: &Records, patience: Duration) {
         let now = uptime();
+        let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
+        if self.holder.as_ref() != holder {
+            // A new holder has its own time to act.
+            self.holder = holder.cloned();
+            for course in self.courses.values_mut() {
+                course.needed = None;
+            }
+        }
         let course = self.courses.entry(group.name.clone()).or_default();
         let needed = *course.needed.get_or_insert(now);
-        let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
-        let is_vacant = holder.is_none_or(|holder| !records.members.contains_key(holder));
+        let lanes = self.upstreams.lanes();
+        let is_vacant = records
+            .holder()
+            .is_none_or(|holder| lanes.is_silent(holder.address));
         let patience = if is_vacant { VACANT_PATIENCE } else { patience };
         let rank = u32::try_from(records.rank(&self.node)).unwrap_or(u32::MAX);
         if now < needed + patience + PATIENCE_STEP * rank {
@@ -350,7 +369,8 @@
     /// Asks the former primary to take no more writes.
     async fn demote(&mut self, group: &Group, former: Option<ServerId>, primary: ServerId) {
         let former = former.and_then(|former| self.upstreams.server(&former));
-        let former = former.filter(|former| !former.is_lost());
+        // Nothing waits for a server that has just left questions open.
+        let former = former.filter(|former| !former.loss().is_suspected());
         let mut is_demoted = false;
         if let Some(former) = former {
             is_demoted = match former.status(Order::Status).await {
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! The tasks beside the request path: what the store says, who leads, and what
 //! to do about a primary that is lost.
 
+pub mod doubt;
 pub mod duty;
 pub mod neighbour;
 pub mod peer;
@@ -8,4 +9,3 @@
 pub mod presence;
 pub mod round;
 pub mod wake;
-pub mod witness;
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -65,6 +65,8 @@
     Run(Run),
     /// Asks what a server says of itself.
     Status(ServerId),
+    /// Tells that a server may be lost.
+    Doubt(ServerId),
 }
 
 /// What the one who asks knows already.
--- a/crates/agateport-relay/src/lane.rs
+++ b/crates/agateport-relay/src/lane.rs
@@ -33,7 +33,7 @@
 /// Longest time for which it isn't asked: about that of a restart.
 const LONGEST_AVOIDANCE: Duration = Duration::from_millis(1_200);
 
-/// Time that an owner gets to ask a server what it is.
+/// Time that a node gets to ask a server what it is.
 const STATUS_PATIENCE: Duration = Duration::from_millis(300);
 
 /// Time after which an unused lane is closed; its owner closes it later.
@@ -80,8 +80,34 @@
     },
     /// The server gave no answer.
     Lost(Lost),
-    /// What the server says of itself; none if it doesn't.
-    Status(Option<Status>),
+    /// What the node knows of the server just now.
+    Status(Sight),
+    /// The doubt was taken in.
+    Noted,
+}
+
+/// What a node finds out about a server when it asks it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Sight {
+    /// The server says this of itself.
+    Status(Status),
+    /// The server answers, but not that.
+    Reached,
+    /// The server doesn't answer.
+    Unreached,
+    /// The node wasn't asked, or didn't tell.
+    Untold,
+}
+
+impl Sight {
+    /// Returns what the server says of itself, if it said it.
+    #[must_use]
+    pub fn status(self) -> Option<Status> {
+        match self {
+            Self::Status(status) => Some(status),
+            Self::Reached | Self::Unreached | Self::Untold => None,
+        }
+    }
 }
 
 impl From<Result<Answer, Lost>> for Reply {
@@ -246,17 +272,42 @@
         }
     }
 
-    /// Asks `owner` what a server says of itself; none if it doesn't tell.
-    pub async fn status(self: &Arc<Self>, owner: SocketAddr, server: &ServerId) -> Option<Status> {
+    /// Asks a node what a server says of itself.
+    pub async fn sight(self: &Arc<Self>, node: SocketAddr, server: &ServerId) -> Sight {
         let call = Call::Status(server.clone());
-        let (lane, reply) = self.request(owner, &call, STATUS_PATIENCE).await?;
+        let told = self.request(node, &call, STATUS_PATIENCE).await;
+        let Some((lane, Reply::Status(sight))) = told else {
+            return Sight::Untold;
+        };
         lane.give_back();
-        match reply {
-            Reply::Status(status) => status,
-            _ => None,
+        sight
+    }
+
+    /// Tells a node that a server may be lost.
+    pub async fn doubt(self: &Arc<Self>, node: SocketAddr, server: &ServerId) {
+        let call = Call::Doubt(server.clone());
+        let told = self.request(node, &call, Duration::ZERO).await;
+        if let Some((lane, Reply::Noted)) = told {
+            lane.give_back();
         }
     }
 
+    /// Takes in whether a node that was asked something else gave a word.
+    pub fn note(&self, node: SocketAddr, is_answer: bool) {
+        if is_answer {
+            self.lock().avoided.remove(&node);
+        } else {
+            self.avoid(node);
+        }
+    }
+
+    /// Tells whether a node gave no word just now.
+    #[must_use]
+    pub fn is_silent(&self, node: SocketAddr) -> bool {
+        let avoided = self.lock().avoided.get(&node).copied();
+        avoided.is_some_and(|avoided| uptime() < avoided.until)
+    }
+
     /// Asks for something over a lane; none if the owner gives no word.
     async fn request(
         self: &Arc<Self>,
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -1,9 +1,10 @@
 //! Lends the connections of this node's servers to other nodes.
 
+use crate::control::doubt::Doubts;
 use crate::control::peer::Call;
 use crate::dialect::Dialect;
 use crate::exchange::Exchange;
-use crate::lane::{self, Reply, Run, Wire, send};
+use crate::lane::{self, Reply, Run, Sight, Wire, send};
 use crate::link::Setup;
 use crate::seat::{self, Claim, Denial, Gap, Seat};
 use crate::server::Standing;
@@ -25,6 +26,8 @@
     pub upstreams: Arc<Upstreams<D>>,
     /// Cancelled when the node is asked to stop.
     pub stop: CancellationToken,
+    /// Servers that other nodes take for lost.
+    pub doubts: Arc<Doubts>,
     /// Seats that are lent; the node waits for them before it ends.
     pub lent: TaskTracker,
 }
@@ -34,6 +37,7 @@
         Self {
             upstreams: self.upstreams.clone(),
             stop: self.stop.clone(),
+            doubts: self.doubts.clone(),
             lent: self.lent.clone(),
         }
     }
@@ -51,6 +55,10 @@
             match &call {
                 Call::Claim(claim) => self.lend(&mut wire, claim).await?,
                 Call::Status(server) => self.tell_status(&mut wire, server).await?,
+                Call::Doubt(server) => {
+                    self.doubts.raise(server);
+                    send(&mut wire, &Reply::Noted).await?;
+                }
                 // Neither has a place on a lane without a seat.
                 Call::News(_) | Call::Run(_) => return Ok(()),
             }
@@ -71,11 +79,11 @@
 
     async fn tell_status(&self, wire: &mut Wire, server: &ServerId) -> Result<(), lane::Error> {
         send(wire, &Reply::Waiting).await?;
-        let status = match self.upstreams.server(server) {
-            Some(server) => server.shared_status().await,
-            None => None,
+        let sight = match self.upstreams.server(server) {
+            Some(server) => server.sight().await,
+            None => Sight::Untold,
         };
-        send(wire, &Reply::Status(status)).await
+        send(wire, &Reply::Status(sight)).await
     }
 
     /// Finds a seat, and tells the node if it has to wait for it.
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -10,7 +10,8 @@
 use crate::control::poll::{Poll, Snapshot};
 use crate::control::presence::{self, Presence};
 use crate::control::wake::Wake;
-use crate::control::{round, witness};
+use crate::control::doubt::{self, Doubts};
+use crate::control::round;
 use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::lend::Lender;
@@ -117,9 +118,11 @@
         wake: wake.clone(),
     };
     let peers = TcpListener::bind(place.peers).await?;
+    let doubts = Arc::new(Doubts::default());
     let lender = Lender {
         upstreams: upstreams.clone(),
         stop: stop.clone(),
+        doubts: doubts.clone(),
         lent: TaskTracker::new(),
     };
     let lent = lender.lent.clone();
@@ -139,12 +142,11 @@
         wake: wake.clone(),
     };
     tasks.spawn(presence.run(heard.clone(), end.clone()));
-    tasks.spawn(witness::run(
+    tasks.spawn(doubt::run(
         place.node.clone(),
-        store.clone(),
         upstreams.clone(),
+        doubts.clone(),
         heard.clone(),
-        wake.clone(),
         end.clone(),
     ));
     let handover = Handover::new(
@@ -153,6 +155,7 @@
         store.clone(),
         platform.promoter,
         wake,
+        doubts,
     );
     tasks.spawn(handover.run(heard.clone(), end.clone()));
     tasks.spawn(keep_up(upstreams.clone(), end.clone()));
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -17,7 +17,6 @@
 const ACCEPTANCE: &str = "acceptance/";
 const REIGN: &str = "reign/";
 const NODE: &str = "node/";
-const LOSS: &str = "loss/";
 
 /// Who may order promotions.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -38,13 +37,6 @@
     pub is_gone: bool,
 }
 
-/// A node's word that it can't reach a server.
-#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub struct Witness {
-    /// Name of the server.
-    pub server: ServerId,
-}
-
 /// The records of primaries that a node has taken over: it uses no former
 /// primary any more.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
@@ -78,12 +70,6 @@
     format!("{NODE}{node}")
 }
 
-/// Returns the key of a node's word about a group's primary.
-#[must_use]
-pub fn loss_key(group: &str, node: &str) -> String {
-    format!("{LOSS}{group}/{node}")
-}
-
 /// All rows at one moment.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Records {
@@ -101,8 +87,6 @@
     pub member_versions: BTreeMap<NodeId, RowVersion>,
     /// What each node has taken over.
     pub acceptances: BTreeMap<NodeId, Acceptance>,
-    /// Nodes that can't reach a server, by group.
-    pub losses: BTreeMap<GroupId, BTreeMap<NodeId, ServerId>>,
 }
 
 impl Records {
@@ -145,27 +129,7 @@
             };
             return insert(members, node.into(), member);
         }
-        let loss = key
-            .strip_prefix(LOSS)
-            .and_then(|rest| rest.rsplit_once('/'));
-        let Some((group, node)) = loss else {
-            return false;
-        };
-        let server = parse::<Witness>(value).map(|witness| witness.server);
-        let losses = self.losses.entry(group.into()).or_default();
-        insert(losses, node.into(), server)
-    }
-
-    /// Returns the number of nodes that can't reach a group's `server`.
-    #[must_use]
-    pub fn witnesses(&self, group: &GroupId, server: &ServerId) -> usize {
-        let losses = self.losses.get(group);
-        losses.map_or(0, |losses| {
-            losses
-                .iter()
-                .filter(|(node, lost)| *lost == server && self.members.contains_key(*node))
-                .count()
-        })
+        false
     }
 
     /// Returns the nodes after `node` in the order of names, and in turn from
@@ -196,20 +160,35 @@
         })
     }
 
-    /// Returns the servers that a node can't reach, by group.
+    /// Returns the holder of the duty of promotions, if it is up.
     #[must_use]
-    pub fn losses_of(&self, node: &NodeId) -> BTreeMap<GroupId, ServerId> {
-        let losses = self.losses.iter().filter_map(|(group, losses)| {
-            let server = losses.get(node)?;
-            Some((group.clone(), server.clone()))
-        });
-        losses.collect()
+    pub fn holder(&self) -> Option<&Member> {
+        let (duty, _) = self.duty.as_ref()?;
+        self.members.get(&duty.holder)
+    }
+
+    /// Returns the nodes in the order in which they take the duty of promotions
+    /// over: the first of each zone, the second of each, and so on, so that the
+    /// loss of a zone holds nothing up.
+    #[must_use]
+    pub fn successors(&self) -> Vec<&NodeId> {
+        let mut places: BTreeMap<&Zone, usize> = BTreeMap::new();
+        let mut order = Vec::new();
+        for (node, member) in &self.members {
+            let place = places.entry(&member.zone).or_default();
+            order.push((*place, &member.zone, node));
+            *place += 1;
+        }
+        order.sort();
+        order.into_iter().map(|(_, _, node)| node).collect()
     }
 
-    /// Returns the place of a node among those that are up.
+    /// Returns the place of a node in the order of succession.
     #[must_use]
     pub fn rank(&self, node: &NodeId) -> usize {
-        self.members.keys().filter(|one| *one < node).count()
+        let successors = self.successors();
+        let place = successors.iter().position(|one| *one == node);
+        place.unwrap_or(successors.len())
     }
 }
 
--- a/crates/agateport-relay/src/seat.rs
+++ b/crates/agateport-relay/src/seat.rs
@@ -1,9 +1,10 @@
 //! The right to run statements at a server: over an own connection, or over one
 //! that another node lends.
 
+use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::exchange::Lost;
-use crate::lane::{Lane, Lanes};
+use crate::lane::{Lane, Lanes, Sight};
 use crate::link::{self, Link, Setup};
 use crate::message::{Answer, Code, Order, State, Status};
 use crate::server::{Server, Slot, Standing, Visit};
@@ -157,6 +158,7 @@
     let Standing::Guest(owners) = &*standing else {
         return take(server, claim).await;
     };
+    let begun = uptime();
     let latest = Instant::now() + claim.patience;
     for owner in owners {
         match claim_at(server, lanes, *owner, claim).await {
@@ -167,7 +169,9 @@
             break;
         }
     }
-    // A connection of its own would take one from the owners, which order them.
+    // Owners are in the zone of their server, so both may be out of reach. A
+    // connection of its own would take one from the owners, which order them.
+    server.missed(begun);
     Err(Denial::Missed(Gap::Silent))
 }
 
@@ -176,12 +180,13 @@
 pub async fn status<D: Dialect>(server: &Server<D>, lanes: &Arc<Lanes>) -> Option<Status> {
     let standing = server.standing();
     let Standing::Guest(owners) = &*standing else {
-        return server.shared_status().await;
+        return server.sight().await.status();
     };
     let name = server.listing().server.clone();
     for owner in owners {
-        if let Some(status) = lanes.status(*owner, &name).await {
-            return Some(status);
+        let sight = lanes.sight(*owner, &name).await;
+        if sight != Sight::Untold {
+            return sight.status();
         }
     }
     None
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::uptime;
 use crate::dialect::{self, Dialect};
+use crate::lane::Sight;
 use crate::link::{self, Link};
 use crate::message::{Order, Status};
 use crate::registry::Listing;
@@ -59,6 +60,17 @@
     Garbled(#[from] dialect::Error),
 }
 
+impl Error {
+    /// Tells whether the server was reached all the same.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        match self {
+            Self::Link(link::Error::Refused(_)) | Self::NoStatus | Self::Garbled(_) => true,
+            Self::Link(_) | Self::Silent => false,
+        }
+    }
+}
+
 /// How a node gets at a server.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum Standing {
@@ -92,7 +104,7 @@
     listing: RwLock<Arc<Listing>>,
     standing: RwLock<Arc<Standing>>,
     /// The last answer to what the server is, and when it was asked.
-    shared: tokio::sync::Mutex<Option<(Uptime, Option<Status>)>>,
+    shared: tokio::sync::Mutex<Option<(Uptime, Sight)>>,
     inner: Mutex<Inner<D>>,
 }
 
@@ -302,30 +314,37 @@
         match &status {
             Ok(status) => self.heard(begun, Some(status.last)),
             Err(Error::Silent) => self.lock().loss.fail(begun),
+            Err(error) if error.is_answer() => self.heard(begun, None),
             Err(_) => {}
         }
         status
     }
 
     /// Asks the server what it is, or shares the answer to a question that was
-    /// sent after this one came up; none if it doesn't say.
-    pub async fn shared_status(&self) -> Option<Status> {
+    /// sent after this one came up.
+    pub async fn sight(&self) -> Sight {
         let wanted = uptime();
         let mut shared = self.shared.lock().await;
-        if let Some((asked, status)) = *shared
+        if let Some((asked, sight)) = *shared
             && asked >= wanted
         {
-            return status;
+            return sight;
         }
         let asked = uptime();
-        let status = self.status(Order::Status).await;
-        let status = status.inspect_err(|error| {
-            let name = &*self.listing().server;
-            tracing::debug!(server = name, %error, "a server gave no status");
-        });
-        let status = status.ok();
-        *shared = Some((asked, status));
-        status
+        let sight = match self.status(Order::Status).await {
+            Ok(status) => Sight::Status(status),
+            Err(error) => {
+                let name = &*self.listing().server;
+                tracing::debug!(server = name, %error, "a server gave no status");
+                if error.is_answer() {
+                    Sight::Reached
+                } else {
+                    Sight::Unreached
+                }
+            }
+        };
+        *shared = Some((asked, sight));
+        sight
     }
 
     async fn ask_status(&self, order: Order) -> Result<Status, Error> {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -155,6 +155,18 @@
         members.filter_map(|one| self.server(&one.server)).collect()
     }
 
+    /// Returns the servers that left a question of this node open.
+    #[must_use]
+    pub fn suspects(&self) -> Vec<Arc<Server<D>>> {
+        let mut suspects = Vec::new();
+        self.servers.for_each(|_, server| {
+            if server.loss().is_suspected() {
+                suspects.push(server.clone());
+            }
+        });
+        suspects
+    }
+
     /// Tells whether a server is in the zone of this node.
     #[must_use]
     pub fn is_near(&self, listing: &Listing) -> bool {
