group: a term of 0.9 s, panels by zones, readiness by the age of proofs

Cause: each handover waits for a grant's term; three restarting nodes of a panel kept it from a majority; a node in a cut-off zone took 1.6 s to find itself unready.

--- a/crates/agateport-domain/src/group/grant.rs
+++ b/crates/agateport-domain/src/group/grant.rs
@@ -9,7 +9,7 @@
 /// A handover waits this long after it was recorded, so it is part of each gap
 /// in service. Three reads of the store fit into it, so that one slow or lost
 /// answer doesn't end the proof.
-pub const TERM: Duration = Duration::from_millis(1_200);
+pub const TERM: Duration = Duration::from_millis(900);
 
 /// The moment up to which a primary is known to be the only one.
 ///
@@ -20,17 +20,21 @@
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct Grant {
     until: Uptime,
+    /// When what proves it was last asked.
+    asked: Uptime,
 }
 
 impl Grant {
     /// Takes in that the store, asked at `asked`, names this primary.
     pub fn renew(&mut self, asked: Uptime) {
         self.until = self.until.max(asked + TERM);
+        self.asked = self.asked.max(asked);
     }
 
     /// Takes in that all other servers, asked at `asked`, are replicas.
     pub fn observe(&mut self, asked: Uptime) {
         self.until = self.until.max(asked);
+        self.asked = self.asked.max(asked);
     }
 
     /// Tells whether the primary was the only one at `moment`.
@@ -39,6 +43,12 @@
         moment < self.until
     }
 
+    /// Returns when what proves it was last asked.
+    #[must_use]
+    pub fn asked(&self) -> Uptime {
+        self.asked
+    }
+
     /// Returns the moment up to which the proof holds.
     #[must_use]
     pub fn until(&self) -> Uptime {
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -19,7 +19,7 @@
 pub use handover::Reign;
 pub use health::Cause;
 pub use loss::Loss;
-pub use panel::Panel;
+pub use panel::{Panel, Vote};
 pub use progress::Progress;
 pub use promotion::Promotion;
 pub use read_index::ReadIndex;
--- a/crates/agateport-domain/src/group/panel.rs
+++ b/crates/agateport-domain/src/group/panel.rs
@@ -2,7 +2,7 @@
 
 use crate::id::{NodeId, ServerId, Zone};
 use crate::owner::score;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 /// Nodes of one zone that are asked. A fleet of a few nodes is asked as a whole;
 /// of a large one no zone alone has the majority.
@@ -13,7 +13,18 @@
 /// They differ between servers, so that no node is asked about all of them.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Panel {
-    nodes: Vec<NodeId>,
+    nodes: Vec<(NodeId, Zone)>,
+}
+
+/// What one node of a panel said.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Vote {
+    /// It reaches the primary.
+    Reached,
+    /// It doesn't.
+    Missed,
+    /// It said nothing: it may be stopped, or cut off itself.
+    Untold,
 }
 
 impl Panel {
@@ -29,24 +40,30 @@
             zones.entry(zone).or_default().push(ranked);
         }
         let mut nodes = Vec::new();
-        for ranked in zones.values_mut() {
+        for (zone, mut ranked) in zones {
             ranked.sort();
-            let chosen = ranked.iter().take(NODES_A_ZONE);
-            nodes.extend(chosen.map(|(_, node)| (*node).clone()));
+            let chosen = ranked.into_iter().take(NODES_A_ZONE);
+            nodes.extend(chosen.map(|(_, node)| (node.clone(), zone.clone())));
         }
         Self { nodes }
     }
 
     /// Returns the nodes that are asked.
-    #[must_use]
-    pub fn nodes(&self) -> &[NodeId] {
-        &self.nodes
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeId> {
+        self.nodes.iter().map(|(node, _)| node)
     }
 
-    /// Tells whether a primary is lost that `missing` of the nodes said they don't
-    /// reach: more than half. Who says nothing may be cut off itself.
+    /// Tells whether the primary is lost: most nodes that said anything don't reach
+    /// it, and they are of most zones. So neither a zone that is cut off from the
+    /// others nor nodes that are being restarted decide.
     #[must_use]
-    pub fn finds_lost(&self, missing: usize) -> bool {
-        missing * 2 > self.nodes.len()
+    pub fn finds_lost(&self, votes: &[Vote]) -> bool {
+        let count = |vote| votes.iter().filter(|one| **one == vote).count();
+        let missed = count(Vote::Missed);
+        let seats = self.nodes.iter().zip(votes);
+        let missing = seats.filter(|(_, vote)| **vote == Vote::Missed);
+        let missing: BTreeSet<_> = missing.map(|((_, zone), _)| zone).collect();
+        let zones: BTreeSet<_> = self.nodes.iter().map(|(_, zone)| zone).collect();
+        missed > count(Vote::Reached) && missing.len() * 2 > zones.len()
     }
 }
--- a/crates/agateport-relay/src/control/doubt.rs
+++ b/crates/agateport-relay/src/control/doubt.rs
@@ -13,7 +13,7 @@
 use crate::record::Records;
 use crate::server::Server;
 use crate::upstreams::Upstreams;
-use agateport_domain::group::Panel;
+use agateport_domain::group::{Panel, Vote};
 use agateport_domain::prelude::*;
 use futures::future::join_all;
 use std::net::SocketAddr;
@@ -122,19 +122,22 @@
     let members = &records.members;
     let nodes = members.iter().map(|(node, member)| (node, &member.zone));
     let panel = Panel::new(server, nodes);
-    let addresses = panel.nodes().iter().filter_map(|node| members.get(node));
-    let questions = addresses.map(|member| upstreams.lanes().sight(member.address, server));
-    let sights = join_all(questions).await;
-    let missing = sights
-        .iter()
-        .filter(|sight| **sight == Sight::Unreached)
-        .count();
-    let is_lost = panel.finds_lost(missing);
+    let questions = panel.nodes().map(|node| async move {
+        let Some(member) = members.get(node) else {
+            return Vote::Untold;
+        };
+        match upstreams.lanes().sight(member.address, server).await {
+            Sight::Status(_) | Sight::Reached => Vote::Reached,
+            Sight::Unreached => Vote::Missed,
+            Sight::Untold => Vote::Untold,
+        }
+    });
+    let votes = join_all(questions).await;
+    let is_lost = panel.finds_lost(&votes);
     tracing::info!(
         event = "panel_asked",
         server = &**server,
-        nodes = panel.nodes().len(),
-        missing,
+        ?votes,
         is_lost,
         "some nodes of every zone were asked whether they reach a server"
     );
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -19,14 +19,14 @@
 use tokio_util::sync::CancellationToken;
 
 /// Time between two questions; three fit into a grant's term.
-const INTERVAL: Duration = Duration::from_millis(400);
+const INTERVAL: Duration = Duration::from_millis(300);
 
 /// Time between two questions to another node, which cost little.
-const PEER_INTERVAL: Duration = Duration::from_millis(250);
+const PEER_INTERVAL: Duration = Duration::from_millis(200);
 
 /// Age up to which another node's news is taken: an interval of its own, and a
 /// slow answer of the store.
-const FRESH: Duration = Duration::from_millis(750);
+const FRESH: Duration = Duration::from_millis(550);
 
 /// Nodes of the own zone that are asked before the store.
 const PEERS_BEFORE: usize = 2;
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -133,10 +133,10 @@
         self.lock().grant.until()
     }
 
-    /// Tells whether the primary was the only one at some moment after `moment`.
+    /// Tells whether a proof of the primary was asked for after `moment`, and came.
     #[must_use]
     pub fn was_proven(&self, moment: Uptime) -> bool {
-        self.lock().grant.covers(moment)
+        moment < self.lock().grant.asked()
     }
 
     /// Returns the group's primary, if it is known.
--- a/crates/agateport-relay/src/readiness.rs
+++ b/crates/agateport-relay/src/readiness.rs
@@ -12,8 +12,12 @@
 /// once a second and needs two refusals before it sends no new callers.
 pub const UNLISTING: Duration = Duration::from_millis(2_500);
 
-/// Time after its last proof for which a node still counts itself able to serve.
-const PROOF_AGE: Duration = Duration::from_millis(400);
+/// Age of its last proof up to which a node counts itself able to serve: a pause
+/// between two questions to the store, one to another node, and their answers.
+///
+/// A node that is cut off hears of it only by this; one that counts itself out by
+/// mistake is back before the platform has asked twice.
+const PROOF_AGE: Duration = Duration::from_millis(800);
 
 /// Time between two looks whether the node can serve.
 const READINESS: Duration = Duration::from_millis(100);
