--- a/crates/agateport-relay/src/lane.rs
+++ b/crates/agateport-relay/src/lane.rs
@@ -133,6 +133,9 @@
     /// The owner gave no word in time.
     #[error("the owner gave no word in time")]
     Silent,
+    /// The owner is there, but its last word didn't come in time.
+    #[error("the owner's last word didn't come in time")]
+    Late,
     /// The owner's words can't be read.
     #[error("the owner's words can't be read")]
     Garbled(#[from] postcard::Error),
@@ -218,7 +221,7 @@
             return Ok(told);
         }
         let rest = timeout(patience + FIRST_WORD, reply(&mut self.wire)).await;
-        rest.map_err(|_| Error::Silent)?
+        rest.map_err(|_| Error::Late)?
     }
 
     async fn ask(&mut self, call: &Call) -> Result<Reply, Error> {
@@ -325,7 +328,9 @@
             }
             Err(error) => {
                 tracing::debug!(%owner, %error, "the owner of a server gives no word");
-                self.avoid(owner);
+                if !matches!(error, Error::Late) {
+                    self.avoid(owner);
+                }
                 None
             }
         }
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -324,11 +324,16 @@
     /// sent after this one came up.
     pub async fn sight(&self) -> Sight {
         let wanted = uptime();
+        if self.is_lost() {
+            // It is asked all the time; who wants to know needn't wait for that.
+            return Sight::Unreached;
+        }
         let mut shared = self.shared.lock().await;
-        if let Some((asked, sight)) = *shared
-            && asked >= wanted
-        {
-            return sight;
+        if let Some((asked, sight)) = *shared {
+            let is_silent = sight == Sight::Unreached && wanted < asked + STATUS_TIMEOUT;
+            if asked >= wanted || is_silent {
+                return sight;
+            }
         }
         let asked = uptime();
         let sight = match self.status(Order::Status).await {
