--- a/crates/agateport-domain/src/group/panel.rs
+++ b/crates/agateport-domain/src/group/panel.rs
@@ -30,10 +30,7 @@
 impl Panel {
     /// Chooses among `nodes` for a server.
     #[must_use]
-    pub fn new<'a>(
-        server: &ServerId,
-        nodes: impl Iterator<Item = (&'a NodeId, &'a Zone)>,
-    ) -> Self {
+    pub fn new<'a>(server: &ServerId, nodes: impl Iterator<Item = (&'a NodeId, &'a Zone)>) -> Self {
         let mut zones: BTreeMap<&Zone, Vec<_>> = BTreeMap::new();
         for (node, zone) in nodes {
             let ranked = (score(node, server), node);
--- a/crates/agateport-relay/src/control/doubt.rs
+++ b/crates/agateport-relay/src/control/doubt.rs
@@ -107,9 +107,13 @@
 
 /// Finds out whether the holder of the duty is there to act on a finding.
 async fn check_holder<D: Dialect>(upstreams: &Upstreams<D>, records: &Records) {
-    let Some(holder) = records.holder() else { return };
+    let Some(holder) = records.holder() else {
+        return;
+    };
     let version = records.version;
-    let asked = Peers::default().ask(holder.address, upstreams, version).await;
+    let asked = Peers::default()
+        .ask(holder.address, upstreams, version)
+        .await;
     upstreams.lanes().note(holder.address, asked.is_ok());
 }
 
@@ -216,6 +220,8 @@
     if hearers.remove(node) {
         doubts.raise(server);
     }
-    let members = hearers.into_iter().filter_map(|one| records.members.get(one));
+    let members = hearers
+        .into_iter()
+        .filter_map(|one| records.members.get(one));
     members.map(|member| member.address).collect()
 }
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -118,9 +118,7 @@
     }
 
     async fn look(&mut self, snapshot: &Snapshot) {
-        self.doubts
-            .settle(&self.upstreams, &snapshot.records)
-            .await;
+        self.doubts.settle(&self.upstreams, &snapshot.records).await;
         if let Some(taken) = self.taken {
             if snapshot.asked < taken {
                 // What the former holder did last isn't known yet.
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -217,12 +217,7 @@
     /// Does the same for a statement that hasn't been sent. After a wait in vain
     /// others don't wait for a while, unless a proof came since: their callers
     /// can be served elsewhere.
-    pub async fn prove_unsent(
-        &self,
-        server: &ServerId,
-        moment: Uptime,
-        deadline: Instant,
-    ) -> bool {
+    pub async fn prove_unsent(&self, server: &ServerId, moment: Uptime, deadline: Instant) -> bool {
         let is_hopeless = {
             let inner = self.lock();
             let until = inner.grant.until();
--- a/crates/agateport-relay/src/lane.rs
+++ b/crates/agateport-relay/src/lane.rs
@@ -409,9 +409,7 @@
             // Requests that were under way together count once.
             return;
         }
-        let pause = known.map_or(AVOIDANCE, |known| {
-            (known.pause * 2).min(LONGEST_AVOIDANCE)
-        });
+        let pause = known.map_or(AVOIDANCE, |known| (known.pause * 2).min(LONGEST_AVOIDANCE));
         let until = now + pause;
         inner.avoided.insert(owner, Avoided { until, pause });
     }
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -4,14 +4,14 @@
 use crate::catalog::Catalog;
 use crate::clock::uptime;
 use crate::connection::Connection;
+use crate::control::doubt::{self, Doubts};
 use crate::control::duty::Handover;
 use crate::control::neighbour::Neighbour;
 use crate::control::peer;
 use crate::control::poll::{Poll, Snapshot};
 use crate::control::presence::{self, Presence};
-use crate::control::wake::Wake;
-use crate::control::doubt::{self, Doubts};
 use crate::control::round;
+use crate::control::wake::Wake;
 use crate::dialect::Dialect;
 use crate::error::Error;
 use crate::lend::Lender;
@@ -89,10 +89,7 @@
     P: Promoter,
 {
     let metrics = Arc::new(Metrics::new()?);
-    let upstreams = Arc::new(Upstreams::<D>::new(
-        place.node.clone(),
-        place.zone.clone(),
-    ));
+    let upstreams = Arc::new(Upstreams::<D>::new(place.node.clone(), place.zone.clone()));
     let callers = TcpListener::bind(place.callers).await?;
     let store = Arc::new(platform.store);
     let wake = Arc::new(Wake::default());
--- a/crates/agateport-relay/src/seat.rs
+++ b/crates/agateport-relay/src/seat.rs
@@ -209,10 +209,7 @@
 /// # Errors
 ///
 /// [`Denial`] if there is none; nothing was run.
-pub async fn take<D: Dialect>(
-    server: &Arc<Server<D>>,
-    claim: &Claim,
-) -> Result<Seat<D>, Denial> {
+pub async fn take<D: Dialect>(server: &Arc<Server<D>>, claim: &Claim) -> Result<Seat<D>, Denial> {
     let now = Instant::now();
     let latest = now + claim.patience;
     let slot = server
--- a/crates/agateport-relay/tests/record.rs
+++ b/crates/agateport-relay/tests/record.rs
@@ -24,9 +24,6 @@
             8,
         ),
         row("acceptance/node-a", r#"{"versions":{"ledger":8}}"#, 9),
-        row("loss/ledger/node-a", r#"{"server":"one"}"#, 5),
-        row("loss/ledger/node-b", r#"{"server":"one"}"#, 6),
-        row("loss/ledger/node-gone", r#"{"server":"one"}"#, 6),
         row("reign/garbled", "not JSON", 4),
     ])
 }
@@ -39,12 +36,41 @@
 #[test]
 fn only_nodes_that_are_up_count() {
     let records = Records::parse(&rows());
-    let group: GroupId = "ledger".into();
-    assert_eq!(records.witnesses(&group, &"one".into()), 2);
-    assert_eq!(records.witnesses(&group, &"two".into()), 0);
     assert_eq!(records.rank(&"node-b".into()), 1);
+    assert_eq!(records.rank(&"node-gone".into()), 2);
     assert_eq!(records.before(&"node-gone".into()), Some(&"node-b".into()));
     assert_eq!(records.before(&"node-a".into()), Some(&"node-b".into()));
+    let holder = records.holder().expect("the holder is up");
+    assert_eq!(holder.address, ([10, 1, 0, 8], 7441).into());
+
+    let mut left = rows();
+    left.remove("node/node-a");
+    assert_eq!(Records::parse(&left).holder(), None);
+}
+
+/// The loss of a zone leaves the next successor at the second place.
+#[test]
+fn successors_come_from_all_zones_in_turn() {
+    let mut rows = Rows::new();
+    for (node, zone) in [
+        ("a-1", "a"),
+        ("a-2", "a"),
+        ("a-3", "a"),
+        ("b-1", "b"),
+        ("c-1", "c"),
+    ] {
+        let value = format!(r#"{{"zone":"{zone}","address":"10.1.0.8:7441"}}"#).into_bytes();
+        rows.insert(format!("node/{node}"), Row { value, version: 1 });
+    }
+    let records = Records::parse(&rows);
+    insta::assert_snapshot!(
+        records
+            .successors()
+            .iter()
+            .map(|node| &***node)
+            .collect::<Vec<_>>()
+            .join(" ")
+    );
 }
 
 #[test]
