relay: places of primaries come with the news

Cause: with 78 nodes each hears of a group's primary about once a second, so reads often had no floor: they went to the primary, and were refused while it was out of reach although their routes allow data of 1.5 to 2.5 s. Change: nodes that ask the store also ask primaries of which they heard nothing for 250 ms, and pass the places on with the news, by their age.

--- a/crates/agateport-domain/src/group/progress.rs
+++ b/crates/agateport-domain/src/group/progress.rs
@@ -49,10 +49,10 @@
         self.entries.get(index).copied()
     }
 
-    /// Returns the highest place known.
+    /// Returns the highest place known, and the moment that it was asked for.
     #[must_use]
-    pub fn last(&self) -> Option<Watermark> {
-        self.entries.back().map(|(_, place)| *place)
+    pub fn last(&self) -> Option<(Uptime, Watermark)> {
+        self.entries.back().copied()
     }
 
     /// Forgets what was asked for at `until` or later, when the primary may have
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -89,6 +89,19 @@
     pub catalog: Option<Catalog>,
     /// The list of servers.
     pub edition: Option<Edition>,
+    /// How far the primaries' logs had come, by group.
+    pub places: BTreeMap<GroupId, Place>,
+}
+
+/// How far a primary's log had come.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Place {
+    /// Name of the primary.
+    pub server: ServerId,
+    /// How long ago it was asked.
+    pub age: Duration,
+    /// Last entry of its log.
+    pub last: Watermark,
 }
 
 type Connection = Framed<TcpStream, LengthDelimitedCodec>;
@@ -156,9 +169,21 @@
         records: records.map(|records| Records::clone(records)),
         catalog: is_newer.then(|| Catalog::clone(&catalog)),
         edition: is_changed.then(|| upstreams.edition()),
+        places: places(upstreams),
     }
 }
 
+fn places<D: Dialect>(upstreams: &Upstreams<D>) -> BTreeMap<GroupId, Place> {
+    let now = uptime();
+    let groups = upstreams.groups().into_iter();
+    let places = groups.filter_map(|group| {
+        let (server, asked, last) = upstreams.group(&group).latest()?;
+        let age = now.saturating_sub(asked);
+        Some((group, Place { server, age, last }))
+    });
+    places.collect()
+}
+
 /// The connections to the nodes that were asked.
 #[derive(Debug, Default)]
 pub struct Peers {
@@ -191,6 +216,12 @@
             timeout(LIMIT, asking).await.map_err(|_| Error::Slow)??;
         self.connections.insert(address, connection);
         let told = news.age.map(|age| asked.saturating_sub(age));
+        for (group, place) in &news.places {
+            // Counted back from the question, the moment is never later than it was.
+            let asked = asked.saturating_sub(place.age);
+            let group = upstreams.group(group);
+            group.progress(&place.server, asked, place.last);
+        }
         Ok((news, told))
     }
 }
--- a/crates/agateport-relay/src/control/poll.rs
+++ b/crates/agateport-relay/src/control/poll.rs
@@ -10,9 +10,11 @@
 use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::record::{self, Records};
+use crate::seat;
 use crate::source::{self, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
+use futures::future::join_all;
 use std::net::SocketAddr;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -43,6 +45,11 @@
 /// Longest pause between tries while the store fails.
 const LONGEST_RETRY: Duration = Duration::from_millis(600);
 
+/// Age from which on a primary's place is asked for again: reads at replicas need
+/// one that is younger than what their route allows, also while the primary is
+/// being replaced.
+const PLACE_AGE: Duration = Duration::from_millis(250);
+
 /// What the store said, and when it was asked.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -103,6 +110,7 @@
                             tracing::info!(event = "store_regained", "the store answers again");
                         }
                         is_reached = true;
+                        tokio::spawn(refresh(self.upstreams.clone()));
                         pause = INTERVAL.saturating_sub(uptime().saturating_sub(begun));
                     }
                     Err(error) => {
@@ -214,3 +222,31 @@
         self.news.send_replace(Some(snapshot));
     }
 }
+
+/// Asks the primaries how far their logs are, where no statement has told it just
+/// now; the other nodes of the zone hear it with the news.
+async fn refresh<D: Dialect>(upstreams: Arc<Upstreams<D>>) {
+    let now = uptime();
+    let groups = upstreams.groups().into_iter();
+    let groups = groups.map(|group| upstreams.group(&group));
+    let stale = groups.filter(|group| {
+        let latest = group.latest();
+        latest.is_none_or(|(_, asked, _)| asked + PLACE_AGE < now)
+    });
+    let lanes = upstreams.lanes();
+    let questions = stale.map(|group| {
+        let leader = group.leader();
+        let server = leader.and_then(|leader| upstreams.server(&leader.server));
+        async move {
+            let Some(server) = server.filter(|server| !server.is_lost()) else {
+                return;
+            };
+            let asked = uptime();
+            let status = seat::status(&server, lanes).await;
+            if let Some(status) = status.filter(|status| status.is_primary) {
+                group.progress(&server.listing().server, asked, status.last);
+            }
+        }
+    });
+    join_all(questions).await;
+}
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -165,6 +165,14 @@
         }
     }
 
+    /// Returns how far the primary's log had come, and when it was asked for that.
+    #[must_use]
+    pub fn latest(&self) -> Option<(ServerId, Uptime, Watermark)> {
+        let inner = self.lock();
+        let (asked, place) = inner.progress.last()?;
+        Some((inner.leader.clone()?, asked, place))
+    }
+
     /// Returns what a log must hold to have everything that was acknowledged
     /// before `oldest` and what a session has `seen`.
     #[must_use]
@@ -174,7 +182,7 @@
         if !inner.grant.covers(moment) {
             return None;
         }
-        let last = inner.progress.last()?;
+        let (_, last) = inner.progress.last()?;
         let seen = match seen {
             // A later reign may have dropped what an earlier one wrote; what is
             // left of it lies before everything known of the later one.
