relay: reads that one server refuses are tried at the next

Cause: a read refused at once by a full queue was refused to its caller though other replicas had room.

--- a/crates/agateport-relay/src/placing.rs
+++ b/crates/agateport-relay/src/placing.rs
@@ -48,6 +48,7 @@
     {
         let mut excluded = BTreeSet::new();
         let mut reason = "no server may run it";
+        let mut refused = None;
         let mut tries = Vec::new();
         for _ in 0..ATTEMPTS {
             let Some(server) = self.choose(group, work, access, &excluded) else {
@@ -61,8 +62,11 @@
             tries.push(tried(group, &server, work, &miss));
             match miss {
                 Miss::Refused(refusal) => {
-                    let answer = reply::refused(&refusal);
-                    return Err(Answer { tries, ..answer });
+                    refused = Some(refusal);
+                    excluded.insert(server.listing().server.clone());
+                    if Instant::now() >= latest(work) {
+                        break;
+                    }
                 }
                 Miss::Again(why) => reason = why,
                 Miss::Elsewhere(why) => {
@@ -74,7 +78,10 @@
                 break;
             }
         }
-        let answer = reply::unplaced(group, reason);
+        let answer = match refused {
+            Some(refusal) => reply::refused(&refusal),
+            None => reply::unplaced(group, reason),
+        };
         Err(Answer { tries, ..answer })
     }
 
