--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -10,6 +10,10 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+/// Nodes up to which each says what it has taken over. The words of more come no
+/// sooner than a grant's term is over, and cost a write and a read each.
+const ACCEPTING_NODES: usize = 16;
+
 /// Makes a node known to the others.
 #[derive(Debug)]
 pub struct Presence<S> {
@@ -76,6 +80,9 @@
     /// The records were applied before they came here, so no former primary is
     /// in use any more.
     fn acceptance(&self, records: &Records) -> Option<Acceptance> {
+        if records.members.len() > ACCEPTING_NODES {
+            return None;
+        }
         let unsettled = records
             .reigns
             .iter()
