--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -136,41 +136,13 @@
             let started = Instant::now();
             let mut answer = self.handle(&request).await;
             answer.state = self.state();
-            self.report(&request, &answer, started);
+            self.runner
+                .report(&self.database, &request, &answer, started);
             D::answer(&answer, &mut self.connection.output);
             self.connection.flush().await?;
         }
     }
 
-    /// Writes down and counts how a statement ended.
-    fn report(&self, request: &Request, answer: &Answer, started: Instant) {
-        let took = started.elapsed();
-        let Some(code) = answer.code() else {
-            self.runner.metrics().count("answer", "done");
-            self.runner.metrics().record(took);
-            return;
-        };
-        self.runner.metrics().count("answer", code.name());
-        let Outcome::Error { text, .. } = &answer.outcome else {
-            return;
-        };
-        let Some(omitted) = self.runner.metrics().line("statement_failed") else {
-            return;
-        };
-        tracing::info!(
-            event = "statement_failed",
-            request = &*String::from_utf8_lossy(&request.id),
-            database = &*self.database,
-            code = code.name(),
-            reason = &*String::from_utf8_lossy(text),
-            took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
-            tries = ?answer.tries,
-            configuration = self.runner.upstreams().catalog().version,
-            omitted,
-            "a statement failed"
-        );
-    }
-
     async fn handle(&mut self, request: &Request) -> Answer {
         if let Transaction::Failed = self.transaction {
             return self.handle_failed(request);
--- a/crates/agateport-relay/src/control/duty.rs
+++ b/crates/agateport-relay/src/control/duty.rs
@@ -7,7 +7,7 @@
 use crate::dialect::Dialect;
 use crate::group::{Group, VIEW_TERM};
 use crate::message::Order;
-use crate::record::{self, DUTY, Duty, Records};
+use crate::record::{self, DUTY, Records};
 use crate::source::{self, Change, Promoter, RowVersion, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::group::handover::{self, Candidate, Situation, Step};
@@ -19,20 +19,6 @@
 /// Time between two looks at all groups.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Time for which a group must need a record before a node without the duty
-/// takes it over: longer than the holder takes to notice and write.
-const PATIENCE: Duration = Duration::from_millis(800);
-
-/// Time for which a group must need a later step before a node without the duty
-/// takes it over: longer than a grant's term and the platform's promotion.
-const LONG_PATIENCE: Duration = Duration::from_millis(3_500);
-
-/// The same when nobody holds the duty, or its holder has left or is silent.
-const VACANT_PATIENCE: Duration = Duration::from_millis(300);
-
-/// Further time for each node that comes earlier in the order of names.
-const PATIENCE_STEP: Duration = Duration::from_millis(100);
-
 /// Time after taking the duty over before the first promotion, if a handover of
 /// the former holder was under way: its view of the store and its last order
 /// have ended by then.
@@ -43,12 +29,12 @@
 
 /// A change of a primary that this node carries out.
 #[derive(Clone, Debug, Default)]
-struct Course {
+pub(super) struct Course {
     /// Server that the record names.
     primary: Option<ServerId>,
     is_demoted: bool,
     ordered: Option<Uptime>,
-    needed: Option<Uptime>,
+    pub(super) needed: Option<Uptime>,
     /// Since when no server says that it leads.
     leaderless: Option<Uptime>,
 }
@@ -56,20 +42,20 @@
 /// Holds the promotion duty, and carries out changes of primaries.
 #[derive(Debug)]
 pub struct Handover<D, S, P> {
-    node: NodeId,
-    upstreams: Arc<Upstreams<D>>,
-    store: Arc<S>,
+    pub(super) node: NodeId,
+    pub(super) upstreams: Arc<Upstreams<D>>,
+    pub(super) store: Arc<S>,
     promoter: P,
-    wake: Arc<Wake>,
+    pub(super) wake: Arc<Wake>,
     doubts: Arc<Doubts>,
     /// The holder of the duty that groups have waited for since they need a step.
-    holder: Option<NodeId>,
-    courses: BTreeMap<GroupId, Course>,
+    pub(super) holder: Option<NodeId>,
+    pub(super) courses: BTreeMap<GroupId, Course>,
     /// When each server was first seen on the list; none for the first list.
     listed: BTreeMap<ServerId, Option<Uptime>>,
     /// When the duty was taken over, until it is known whether a handover was
     /// under way.
-    taken: Option<Uptime>,
+    pub(super) taken: Option<Uptime>,
     may_order: Uptime,
 }
 
@@ -157,11 +143,7 @@
         }
         let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
         if holder != Some(&self.node) {
-            let patience = match step {
-                Step::Adopt(_) | Step::Record(_) => PATIENCE,
-                _ => LONG_PATIENCE,
-            };
-            self.succeed(group, records, patience).await;
+            self.succeed(group, records, &step).await;
             return;
         }
         // Which log is the furthest is asked only by who acts on it.
@@ -247,50 +229,6 @@
         futures::future::join_all(candidates).await
     }
 
-    /// Takes the duty over when its holder lets a group wait for too long.
-    async fn succeed(&mut self, group: &Group, records: &Records, patience: Duration) {
-        let now = uptime();
-        let holder = records.duty.as_ref().map(|(duty, _)| &duty.holder);
-        if self.holder.as_ref() != holder {
-            // A new holder has its own time to act.
-            self.holder = holder.cloned();
-            for course in self.courses.values_mut() {
-                course.needed = None;
-            }
-        }
-        let course = self.courses.entry(group.name.clone()).or_default();
-        let needed = *course.needed.get_or_insert(now);
-        let lanes = self.upstreams.lanes();
-        let is_vacant = records
-            .holder()
-            .is_none_or(|holder| lanes.is_silent(holder.address));
-        let patience = if is_vacant { VACANT_PATIENCE } else { patience };
-        let rank = u32::try_from(records.rank(&self.node)).unwrap_or(u32::MAX);
-        if now < needed + patience + PATIENCE_STEP * rank {
-            return;
-        }
-        course.needed = None;
-        let version = records.duty.as_ref().map_or(0, |(_, version)| *version);
-        let duty = Duty {
-            holder: self.node.clone(),
-        };
-        let change = Change {
-            expected: BTreeMap::from([(DUTY.to_owned(), version)]),
-            set: BTreeMap::from([(DUTY.to_owned(), record::value(&duty))]),
-            ..Change::default()
-        };
-        let taken = self.store.change(record::stamped(change)).await;
-        tracing::info!(
-            event = "duty_taken",
-            group = &*group.name,
-            former = holder.map(|holder| &**holder),
-            outcome = outcome(&taken),
-            "this node took the duty of promotions over, or tried to"
-        );
-        self.taken = Some(uptime());
-        self.wake.reread();
-    }
-
     async fn take_step(
         &mut self,
         group: &Arc<Group>,
@@ -426,7 +364,8 @@
     }
 }
 
-fn outcome(result: &Result<RowVersion, source::Error>) -> String {
+/// Returns how a call ended, for a log line.
+pub(super) fn outcome(result: &Result<RowVersion, source::Error>) -> String {
     match result {
         Ok(_) => "done".to_owned(),
         Err(error) => error.to_string(),
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -8,4 +8,5 @@
 pub mod poll;
 pub mod presence;
 pub mod round;
+mod succession;
 pub mod wake;
--- a/crates/agateport-relay/src/lane.rs
+++ b/crates/agateport-relay/src/lane.rs
@@ -8,8 +8,9 @@
 use crate::control::peer::Call;
 use crate::exchange::Lost;
 use crate::link::{Setup, watch_peer};
-use crate::message::{Access, Answer, Order, Outcome, State, Status};
+use crate::message::{Access, Answer, Order, Outcome, State};
 use crate::seat::{Claim, Denial, Gap};
+use crate::sight::Sight;
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -86,30 +87,6 @@
     Noted,
 }
 
-/// What a node finds out about a server when it asks it.
-#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
-pub enum Sight {
-    /// The server says this of itself.
-    Status(Status),
-    /// The server answers, but not that.
-    Reached,
-    /// The server doesn't answer.
-    Unreached,
-    /// The node wasn't asked, or didn't tell.
-    Untold,
-}
-
-impl Sight {
-    /// Returns what the server says of itself, if it said it.
-    #[must_use]
-    pub fn status(self) -> Option<Status> {
-        match self {
-            Self::Status(status) => Some(status),
-            Self::Reached | Self::Unreached | Self::Untold => None,
-        }
-    }
-}
-
 impl From<Result<Answer, Lost>> for Reply {
     fn from(exchanged: Result<Answer, Lost>) -> Self {
         match exchanged {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -89,106 +89,205 @@
     P: Promoter,
 {
     let metrics = Arc::new(Metrics::new()?);
-    let upstreams = Arc::new(Upstreams::<D>::new(place.node.clone(), place.zone.clone()));
     let callers = TcpListener::bind(place.callers).await?;
-    let store = Arc::new(platform.store);
-    let wake = Arc::new(Wake::default());
-    let (news, heard) = watch::channel(None);
-    let end = CancellationToken::new();
-    let tasks = TaskTracker::new();
-
-    let (reading, is_reading) = watch::channel(true);
-    let known = upstreams.clone();
-    let apply = move |catalog| known.apply_catalog(catalog);
-    let declarations = platform.declarations;
-    tasks.spawn(follow(declarations, apply, is_reading.clone(), end.clone()));
-    let known = upstreams.clone();
-    let apply = move |edition| known.apply_registry(edition);
-    tasks.spawn(follow(platform.listings, apply, is_reading, end.clone()));
-    let poll = Poll {
-        node: place.node.clone(),
-        zone: place.zone.clone(),
-        store: store.clone(),
-        upstreams: upstreams.clone(),
-        news,
-        reading,
-        wake: wake.clone(),
-    };
     let peers = TcpListener::bind(place.peers).await?;
-    let doubts = Arc::new(Doubts::default());
-    let lender = Lender {
-        upstreams: upstreams.clone(),
-        stop: stop.clone(),
-        doubts: doubts.clone(),
-        lent: TaskTracker::new(),
-    };
-    let lent = lender.lent.clone();
-    tasks.spawn(peer::serve(peers, lender, heard.clone(), end.clone()));
-    tasks.spawn(poll.run(end.clone()));
-    let neighbour = Neighbour {
-        node: place.node.clone(),
-        store: store.clone(),
-        upstreams: upstreams.clone(),
-    };
-    tasks.spawn(neighbour.run(heard.clone(), end.clone()));
-    let presence = Presence {
-        node: place.node.clone(),
-        zone: place.zone.clone(),
-        address: place.peers,
-        store: store.clone(),
-        wake: wake.clone(),
+    let (news, heard) = watch::channel(None);
+    let node = Node {
+        upstreams: Arc::new(Upstreams::<D>::new(place.node.clone(), place.zone.clone())),
+        place,
+        store: Arc::new(platform.store),
+        wake: Arc::default(),
+        doubts: Arc::default(),
+        heard,
+        stop,
+        end: CancellationToken::new(),
+        tasks: TaskTracker::new(),
     };
-    tasks.spawn(presence.run(heard.clone(), end.clone()));
-    tasks.spawn(doubt::run(
-        place.node.clone(),
-        upstreams.clone(),
-        doubts.clone(),
-        heard.clone(),
-        end.clone(),
-    ));
-    let handover = Handover::new(
-        place.node.clone(),
-        upstreams.clone(),
-        store.clone(),
-        platform.promoter,
-        wake,
-        doubts,
-    );
-    tasks.spawn(handover.run(heard.clone(), end.clone()));
-    tasks.spawn(keep_up(upstreams.clone(), end.clone()));
+    node.follow_store(platform.declarations, platform.listings, news);
+    let lent = node.serve_peers(peers);
+    node.keep_known();
+    node.hand_over(platform.promoter);
+    let upstreams = node.upstreams.clone();
+    node.tasks.spawn(keep_up(upstreams, node.end.clone()));
     let (release, released) = watch::channel(false);
     let release = Arc::new(release);
-    let readiness = Readiness {
-        upstreams: upstreams.clone(),
-        heard: heard.clone(),
-        stop: stop.clone(),
-    };
-    tasks.spawn(let_go(readiness.clone(), release.clone(), end.clone()));
-    serve_ready(&place, readiness).await?;
-    serve_metrics(&place, metrics.clone()).await?;
+    let readiness = node.readiness();
+    let letting_go = let_go(readiness.clone(), release.clone(), node.end.clone());
+    node.tasks.spawn(letting_go);
+    serve_ready(&node.place, readiness).await?;
+    serve_metrics(&node.place, metrics.clone()).await?;
 
     tracing::info!(
         event = "node_started",
-        node = &*place.node,
-        zone = &*place.zone,
+        node = &*node.place.node,
+        zone = &*node.place.zone,
         "the node is up"
     );
-    let runner = Runner::new(upstreams, metrics);
+    let runner = Runner::new(node.upstreams.clone(), metrics);
     let sessions = TaskTracker::new();
     let accepting = accept(callers, &sessions, runner, released);
     tokio::select! {
         () = accepting => {}
-        () = drain(&place, store.as_ref(), stop, heard.clone(), &release, [&sessions, &lent]) => {}
+        () = node.drain(&release, [&sessions, &lent]) => {}
     }
-    end.cancel();
+    node.end.cancel();
     tracing::info!(
         event = "node_stopped",
-        node = &*place.node,
+        node = &*node.place.node,
         "the node is down"
     );
     Ok(())
 }
 
+/// What the tasks of a node share.
+struct Node<D, S> {
+    place: Place,
+    upstreams: Arc<Upstreams<D>>,
+    store: Arc<S>,
+    wake: Arc<Wake>,
+    doubts: Arc<Doubts>,
+    heard: watch::Receiver<Option<Snapshot>>,
+    /// Cancelled when the node is asked to stop.
+    stop: CancellationToken,
+    /// Cancelled when the last session has ended.
+    end: CancellationToken,
+    tasks: TaskTracker,
+}
+
+impl<D: Dialect, S: Store> Node<D, S> {
+    /// Follows configurations, servers, and the rows of the project.
+    fn follow_store<C, L>(
+        &self,
+        declarations: C,
+        listings: L,
+        news: watch::Sender<Option<Snapshot>>,
+    ) where
+        C: Source<Told = Catalog>,
+        L: Source<Told = Edition>,
+    {
+        let (reading, is_reading) = watch::channel(true);
+        let known = self.upstreams.clone();
+        let apply = move |catalog| known.apply_catalog(catalog);
+        let following = follow(declarations, apply, is_reading.clone(), self.end.clone());
+        self.tasks.spawn(following);
+        let known = self.upstreams.clone();
+        let apply = move |edition| known.apply_registry(edition);
+        let following = follow(listings, apply, is_reading, self.end.clone());
+        self.tasks.spawn(following);
+        let poll = Poll {
+            node: self.place.node.clone(),
+            zone: self.place.zone.clone(),
+            store: self.store.clone(),
+            upstreams: self.upstreams.clone(),
+            news,
+            reading,
+            wake: self.wake.clone(),
+        };
+        self.tasks.spawn(poll.run(self.end.clone()));
+    }
+
+    /// Answers other nodes, and returns the seats that are lent to them.
+    fn serve_peers(&self, listener: TcpListener) -> TaskTracker {
+        let lent = TaskTracker::new();
+        let lender = Lender {
+            upstreams: self.upstreams.clone(),
+            stop: self.stop.clone(),
+            doubts: self.doubts.clone(),
+            lent: lent.clone(),
+        };
+        let serving = peer::serve(listener, lender, self.heard.clone(), self.end.clone());
+        self.tasks.spawn(serving);
+        lent
+    }
+
+    /// Keeps the list of nodes up to date: this one, and the next by name.
+    fn keep_known(&self) {
+        let presence = Presence {
+            node: self.place.node.clone(),
+            zone: self.place.zone.clone(),
+            address: self.place.peers,
+            store: self.store.clone(),
+            wake: self.wake.clone(),
+        };
+        let telling = presence.run(self.heard.clone(), self.end.clone());
+        self.tasks.spawn(telling);
+        let neighbour = Neighbour {
+            node: self.place.node.clone(),
+            store: self.store.clone(),
+            upstreams: self.upstreams.clone(),
+        };
+        let watching = neighbour.run(self.heard.clone(), self.end.clone());
+        self.tasks.spawn(watching);
+    }
+
+    /// Watches the primaries, and replaces those that are lost or leave.
+    fn hand_over<P: Promoter>(&self, promoter: P) {
+        let watching = doubt::run(
+            self.place.node.clone(),
+            self.upstreams.clone(),
+            self.doubts.clone(),
+            self.heard.clone(),
+            self.end.clone(),
+        );
+        self.tasks.spawn(watching);
+        let handover = Handover::new(
+            self.place.node.clone(),
+            self.upstreams.clone(),
+            self.store.clone(),
+            promoter,
+            self.wake.clone(),
+            self.doubts.clone(),
+        );
+        let holding = handover.run(self.heard.clone(), self.end.clone());
+        self.tasks.spawn(holding);
+    }
+
+    fn readiness(&self) -> Readiness<D> {
+        Readiness {
+            upstreams: self.upstreams.clone(),
+            heard: self.heard.clone(),
+            stop: self.stop.clone(),
+        }
+    }
+
+    /// Waits for the request to stop, and lets what runs come to its end.
+    async fn drain(&self, release: &watch::Sender<bool>, [sessions, lent]: [&TaskTracker; 2]) {
+        let (place, store) = (&self.place, self.store.as_ref());
+        self.stop.cancelled().await;
+        let begun = Instant::now();
+        tracing::info!(
+            event = "node_leaving",
+            sessions = sessions.len(),
+            "the node is asked to stop"
+        );
+        let records = self.heard.borrow().as_ref().map(|one| one.records.clone());
+        if let Some(records) = records {
+            presence::lay_down(&place.node, store, &records).await;
+        }
+        tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
+        release.send_replace(true);
+        sessions.close();
+        lent.close();
+        let rest = place
+            .grace
+            .mul_f64(GRACE_SHARE)
+            .saturating_sub(begun.elapsed());
+        let ending = async {
+            sessions.wait().await;
+            lent.wait().await;
+        };
+        if tokio::time::timeout(rest, ending).await.is_err() {
+            tracing::warn!(
+                event = "sessions_cut",
+                sessions = sessions.len(),
+                lent = lent.len(),
+                "sessions outlast the grace"
+            );
+        }
+        presence::leave(&place.node, store).await;
+    }
+}
+
 /// Takes callers in.
 async fn accept<D: Dialect>(
     listener: TcpListener,
@@ -219,49 +318,6 @@
     }
 }
 
-/// Waits for the request to stop, and lets what runs come to its end.
-async fn drain<S: Store>(
-    place: &Place,
-    store: &S,
-    stop: CancellationToken,
-    heard: watch::Receiver<Option<Snapshot>>,
-    release: &watch::Sender<bool>,
-    [sessions, lent]: [&TaskTracker; 2],
-) {
-    stop.cancelled().await;
-    let begun = Instant::now();
-    tracing::info!(
-        event = "node_leaving",
-        sessions = sessions.len(),
-        "the node is asked to stop"
-    );
-    let records = heard.borrow().as_ref().map(|one| one.records.clone());
-    if let Some(records) = records {
-        presence::lay_down(&place.node, store, &records).await;
-    }
-    tokio::time::sleep(UNLISTING.saturating_sub(begun.elapsed())).await;
-    release.send_replace(true);
-    sessions.close();
-    lent.close();
-    let rest = place
-        .grace
-        .mul_f64(GRACE_SHARE)
-        .saturating_sub(begun.elapsed());
-    let ending = async {
-        sessions.wait().await;
-        lent.wait().await;
-    };
-    if tokio::time::timeout(rest, ending).await.is_err() {
-        tracing::warn!(
-            event = "sessions_cut",
-            sessions = sessions.len(),
-            lent = lent.len(),
-            "sessions outlast the grace"
-        );
-    }
-    presence::leave(&place.node, store).await;
-}
-
 /// Takes over what a source tells, while this node asks the store itself.
 async fn follow<T: Source>(
     mut source: T,
--- /dev/null
+++ b/crates/agateport-relay/src/report.rs
@@ -0,0 +1,43 @@
+//! What is written down and counted of each statement.
+
+use crate::dialect::Dialect;
+use crate::message::{Answer, Outcome, Request};
+use crate::statement::Runner;
+use agateport_domain::prelude::*;
+
+impl<D: Dialect> Runner<D> {
+    /// Writes down and counts how a statement ended.
+    pub fn report(
+        &self,
+        database: &DatabaseId,
+        request: &Request,
+        answer: &Answer,
+        started: Instant,
+    ) {
+        let took = started.elapsed();
+        let Some(code) = answer.code() else {
+            self.metrics().count("answer", "done");
+            self.metrics().record(took);
+            return;
+        };
+        self.metrics().count("answer", code.name());
+        let Outcome::Error { text, .. } = &answer.outcome else {
+            return;
+        };
+        let Some(omitted) = self.metrics().line("statement_failed") else {
+            return;
+        };
+        tracing::info!(
+            event = "statement_failed",
+            request = &*String::from_utf8_lossy(&request.id),
+            database = &**database,
+            code = code.name(),
+            reason = &*String::from_utf8_lossy(text),
+            took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
+            tries = ?answer.tries,
+            configuration = self.upstreams().catalog().version,
+            omitted,
+            "a statement failed"
+        );
+    }
+}
--- a/crates/agateport-relay/src/seat.rs
+++ b/crates/agateport-relay/src/seat.rs
@@ -4,10 +4,12 @@
 use crate::clock::uptime;
 use crate::dialect::Dialect;
 use crate::exchange::Lost;
-use crate::lane::{Lane, Lanes, Sight};
+use crate::lane::{Lane, Lanes};
 use crate::link::{self, Link, Setup};
 use crate::message::{Answer, Code, Order, State, Status};
-use crate::server::{Server, Slot, Standing, Visit};
+use crate::server::{Server, Standing};
+use crate::sight::Sight;
+use crate::slot::{Slot, Visit};
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 use bytes::Bytes;
@@ -198,7 +200,7 @@
     owner: SocketAddr,
     claim: &Claim,
 ) -> Result<Seat<D>, Denial> {
-    let visit = server.visit();
+    let visit = Visit::new(server.clone());
     let (lane, load) = lanes.claim(owner, claim).await?;
     server.note_load(load);
     Ok(Seat::Lent { lane, visit })
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -2,11 +2,11 @@
 //! of it.
 
 use crate::clock::uptime;
-use crate::dialect::{self, Dialect};
-use crate::lane::Sight;
+use crate::dialect::Dialect;
 use crate::link::{self, Link};
-use crate::message::{Order, Status};
 use crate::registry::Listing;
+use crate::sight::Sight;
+use crate::slot::Slot;
 use agateport_domain::admission::{Decision, Offer, Queue, Share, Ticket};
 use agateport_domain::bundle::Priority;
 use agateport_domain::group::Loss;
@@ -15,16 +15,11 @@
 use bytes::Bytes;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
-use thiserror::Error;
 use tokio::sync::oneshot;
-use tokio::time::timeout;
 
 /// Requests of a priority that may wait for one server at one node.
 const WAITING: usize = 64;
 
-/// Time that a server gets to say what it is: a round trip, and its queue.
-const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
-
 /// Time after which an unused connection is closed, so that other nodes can
 /// have it.
 const IDLE_LIMIT: Duration = Duration::from_millis(600);
@@ -43,34 +38,6 @@
 /// Age up to which a server's last known place still tells how far its log is.
 const PLACE_AGE: Duration = Duration::from_millis(150);
 
-/// A server that doesn't say what it is.
-#[derive(Debug, Error)]
-pub enum Error {
-    /// The connection can't be used.
-    #[error("the server can't be asked")]
-    Link(#[from] link::Error),
-    /// It didn't answer in time.
-    #[error("the server didn't answer in time")]
-    Silent,
-    /// It answered something else.
-    #[error("the server gave no status")]
-    NoStatus,
-    /// Its status can't be read.
-    #[error("the server's status can't be read")]
-    Garbled(#[from] dialect::Error),
-}
-
-impl Error {
-    /// Tells whether the server was reached all the same.
-    #[must_use]
-    pub fn is_answer(&self) -> bool {
-        match self {
-            Self::Link(link::Error::Refused(_)) | Self::NoStatus | Self::Garbled(_) => true,
-            Self::Link(_) | Self::Silent => false,
-        }
-    }
-}
-
 /// How a node gets at a server.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub enum Standing {
@@ -179,10 +146,7 @@
         latest: Instant,
     ) -> Result<Slot<D>, Refusal> {
         let (request, offer, receiver) = self.offer(priority, caller, due)?;
-        let slot = Slot {
-            server: self.clone(),
-            request,
-        };
+        let slot = Slot::new(self.clone(), request);
         let Offer::Queued { latest_start, .. } = offer else {
             return Ok(slot);
         };
@@ -302,65 +266,6 @@
             .retain(|link| now < link.idle_since + idle_limit && link.is_open());
     }
 
-    /// Asks the server what it is.
-    ///
-    /// # Errors
-    ///
-    /// [`enum@Error`] if it doesn't say.
-    pub async fn status(&self, order: Order) -> Result<Status, Error> {
-        let begun = uptime();
-        let asked = timeout(STATUS_TIMEOUT, self.ask_status(order)).await;
-        let status = asked.unwrap_or(Err(Error::Silent));
-        match &status {
-            Ok(status) => self.heard(begun, Some(status.last)),
-            Err(Error::Silent) => self.lock().loss.fail(begun),
-            Err(error) if error.is_answer() => self.heard(begun, None),
-            Err(_) => {}
-        }
-        status
-    }
-
-    /// Asks the server what it is, or shares the answer to a question that was
-    /// sent after this one came up.
-    pub async fn sight(&self) -> Sight {
-        let wanted = uptime();
-        if self.is_lost() {
-            // It is asked all the time; who wants to know needn't wait for that.
-            return Sight::Unreached;
-        }
-        let mut shared = self.shared.lock().await;
-        if let Some((asked, sight)) = *shared {
-            let is_silent = sight == Sight::Unreached && wanted < asked + STATUS_TIMEOUT;
-            if asked >= wanted || is_silent {
-                return sight;
-            }
-        }
-        let asked = uptime();
-        let sight = match self.status(Order::Status).await {
-            Ok(status) => Sight::Status(status),
-            Err(error) => {
-                let name = &*self.listing().server;
-                tracing::debug!(server = name, %error, "a server gave no status");
-                if error.is_answer() {
-                    Sight::Reached
-                } else {
-                    Sight::Unreached
-                }
-            }
-        };
-        *shared = Some((asked, sight));
-        sight
-    }
-
-    async fn ask_status(&self, order: Order) -> Result<Status, Error> {
-        let mut link = self.link(&BTreeMap::new()).await?;
-        let answers = link.exchange(&[order]).await?;
-        let row = answers.first().and_then(|answer| answer.rows.first());
-        let status = D::status(row.ok_or(Error::NoStatus)?)?;
-        self.give_back(link);
-        Ok(status)
-    }
-
     /// Takes in an answer to what was sent at `asked`.
     pub fn heard(&self, asked: Uptime, place: Option<Watermark>) {
         let mut inner = self.lock();
@@ -414,13 +319,9 @@
         self.lock().told_load = Some((uptime(), load));
     }
 
-    /// Counts a request at a seat that the owner lends.
-    #[must_use]
-    pub fn visit(self: &Arc<Self>) -> Visit<D> {
+    /// Takes in that a request at a lent seat begins.
+    pub(crate) fn begin_visit(&self) {
         self.lock().visits += 1;
-        Visit {
-            server: self.clone(),
-        }
     }
 
     /// Returns how this node gets at the server.
@@ -453,57 +354,39 @@
         Self::pump(&mut inner);
     }
 
-    fn lock(&self) -> MutexGuard<'_, Inner<D>> {
-        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
+    /// Returns the last answer to what the server is, and when it was asked; whoever
+    /// asks holds the lock meanwhile, so that others share the answer.
+    pub(crate) fn shared(&self) -> &tokio::sync::Mutex<Option<(Uptime, Sight)>> {
+        &self.shared
     }
-}
 
-/// The right to use a server's slot; dropping it gives the slot back.
-#[derive(Debug)]
-pub struct Slot<D: Dialect> {
-    server: Arc<Server<D>>,
-    request: RequestId,
-}
-
-impl<D: Dialect> Slot<D> {
-    /// Gives the slot back between two statements of a transaction.
-    pub fn pause(&self) {
-        let mut inner = self.server.lock();
-        inner.queue.pause(self.request, Instant::now());
-        Server::pump(&mut inner);
+    /// Gives the slot of an open transaction back until its next statement.
+    pub(crate) fn pause(&self, request: RequestId) {
+        let mut inner = self.lock();
+        inner.queue.pause(request, Instant::now());
+        Self::pump(&mut inner);
     }
 
-    /// Takes the slot again for the transaction's next statement.
-    pub fn resume(&self) {
-        let mut inner = self.server.lock();
-        inner.queue.resume(self.request, Instant::now());
+    /// Takes a slot for the next statement of an open transaction.
+    pub(crate) fn resume(&self, request: RequestId) {
+        self.lock().queue.resume(request, Instant::now());
     }
 
-    /// Returns the server of the slot.
-    #[must_use]
-    pub fn server(&self) -> &Arc<Server<D>> {
-        &self.server
+    /// Takes a request's slot back, or takes it out of the queue.
+    pub(crate) fn finish(&self, request: RequestId) {
+        let mut inner = self.lock();
+        inner.waiting.remove(&request);
+        inner.queue.finish(request, Instant::now());
+        Self::pump(&mut inner);
     }
-}
 
-impl<D: Dialect> Drop for Slot<D> {
-    fn drop(&mut self) {
-        let mut inner = self.server.lock();
-        inner.waiting.remove(&self.request);
-        inner.queue.finish(self.request, Instant::now());
-        Server::pump(&mut inner);
+    /// Takes in that a request at a lent seat has ended.
+    pub(crate) fn end_visit(&self) {
+        let mut inner = self.lock();
+        inner.visits = inner.visits.saturating_sub(1);
     }
-}
 
-/// A request at a seat that a server's owner lends.
-#[derive(Debug)]
-pub struct Visit<D: Dialect> {
-    server: Arc<Server<D>>,
-}
-
-impl<D: Dialect> Drop for Visit<D> {
-    fn drop(&mut self) {
-        let mut inner = self.server.lock();
-        inner.visits = inner.visits.saturating_sub(1);
+    fn lock(&self) -> MutexGuard<'_, Inner<D>> {
+        self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
 }
--- /dev/null
+++ b/crates/agateport-relay/src/sight.rs
@@ -0,0 +1,127 @@
+//! Asks a server what it is, and what its silence or refusal means.
+
+use crate::clock::uptime;
+use crate::dialect::{self, Dialect};
+use crate::link;
+use crate::message::{Order, Status};
+use crate::server::Server;
+use agateport_domain::prelude::*;
+use serde::{Deserialize, Serialize};
+use thiserror::Error;
+use tokio::time::timeout;
+
+/// Time that a server gets to say what it is: a round trip, and its queue.
+const STATUS_TIMEOUT: Duration = Duration::from_millis(300);
+
+/// What a node finds out about a server when it asks it.
+#[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub enum Sight {
+    /// The server says this of itself.
+    Status(Status),
+    /// The server answers, but not that.
+    Reached,
+    /// The server doesn't answer.
+    Unreached,
+    /// The node wasn't asked, or didn't tell.
+    Untold,
+}
+
+impl Sight {
+    /// Returns what the server says of itself, if it said it.
+    #[must_use]
+    pub fn status(self) -> Option<Status> {
+        match self {
+            Self::Status(status) => Some(status),
+            Self::Reached | Self::Unreached | Self::Untold => None,
+        }
+    }
+}
+
+/// A server that doesn't say what it is.
+#[derive(Debug, Error)]
+pub enum Error {
+    /// The connection can't be used.
+    #[error("the server can't be asked")]
+    Link(#[from] link::Error),
+    /// It didn't answer in time.
+    #[error("the server didn't answer in time")]
+    Silent,
+    /// It answered something else.
+    #[error("the server gave no status")]
+    NoStatus,
+    /// Its status can't be read.
+    #[error("the server's status can't be read")]
+    Garbled(#[from] dialect::Error),
+}
+
+impl Error {
+    /// Tells whether the server was reached all the same.
+    #[must_use]
+    pub fn is_answer(&self) -> bool {
+        match self {
+            Self::Link(link::Error::Refused(_)) | Self::NoStatus | Self::Garbled(_) => true,
+            Self::Link(_) | Self::Silent => false,
+        }
+    }
+}
+
+impl<D: Dialect> Server<D> {
+    /// Asks the server what it is.
+    ///
+    /// # Errors
+    ///
+    /// [`enum@Error`] if it doesn't say.
+    pub async fn status(&self, order: Order) -> Result<Status, Error> {
+        let begun = uptime();
+        let asked = timeout(STATUS_TIMEOUT, self.ask_status(order)).await;
+        let status = asked.unwrap_or(Err(Error::Silent));
+        match &status {
+            Ok(status) => self.heard(begun, Some(status.last)),
+            Err(Error::Silent) => self.missed(begun),
+            Err(error) if error.is_answer() => self.heard(begun, None),
+            Err(_) => {}
+        }
+        status
+    }
+
+    /// Asks the server what it is, or shares the answer to a question that was
+    /// sent after this one came up.
+    pub async fn sight(&self) -> Sight {
+        let wanted = uptime();
+        if self.is_lost() {
+            // It is asked all the time; who wants to know needn't wait for that.
+            return Sight::Unreached;
+        }
+        let mut shared = self.shared().lock().await;
+        if let Some((asked, sight)) = *shared {
+            let is_silent = sight == Sight::Unreached && wanted < asked + STATUS_TIMEOUT;
+            if asked >= wanted || is_silent {
+                return sight;
+            }
+        }
+        let asked = uptime();
+        let sight = match self.status(Order::Status).await {
+            Ok(status) => Sight::Status(status),
+            Err(error) => {
+                let name = &*self.listing().server;
+                tracing::debug!(server = name, %error, "a server gave no status");
+                if error.is_answer() {
+                    Sight::Reached
+                } else {
+                    Sight::Unreached
+                }
+            }
+        };
+        *shared = Some((asked, sight));
+        sight
+    }
+
+    async fn ask_status(&self, order: Order) -> Result<Status, Error> {
+        let mut link = self.link(&BTreeMap::new()).await?;
+        let answers = link.exchange(&[order]).await?;
+        let row = answers.first().and_then(|answer| answer.rows.first());
+        let status = D::status(row.ok_or(Error::NoStatus)?)?;
+        self.give_back(link);
+        Ok(status)
+    }
+}
