--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -67,3 +67,16 @@
     let too_young = group.floor(asked + Duration::from_millis(1), None);
     insta::assert_debug_snapshot!((unproven, proven, own, too_young));
 }
+
+/// After a wait in vain the next statement is refused at once: its deadline is an
+/// hour away, so the test would not end if it waited.
+#[tokio::test]
+async fn nothing_waits_for_a_proof_that_has_just_not_come() {
+    let group = Group::new("ledger".into());
+    let server: ServerId = "one".into();
+    let moment = uptime();
+    let soon = Instant::now() + Duration::from_millis(10);
+    assert!(!group.prove_unsent(&server, moment, soon).await);
+    let late = Instant::now() + Duration::from_hours(1);
+    assert!(!group.prove_unsent(&server, moment, late).await);
+}
