group: a replaced primary that still says that it leads is no candidate

Change: who says that it leads though another is recorded is no candidate. Test: two rows of the handover's table; before, they gave Record(b).

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -143,6 +143,9 @@
 }
 
 /// Chooses the candidate with the furthest log among those that stay.
+///
+/// One that says that it leads though another is recorded was replaced before: it
+/// takes writes of its own term, and would be used without being promoted.
 fn replace(situation: &Situation<'_>, former: &ServerId) -> Step {
     furthest(situation, Some(former))
 }
@@ -151,7 +154,8 @@
     let staying = situation
         .candidates
         .iter()
-        .filter(|one| Some(&one.server) != former && !one.is_leaving && one.last.is_some());
+        .filter(|one| Some(&one.server) != former && !one.is_leaving && !one.is_primary)
+        .filter(|one| one.last.is_some());
     let best = staying.max_by_key(|one| one.last);
     best.map_or(Step::Rest, |one| Step::Record(one.server.clone()))
 }
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -73,6 +73,8 @@
         row(settled(), "a:p5 b:4 c:5", "x", 0),
         row(settled(), "a:pl5 b:4 c:l5", "", 0),
         row(settled(), "a:p5 b c", "x", 0),
+        row(settled(), "a:p5 b:p9 c:4", "x", 0),
+        row(settled(), "a:p5 b:p9", "x", 0),
         row(settled(), "b:4 c:5", "", 0),
         row(settled(), "a:5 b:4 c:5", "", 0),
         row(under_way(), "a:p5 b:5 c:4", "", 100),
