relay: one piece of code for each lock's reading and writing, nothing kept unread

No change of behaviour: the handling of the locks of catalog, registry and members stood three times; a doubt's moment and an exchange's group at a lender were never used; the steps of patience go by the order of succession.

--- a/crates/agateport-relay/src/control/doubt.rs
+++ b/crates/agateport-relay/src/control/doubt.rs
@@ -39,7 +39,7 @@
 
 #[derive(Debug, Default)]
 struct Inner {
-    raised: BTreeMap<ServerId, Uptime>,
+    raised: BTreeSet<ServerId>,
     /// What the panel found, and when it was asked.
     findings: BTreeMap<ServerId, (Uptime, bool)>,
 }
@@ -55,7 +55,7 @@
 impl Doubts {
     /// Takes in that a node takes a server for lost.
     pub fn raise(&self, server: &ServerId) {
-        self.lock().raised.insert(server.clone(), uptime());
+        self.lock().raised.insert(server.clone());
         self.raised.notify_one();
     }
 
@@ -80,7 +80,7 @@
             let finding = inner.findings.get(server);
             finding.is_none_or(|(asked, _)| now >= *asked + PANEL_SPACING)
         };
-        raised.into_keys().filter(is_due).collect()
+        raised.into_iter().filter(is_due).collect()
     }
 
     /// Asks the panels of the servers that are in doubt.
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -20,7 +20,7 @@
 /// The same when nobody holds the duty, or its holder has left or is silent.
 const VACANT_PATIENCE: Duration = Duration::from_millis(300);
 
-/// Further time for each node that comes earlier in the order of names.
+/// Further time for each node that comes earlier in the order of succession.
 const PATIENCE_STEP: Duration = Duration::from_millis(100);
 
 impl<D: Dialect, S: Store, P: Promoter> Handover<D, S, P> {
--- a/crates/agateport-relay/src/exchange.rs
+++ b/crates/agateport-relay/src/exchange.rs
@@ -2,7 +2,6 @@
 
 use crate::clock::uptime;
 use crate::dialect::Dialect;
-use crate::group::Group;
 use crate::link::Setup;
 use crate::message::{Answer, Order};
 use crate::seat::Seat;
@@ -45,8 +44,6 @@
 /// One order to a server at a seat there.
 #[derive(Debug)]
 pub struct Exchange<'a, D: Dialect> {
-    /// Group of the server.
-    pub group: &'a Group,
     /// The server.
     pub server: &'a Server<D>,
     /// The right to run it.
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -124,7 +124,6 @@
         let Some(server) = self.upstreams.server(&claim.server) else {
             return send(wire, &Reply::Denied(Denial::Missed(Gap::NotOwner))).await;
         };
-        let group = self.upstreams.group(&server.listing().group);
         let load = server.load();
         send(wire, &Reply::Granted { load }).await?;
         while let Some(frame) = wire.next().await {
@@ -143,7 +142,6 @@
             };
             let deadline = Instant::now() + limit;
             let exchange = Exchange {
-                group: &group,
                 server: &server,
                 seat: &mut seat,
                 deadline,
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -48,12 +48,13 @@
     /// writes down an answer that didn't come.
     pub(crate) async fn exchange(
         &self,
+        group: &Group,
         exchange: Exchange<'_, D>,
         work: &Work<'_>,
         setup: &Setup<'_>,
         order: Order,
     ) -> Result<Answer, Lost> {
-        let Exchange { group, server, .. } = exchange;
+        let server = exchange.server;
         let asked = uptime();
         let exchanged = exchange.run(setup, order).await;
         match &exchanged {
@@ -118,12 +119,11 @@
         };
         let setup = Setup::new(work.context, Some(request));
         let exchange = Exchange {
-            group,
             server,
             seat: &mut seat,
             deadline: work.deadline(),
         };
-        let answer = match self.exchange(exchange, work, &setup, order).await {
+        let answer = match self.exchange(group, exchange, work, &setup, order).await {
             Ok(answer) => answer,
             Err(Lost::Slow) => return Try::Over(slow()),
             Err(Lost::Broken | Lost::Lane) if access == Access::Write => {
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -26,7 +26,6 @@
 impl<D: Dialect> Pinned<D> {
     fn exchange(&mut self, limit: Duration) -> Exchange<'_, D> {
         Exchange {
-            group: &self.group,
             server: &self.server,
             seat: &mut self.seat,
             deadline: Instant::now() + limit,
@@ -77,12 +76,11 @@
         };
         let setup = Setup::new(work.context, None);
         let exchange = Exchange {
-            group,
             server,
             seat: &mut seat,
             deadline: work.deadline(),
         };
-        let Ok(answer) = self.exchange(exchange, work, &setup, order).await else {
+        let Ok(answer) = self.exchange(group, exchange, work, &setup, order).await else {
             return Try::Missed(Miss::Again("the connection broke"));
         };
         if answer.state == State::Open {
@@ -113,8 +111,9 @@
             return (Some(pinned), unprepared(State::Open));
         };
         let setup = Setup::new(work.context, Some(request));
+        let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
-        let answer = match self.exchange(exchange, work, &setup, order).await {
+        let answer = match self.exchange(&group, exchange, work, &setup, order).await {
             Ok(answer) => answer,
             Err(Lost::Slow) => return (None, aborted("the server took too long")),
             Err(_) => return (None, aborted("the connection broke")),
@@ -136,9 +135,13 @@
             floor: None,
             text: request.text.clone(),
         };
+        let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
         let deadline = exchange.deadline;
-        let answer = match self.exchange(exchange, work, &Setup::any(), order).await {
+        let answer = match self
+            .exchange(&group, exchange, work, &Setup::any(), order)
+            .await
+        {
             Ok(answer) => answer,
             Err(Lost::Slow) => return slow(),
             Err(Lost::Unsent) => return aborted("the connection broke"),
@@ -147,8 +150,8 @@
         let Pinned {
             seat,
             server,
-            group,
             has_written,
+            ..
         } = pinned;
         seat.release(answer.state);
         let is_done = matches!(answer.outcome, Outcome::Done(_));
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -13,8 +13,8 @@
 use agateport_domain::owner::{Room, Roster};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::sync::RwLock;
 use std::sync::atomic::{AtomicU64, Ordering};
+use std::sync::{PoisonError, RwLock, RwLockWriteGuard};
 use tokio::sync::watch;
 
 /// Connections of a server that no node counts on: for the questions what the
@@ -75,10 +75,7 @@
     /// Returns the configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Arc<Catalog> {
-        let catalog = self.catalog.read();
-        catalog
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .clone()
+        read(&self.catalog)
     }
 
     /// Waits for the first configuration, for at most `patience`.
@@ -92,10 +89,7 @@
     /// Returns the registered servers.
     #[must_use]
     pub fn registry(&self) -> Arc<Registry> {
-        let registry = self.registry.read();
-        registry
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .clone()
+        read(&self.registry)
     }
 
     /// Returns how a database's statements are served.
@@ -175,10 +169,7 @@
 
     /// Takes over a configuration, if it is newer than the one in force.
     pub fn apply_catalog(&self, catalog: Catalog) {
-        let mut current = self
-            .catalog
-            .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut current = write(&self.catalog);
         if catalog.version <= current.version {
             return;
         }
@@ -216,10 +207,7 @@
             );
             self.servers.remove(name);
         }
-        let mut current = self
-            .registry
-            .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut current = write(&self.registry);
         let mut hasher = DefaultHasher::new();
         registry.hash(&mut hasher);
         self.fingerprint.store(hasher.finish(), Ordering::Relaxed);
@@ -293,10 +281,7 @@
 
     /// Takes in which nodes use the servers.
     pub fn apply_members(&self, members: &Members) {
-        let mut current = self
-            .members
-            .write()
-            .unwrap_or_else(std::sync::PoisonError::into_inner);
+        let mut current = write(&self.members);
         if **current == *members {
             return;
         }
@@ -318,10 +303,7 @@
     }
 
     fn members(&self) -> Arc<Members> {
-        let members = self.members.read();
-        members
-            .unwrap_or_else(std::sync::PoisonError::into_inner)
-            .clone()
+        read(&self.members)
     }
 
     fn share_servers(&self) {
@@ -377,3 +359,13 @@
         }
     }
 }
+
+/// Returns what is known now.
+fn read<T>(known: &RwLock<Arc<T>>) -> Arc<T> {
+    let known = known.read().unwrap_or_else(PoisonError::into_inner);
+    Arc::clone(&known)
+}
+
+fn write<T>(known: &RwLock<Arc<T>>) -> RwLockWriteGuard<'_, Arc<T>> {
+    known.write().unwrap_or_else(PoisonError::into_inner)
+}
