relay: tell how old a node's configuration is and where it came from

The configuration and the registry have an age each: the time since an answer of the store, or of a node that had one, last confirmed them. Updates between nodes carry it. It is in the metrics, and in the lines of refused sessions, failed statements and of a node that begins or ends reading the store itself; configuration_applied names where the configuration came from. No decision depends on it yet.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -120,7 +120,7 @@
             self.connection.flush().await?;
             return Ok(true);
         }
-        self.runner.metrics().count("session", "no_database");
+        self.runner.report_unknown(&self.database);
         let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
         W::encode_outcome(&outcome, &mut self.connection.output);
         self.connection.flush().await?;
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -86,6 +86,10 @@
     /// Age of the store's last answer, counted from when it was requested; none if
     /// it never answered.
     pub age: Option<Duration>,
+    /// Age of the configuration; none if the node has none.
+    pub catalog_age: Option<Duration>,
+    /// Age of the registry; none if the node has none.
+    pub registry_age: Option<Duration>,
     /// The project's rows in the store.
     pub records: Option<Records>,
     /// The configuration.
@@ -169,7 +173,9 @@
     let is_newer = catalog.version > query.catalog_version;
     let is_changed = upstreams.fingerprint() != query.registry_fingerprint;
     Update {
-        age: snapshot.map(|snapshot| uptime().saturating_sub(snapshot.sent_at)),
+        age: snapshot.map(Snapshot::age),
+        catalog_age: upstreams.currencies().catalog.age(),
+        registry_age: upstreams.currencies().registry.age(),
         records: records.map(|records| Records::clone(records)),
         catalog: is_newer.then(|| Catalog::clone(&catalog)),
         registry: is_changed.then(|| upstreams.registry_snapshot()),
@@ -195,8 +201,8 @@
 }
 
 impl Peers {
-    /// Queries another node, and returns its update with a lower bound of the time
-    /// at which the store was read.
+    /// Queries another node, and returns its update with the time of the query. What
+    /// the update says was true at that time less the age of the respective part.
     ///
     /// # Errors
     ///
@@ -206,7 +212,7 @@
         address: SocketAddr,
         upstreams: &Upstreams<W>,
         records_version: RowVersion,
-    ) -> Result<(Update, Option<Uptime>), Error> {
+    ) -> Result<(Update, Uptime), Error> {
         let query = Query {
             records_version,
             catalog_version: upstreams.catalog().version,
@@ -220,7 +226,6 @@
             .await
             .map_err(|_| Error::TimedOut)??;
         self.connections.insert(address, connection);
-        let read_at = update.age.map(|age| sent_at.saturating_sub(age));
         for (group, position) in &update.positions {
             // Like the time of the read, this one is never later than the real time at
             // which the primary was queried.
@@ -228,7 +233,7 @@
             let group = upstreams.group(group);
             group.record_progress(&position.server, sent_at, position.last);
         }
-        Ok((update, read_at))
+        Ok((update, sent_at))
     }
 }
 
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -7,6 +7,8 @@
 use super::peer::Peers;
 use super::trigger::Trigger;
 use crate::clock::uptime;
+use crate::currency::Origin;
+use crate::metrics::millis;
 use crate::permit;
 use crate::protocol::Protocol;
 use crate::record::{self, Records};
@@ -59,6 +61,14 @@
     pub sent_at: Uptime,
 }
 
+impl Snapshot {
+    /// Returns the time since the read was sent.
+    #[must_use]
+    pub fn age(&self) -> Duration {
+        uptime().saturating_sub(self.sent_at)
+    }
+}
+
 /// Polls the store.
 #[derive(Debug)]
 pub struct Poller<W, S> {
@@ -97,9 +107,7 @@
                     .await;
             if !is_own_change {
                 // Receivers are notified only if the value changes.
-                self.reading.send_if_modified(|is_reading| {
-                    std::mem::replace(is_reading, !is_updated) == is_updated
-                });
+                self.set_reading(!is_updated);
             }
             if is_updated {
                 pause = PEER_INTERVAL.saturating_sub(uptime().saturating_sub(started_at));
@@ -146,6 +154,24 @@
         }
     }
 
+    /// Publishes whether this node reads the store itself.
+    fn set_reading(&self, is_reading: bool) {
+        // Receivers are notified only if the value changes.
+        let is_changed = self
+            .reading
+            .send_if_modified(|known| std::mem::replace(known, is_reading) != is_reading);
+        if is_changed {
+            let currencies = self.upstreams.currencies();
+            tracing::info!(
+                event = "reader_changed",
+                is_reading,
+                configuration_age_ms = currencies.catalog.age().map(millis),
+                registry_age_ms = currencies.registry.age().map(millis),
+                "the node began or ended reading the store itself"
+            );
+        }
+    }
+
     fn records(&self) -> Arc<Records> {
         let snapshot = self.snapshots.borrow();
         snapshot
@@ -184,21 +210,30 @@
             let reply = peers
                 .query(*address, &self.upstreams, records.version)
                 .await;
-            let (update, read_at) = match reply {
+            let (update, asked_at) = match reply {
                 Ok(reply) => reply,
                 Err(error) => {
                     tracing::debug!(%address, %error, "another node returned no update");
                     continue;
                 }
             };
+            let origin = Origin::Node(*address);
+            let read_at = |age: Option<Duration>| age.map(|age| asked_at.saturating_sub(age));
+            let currencies = self.upstreams.currencies();
             if let Some(catalog) = update.catalog {
-                self.upstreams.apply_catalog(catalog);
+                self.upstreams.apply_catalog(catalog, origin);
             }
-            let fresh = read_at.filter(|read_at| uptime() < *read_at + MAX_UPDATE_AGE);
+            if let Some(read_at) = read_at(update.catalog_age) {
+                currencies.catalog.confirm(read_at, origin);
+            }
+            let fresh = read_at(update.age).filter(|read_at| uptime() < *read_at + MAX_UPDATE_AGE);
             let Some(sent_at) = fresh else { continue };
             if let Some(registry) = update.registry {
                 self.upstreams.apply_registry(registry);
             }
+            if let Some(read_at) = read_at(update.registry_age) {
+                currencies.registry.confirm(read_at, origin);
+            }
             let records = update.records.map_or(records, Arc::new);
             self.apply(Snapshot { records, sent_at });
             return true;
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod clock;
 pub mod connection;
 pub mod control;
+pub mod currency;
 pub mod error;
 pub mod exchange;
 pub mod group;
--- a/crates/agateport-relay/src/metrics.rs
+++ b/crates/agateport-relay/src/metrics.rs
@@ -76,9 +76,9 @@
         latencies.saturating_record(micros);
     }
 
-    /// Renders all metrics as text.
+    /// Renders all metrics and the given gauges as text.
     #[must_use]
-    pub fn render(&self) -> String {
+    pub fn render(&self, gauges: &BTreeMap<&'static str, u64>) -> String {
         let mut counts = BTreeMap::new();
         self.counts.for_each(|key, count| {
             counts.insert(*key, *count);
@@ -91,6 +91,9 @@
                 "agateport_{kind}_total{{reason=\"{reason}\"}} {count}"
             );
         }
+        for (name, value) in gauges {
+            let _ = writeln!(text, "agateport_{name} {value}");
+        }
         let latencies = self
             .latencies
             .lock()
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -13,13 +13,14 @@
 use crate::control::presence::{self, Presence};
 use crate::control::suspicion::{self, Suspicions};
 use crate::control::trigger::Trigger;
+use crate::currency::Origin;
 use crate::error::Error;
 use crate::lend::Lender;
-use crate::metrics::Metrics;
+use crate::metrics::{Metrics, millis};
 use crate::protocol::Protocol;
 use crate::readiness::{DRAIN_DELAY, Readiness, close_idle_sessions};
 use crate::registry;
-use crate::source::{Promoter, Source, Store};
+use crate::source::{Promoter, Reading, Source, Store};
 use crate::statement::Runner;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
@@ -119,7 +120,7 @@
     let closing_idle = close_idle_sessions(readiness.clone(), shutdown.clone(), node.end.clone());
     node.tasks.spawn(closing_idle);
     serve_ready(&node.config, readiness).await?;
-    serve_metrics(&node.config, metrics.clone()).await?;
+    serve_metrics(&node, metrics.clone()).await?;
 
     tracing::info!(
         event = "node_started",
@@ -171,11 +172,23 @@
     {
         let (reading, is_reading) = watch::channel(true);
         let upstreams = self.upstreams.clone();
-        let apply = move |catalog| upstreams.apply_catalog(catalog);
+        let apply = move |reading: Reading<Catalog>| {
+            if let Some(catalog) = reading.change {
+                upstreams.apply_catalog(catalog, Origin::Store);
+            }
+            let currency = &upstreams.currencies().catalog;
+            currency.confirm(reading.read_at, Origin::Store);
+        };
         let follower = follow(catalogs, apply, is_reading.clone(), self.end.clone());
         self.tasks.spawn(follower);
         let upstreams = self.upstreams.clone();
-        let apply = move |registry| upstreams.apply_registry(registry);
+        let apply = move |reading: Reading<registry::Snapshot>| {
+            if let Some(registry) = reading.change {
+                upstreams.apply_registry(registry);
+            }
+            let currency = &upstreams.currencies().registry;
+            currency.confirm(reading.read_at, Origin::Store);
+        };
         let follower = follow(registries, apply, is_reading, self.end.clone());
         self.tasks.spawn(follower);
         let poller = Poller {
@@ -328,17 +341,17 @@
     }
 }
 
-/// Applies the values of a source while this node reads the store itself.
+/// Applies the readings of a source while this node reads the store itself.
 async fn follow<T: Source>(
     mut source: T,
-    apply: impl Fn(T::Item) + Send,
+    apply: impl Fn(Reading<T::Item>) + Send,
     mut is_reading: watch::Receiver<bool>,
     end: CancellationToken,
 ) {
     loop {
         tokio::select! {
             () = end.cancelled() => return,
-            item = source.next(), if *is_reading.borrow() => apply(item),
+            reading = source.next(), if *is_reading.borrow() => apply(reading),
             changed = is_reading.changed() => if changed.is_err() { return },
         }
     }
@@ -376,10 +389,37 @@
     spawn_http(config.ready, router).await
 }
 
-async fn serve_metrics(config: &Config, metrics: Arc<Metrics>) -> Result<(), Error> {
-    let answer = move || std::future::ready(metrics.render());
+async fn serve_metrics<W: Protocol, S: Store>(
+    node: &Node<W, S>,
+    metrics: Arc<Metrics>,
+) -> Result<(), Error> {
+    let upstreams = node.upstreams.clone();
+    let snapshots = node.snapshots.clone();
+    let answer = move || {
+        let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
+        std::future::ready(metrics.render(&gauges))
+    };
     let router = Router::new().route("/metrics", get(answer));
-    spawn_http(config.metrics, router).await
+    spawn_http(node.config.metrics, router).await
+}
+
+/// Returns the version of the configuration and the ages of what the node knows, in
+/// milliseconds; the age of something that is not known yet is omitted.
+fn gauges<W: Protocol>(
+    upstreams: &Upstreams<W>,
+    snapshot: Option<&Snapshot>,
+) -> BTreeMap<&'static str, u64> {
+    let currencies = upstreams.currencies();
+    let ages = [
+        ("configuration_age_milliseconds", currencies.catalog.age()),
+        ("registry_age_milliseconds", currencies.registry.age()),
+        ("records_age_milliseconds", snapshot.map(Snapshot::age)),
+    ];
+    let ages = ages
+        .into_iter()
+        .filter_map(|(name, age)| Some((name, millis(age?))));
+    let version = ("configuration_version", upstreams.catalog().version);
+    ages.chain([version]).collect()
 }
 
 async fn spawn_http(address: SocketAddr, router: Router) -> Result<(), Error> {
--- a/crates/agateport-relay/src/report.rs
+++ b/crates/agateport-relay/src/report.rs
@@ -1,6 +1,7 @@
 //! Logs and counts the outcome of each statement.
 
 use crate::message::{Answer, Outcome, Request};
+use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::statement::Runner;
 use agateport_domain::prelude::*;
@@ -37,8 +38,27 @@
             took_us = u64::try_from(took.as_micros()).unwrap_or(u64::MAX),
             tries = ?answer.tries,
             configuration = self.upstreams().catalog().version,
+            configuration_age_ms = self.upstreams().currencies().catalog.age().map(millis),
             omitted,
             "a statement failed"
         );
     }
+
+    /// Counts and logs a session that is refused because its database has no route.
+    pub fn report_unknown(&self, database: &DatabaseId) {
+        self.metrics().count("session", "no_database");
+        let Some(omitted) = self.metrics().allow_log("session_refused") else {
+            return;
+        };
+        let currency = &self.upstreams().currencies().catalog;
+        tracing::info!(
+            event = "session_refused",
+            database = &**database,
+            configuration = self.upstreams().catalog().version,
+            configuration_age_ms = currency.age().map(millis),
+            configuration_origin = currency.origin().map(tracing::field::display),
+            omitted,
+            "no route has the database of a session"
+        );
+    }
 }
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -55,15 +55,24 @@
     fn change(&self, change: Change) -> impl Future<Output = Result<RowVersion, Error>> + Send;
 }
 
+/// What one answer of the platform says about a source.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reading<T> {
+    /// The new value; none if the value is unchanged.
+    pub change: Option<T>,
+    /// When the answer was requested: changes up to then are included.
+    pub read_at: Uptime,
+}
+
 /// A stream of configurations or of registries.
 pub trait Source: Send + 'static {
     /// Type of the values.
     type Item: Send;
 
-    /// Waits for the next value.
+    /// Waits for the next answer of the platform.
     ///
     /// This method is cancel safe.
-    fn next(&mut self) -> impl Future<Output = Self::Item> + Send;
+    fn next(&mut self) -> impl Future<Output = Reading<Self::Item>> + Send;
 }
 
 /// Executes promotions.
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Catalog;
 use crate::channel;
+use crate::currency::{Currencies, Origin};
 use crate::group::Group;
 use crate::priority;
 use crate::protocol::Protocol;
@@ -44,6 +45,7 @@
     servers: Sharded<ServerId, Arc<Server<W>>>,
     registry: RwLock<Arc<Registry>>,
     catalog: RwLock<Arc<Catalog>>,
+    currencies: Currencies,
     /// Publishes the version of the configuration; zero before the first one.
     catalog_version: watch::Sender<BundleVersion>,
     /// Members of the cluster.
@@ -67,6 +69,7 @@
             servers: Sharded::new(),
             registry: RwLock::default(),
             catalog: RwLock::default(),
+            currencies: Currencies::default(),
             catalog_version: watch::Sender::new(0),
             members: RwLock::default(),
             channels: Arc::default(),
@@ -81,6 +84,12 @@
         read(&self.catalog)
     }
 
+    /// Returns how current the configuration and the registry are.
+    #[must_use]
+    pub fn currencies(&self) -> &Currencies {
+        &self.currencies
+    }
+
     /// Waits for the first configuration, for at most `max_wait`.
     pub async fn wait_configured(&self, max_wait: Duration) {
         let mut catalog_version = self.catalog_version.subscribe();
@@ -172,8 +181,8 @@
         entry.zone == self.zone
     }
 
-    /// Applies a configuration if it is newer than the one in force.
-    pub fn apply_catalog(&self, catalog: Catalog) {
+    /// Applies a configuration from `origin` if it is newer than the one in force.
+    pub fn apply_catalog(&self, catalog: Catalog, origin: Origin) {
         let mut current = write(&self.catalog);
         if catalog.version <= current.version {
             return;
@@ -183,6 +192,7 @@
             version = catalog.version,
             former = current.version,
             routes = catalog.routes.len(),
+            %origin,
             "a newer configuration is in force"
         );
         self.catalog_version.send_replace(catalog.version);
--- a/crates/agateport-relay/tests/budget.rs
+++ b/crates/agateport-relay/tests/budget.rs
@@ -26,5 +26,5 @@
     metrics.count("answer", "done");
     metrics.count("missed", "target_missed");
     metrics.record_latency(Duration::from_millis(3));
-    insta::assert_snapshot!(metrics.render());
+    insta::assert_snapshot!(metrics.render(&BTreeMap::from([("configuration_version", 7)])));
 }
