relay: confirm the copies of the store's tables by its version

Cause: the silence of a feed was taken as "nothing newer", and the success of one call as proof of what another call brings. A reader whose feed hung (4.7 s, or for good) went on reading its own rows, so the nodes of its zone took its updates as fresh and never looked for themselves. The same held for the registry, and for a reader that had just started.

Change: each read of the own rows also returns the version of the whole store. A copy that includes it is confirmed; any other catches up with a call sent after that read, by the feed and, if that fails, by reading the table. Updates are relied upon only if the configuration and the registry were confirmed within 1 s. The version of a feed answer without rows is no longer used as the point to go on from.

Evidence: a_silent_feed_delays_no_configuration fails on the code before (all six nodes late after 3 s) and passes in 2.4 s; two of three cases of fresh_rows_do_not_vouch_for_a_configuration failed before.

--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -2,6 +2,7 @@
 //! handover of primaries.
 
 pub mod confirmation;
+pub mod follower;
 pub mod handover;
 pub mod monitor;
 pub mod peer;
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -12,7 +12,7 @@
 use crate::permit;
 use crate::protocol::Protocol;
 use crate::record::{self, Records};
-use crate::source::{self, Store};
+use crate::source::{self, Head, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use futures::future::join_all;
@@ -31,6 +31,11 @@
 /// answer of the store.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(550);
 
+/// Maximum age of the configuration and the registry of another node: two intervals
+/// between its reads of the store, and the time in which it catches up. A node that
+/// finds them older reads the store itself.
+const MAX_COPY_AGE: Duration = Duration::from_secs(1);
+
 /// Number of nodes of the same zone that are queried before the store.
 const PREFERRED_PEERS: usize = 2;
 
@@ -84,6 +89,8 @@
     pub snapshots: watch::Sender<Option<Snapshot>>,
     /// Publishes whether this node reads the store itself.
     pub reading: watch::Sender<bool>,
+    /// Publishes the latest version of the store.
+    pub heads: watch::Sender<Option<Head>>,
     /// Triggers a poll before its interval has elapsed.
     pub trigger: Arc<Trigger>,
 }
@@ -202,8 +209,8 @@
             .collect()
     }
 
-    /// Queries nodes in order until one returns a fresh update, and returns whether
-    /// one did.
+    /// Queries nodes in order until one returns an update all of whose parts are fresh,
+    /// and returns whether one did.
     async fn query_peers(&self, peers: &mut Peers, addresses: &[SocketAddr]) -> bool {
         for address in addresses {
             let records = self.records();
@@ -236,7 +243,14 @@
             }
             let records = update.records.map_or(records, Arc::new);
             self.apply(Snapshot { records, sent_at });
-            return true;
+            let ages = [update.catalog_age, update.registry_age];
+            if ages
+                .iter()
+                .all(|age| age.is_some_and(|age| age < MAX_COPY_AGE))
+            {
+                return true;
+            }
+            tracing::debug!(%address, ?ages, "another node's configuration or registry is too old");
         }
         false
     }
@@ -244,7 +258,11 @@
     /// Reads the row that marks changes, and all rows if its version has changed.
     async fn read(&self, known: &Arc<Records>) -> Result<Snapshot, source::Error> {
         let sent_at = uptime();
-        let row = self.store.row(record::CHANGES).await?;
+        let (row, version) = self.store.row(record::CHANGES).await?;
+        self.heads.send_replace(Some(Head {
+            version,
+            read_at: sent_at,
+        }));
         let version = row.map_or(0, |row| row.version);
         if version > 0 && version == known.version {
             let records = known.clone();
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -6,6 +6,7 @@
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::control::confirmation;
+use crate::control::follower::Follower;
 use crate::control::handover::Handover;
 use crate::control::monitor::Monitor;
 use crate::control::peer;
@@ -171,26 +172,35 @@
         R: Source<Item = registry::Snapshot>,
     {
         let (reading, is_reading) = watch::channel(true);
+        let (heads, head_receiver) = watch::channel(None);
         let upstreams = self.upstreams.clone();
-        let apply = move |reading: Reading<Catalog>| {
-            if let Some(catalog) = reading.change {
-                upstreams.apply_catalog(catalog, Origin::Store);
-            }
-            let currency = &upstreams.currencies().catalog;
-            currency.confirm(reading.read_at, Origin::Store);
+        let catalogs = Follower {
+            source: catalogs,
+            apply: move |reading: Reading<Catalog>| {
+                if let Some(catalog) = reading.change {
+                    upstreams.apply_catalog(catalog, Origin::Store);
+                }
+                let currency = &upstreams.currencies().catalog;
+                currency.confirm(reading.read_at, Origin::Store);
+            },
+            is_reading: is_reading.clone(),
+            heads: head_receiver.clone(),
         };
-        let follower = follow(catalogs, apply, is_reading.clone(), self.end.clone());
-        self.tasks.spawn(follower);
+        self.tasks.spawn(catalogs.run(self.end.clone()));
         let upstreams = self.upstreams.clone();
-        let apply = move |reading: Reading<registry::Snapshot>| {
-            if let Some(registry) = reading.change {
-                upstreams.apply_registry(registry);
-            }
-            let currency = &upstreams.currencies().registry;
-            currency.confirm(reading.read_at, Origin::Store);
+        let registries = Follower {
+            source: registries,
+            apply: move |reading: Reading<registry::Snapshot>| {
+                if let Some(registry) = reading.change {
+                    upstreams.apply_registry(registry);
+                }
+                let currency = &upstreams.currencies().registry;
+                currency.confirm(reading.read_at, Origin::Store);
+            },
+            is_reading,
+            heads: head_receiver,
         };
-        let follower = follow(registries, apply, is_reading, self.end.clone());
-        self.tasks.spawn(follower);
+        self.tasks.spawn(registries.run(self.end.clone()));
         let poller = Poller {
             node: self.config.node.clone(),
             zone: self.config.zone.clone(),
@@ -198,6 +208,7 @@
             upstreams: self.upstreams.clone(),
             snapshots: publisher,
             reading,
+            heads,
             trigger: self.trigger.clone(),
         };
         self.tasks.spawn(poller.run(self.end.clone()));
@@ -341,22 +352,6 @@
     }
 }
 
-/// Applies the readings of a source while this node reads the store itself.
-async fn follow<T: Source>(
-    mut source: T,
-    apply: impl Fn(Reading<T::Item>) + Send,
-    mut is_reading: watch::Receiver<bool>,
-    end: CancellationToken,
-) {
-    loop {
-        tokio::select! {
-            () = end.cancelled() => return,
-            reading = source.next(), if *is_reading.borrow() => apply(reading),
-            changed = is_reading.changed() => if changed.is_err() { return },
-        }
-    }
-}
-
 /// Starts the confirmation tasks of new groups, and closes idle connections.
 async fn run_upkeep<W: Protocol>(upstreams: Arc<Upstreams<W>>, end: CancellationToken) {
     let mut known = BTreeSet::new();
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -18,6 +18,15 @@
 /// All rows of the project's table at one moment, by key.
 pub type Rows = BTreeMap<String, Row>;
 
+/// A version of the whole store at one read.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Head {
+    /// Latest version of the store.
+    pub version: RowVersion,
+    /// When the read was sent to the store.
+    pub read_at: Uptime,
+}
+
 /// A transaction on the project's table; it is applied atomically.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Change {
@@ -48,8 +57,12 @@
     /// Reads all rows.
     fn rows(&self) -> impl Future<Output = Result<Rows, Error>> + Send;
 
-    /// Reads one row; returns `None` if it does not exist.
-    fn row(&self, key: &str) -> impl Future<Output = Result<Option<Row>, Error>> + Send;
+    /// Reads one row, which is `None` if it does not exist, and the latest version of the
+    /// whole store.
+    fn row(
+        &self,
+        key: &str,
+    ) -> impl Future<Output = Result<(Option<Row>, RowVersion), Error>> + Send;
 
     /// Applies a change and returns the new version of its rows.
     fn change(&self, change: Change) -> impl Future<Output = Result<RowVersion, Error>> + Send;
@@ -69,10 +82,19 @@
     /// Type of the values.
     type Item: Send;
 
-    /// Waits for the next answer of the platform.
+    /// Waits for the next answer with changes.
     ///
     /// This method is cancel safe.
     fn next(&mut self) -> impl Future<Output = Reading<Self::Item>> + Send;
+
+    /// Waits for an answer that includes all changes up to `version` of the store.
+    ///
+    /// This method is cancel safe.
+    fn catch_up(&mut self, version: RowVersion)
+    -> impl Future<Output = Reading<Self::Item>> + Send;
+
+    /// Returns the version of the store up to which all changes are included.
+    fn version(&self) -> RowVersion;
 }
 
 /// Executes promotions.
