relay: deny a database only by a current configuration

What callers saw: refused with "no route has this database" though the route had been added, by a node that had no configuration yet or had not heard of the store for a time. Found when every path was looked at by which a node says something older as the truth.

Cause: the absence of a route was answered as a fact, whatever the age of the configuration. Now the node answers so only within 1 s of the last confirmation, else that the statement was not run and when to come back. A configuration and its confirmation are applied together, so that the age is never that of another version.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -114,17 +114,25 @@
     async fn accept(&mut self) -> io::Result<bool> {
         let upstreams = self.runner.upstreams().clone();
         upstreams.wait_configured(CONFIGURATION_TIMEOUT).await;
-        if upstreams.route(&self.database).is_some() {
-            self.runner.metrics().count("session", "opened");
-            W::encode_ready(State::Idle, None, &mut self.connection.output);
+        if let Err(refusal) = self.route() {
+            self.runner.report_refusal(&self.database, &refusal);
+            W::encode_outcome(&refusal.outcome, &mut self.connection.output);
             self.connection.flush().await?;
-            return Ok(true);
+            return Ok(false);
         }
-        self.runner.report_unknown(&self.database);
-        let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
-        W::encode_outcome(&outcome, &mut self.connection.output);
+        self.runner.metrics().count("session", "opened");
+        W::encode_ready(State::Idle, None, &mut self.connection.output);
         self.connection.flush().await?;
-        Ok(false)
+        Ok(true)
+    }
+
+    /// Returns the route of the session's database, or the refusal if it has none.
+    fn route(&self) -> Result<Arc<Route>, Box<Answer>> {
+        let upstreams = self.runner.upstreams();
+        // The configuration that is looked at afterwards may be younger, but not older.
+        let age = upstreams.currencies().catalog.age();
+        let route = upstreams.route(&self.database);
+        route.ok_or_else(|| Box::new(reply::no_route(age)))
     }
 
     async fn serve(&mut self) -> io::Result<()> {
@@ -207,8 +215,9 @@
         if !matches!(self.transaction, Transaction::None) {
             return malformed("a transaction is open", self.state());
         }
-        let Some(route) = self.runner.upstreams().route(&self.database) else {
-            return no_database();
+        let route = match self.route() {
+            Ok(route) => route,
+            Err(refusal) => return *refusal,
         };
         self.transaction = Transaction::Begun {
             is_read_only,
@@ -257,8 +266,9 @@
     }
 
     async fn run_single(&mut self, request: &Request, access: Access) -> Answer {
-        let Some(route) = self.runner.upstreams().route(&self.database) else {
-            return no_database();
+        let route = match self.route() {
+            Ok(route) => route,
+            Err(refusal) => return *refusal,
         };
         let work = self.work(&request.id, &route, uptime(), Instant::now());
         let answer = self.runner.run_single(&work, request, access).await;
@@ -404,8 +414,3 @@
 fn malformed(text: &str, state: State) -> Answer {
     Answer::local(Outcome::error(Code::Malformed, text), state)
 }
-
-fn no_database() -> Answer {
-    let outcome = Outcome::error(Code::NoDatabase, "no route has this database");
-    Answer::local(outcome, State::Idle)
-}
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -7,12 +7,12 @@
 use super::peer::Peers;
 use super::trigger::Trigger;
 use crate::clock::uptime;
-use crate::currency::Origin;
+use crate::currency::{Origin, VALIDITY};
 use crate::metrics::millis;
 use crate::permit;
 use crate::protocol::Protocol;
 use crate::record::{self, Records};
-use crate::source::{self, Head, Store};
+use crate::source::{self, Head, Reading, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use futures::future::join_all;
@@ -31,11 +31,6 @@
 /// answer of the store.
 const MAX_UPDATE_AGE: Duration = Duration::from_millis(550);
 
-/// Maximum age of the configuration and the registry of another node: two intervals
-/// between its reads of the store, and the time in which it catches up. A node that
-/// finds them older reads the store itself.
-const MAX_COPY_AGE: Duration = Duration::from_secs(1);
-
 /// Number of nodes of the same zone that are queried before the store.
 const PREFERRED_PEERS: usize = 2;
 
@@ -227,11 +222,12 @@
             let origin = Origin::Node(*address);
             let read_at = |age: Option<Duration>| age.map(|age| asked_at.saturating_sub(age));
             let currencies = self.upstreams.currencies();
-            if let Some(catalog) = update.catalog {
-                self.upstreams.apply_catalog(catalog, origin);
-            }
             if let Some(read_at) = read_at(update.catalog_age) {
-                currencies.catalog.confirm(read_at, origin);
+                let reading = Reading {
+                    change: update.catalog,
+                    read_at,
+                };
+                self.upstreams.apply_catalog(reading, origin);
             }
             let fresh = read_at(update.age).filter(|read_at| uptime() < *read_at + MAX_UPDATE_AGE);
             let Some(sent_at) = fresh else { continue };
@@ -244,10 +240,7 @@
             let records = update.records.map_or(records, Arc::new);
             self.apply(Snapshot { records, sent_at });
             let ages = [update.catalog_age, update.registry_age];
-            if ages
-                .iter()
-                .all(|age| age.is_some_and(|age| age < MAX_COPY_AGE))
-            {
+            if ages.iter().all(|age| age.is_some_and(|age| age < VALIDITY)) {
                 return true;
             }
             tracing::debug!(%address, ?ages, "another node's configuration or registry is too old");
--- a/crates/agateport-relay/src/currency.rs
+++ b/crates/agateport-relay/src/currency.rs
@@ -6,6 +6,10 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
+/// Time after its last confirmation for which a copy is taken as current: several
+/// intervals between the confirmations.
+pub const VALIDITY: Duration = Duration::from_secs(1);
+
 /// Where a node received a copy from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Origin {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -176,13 +176,7 @@
         let upstreams = self.upstreams.clone();
         let catalogs = Follower {
             source: catalogs,
-            apply: move |reading: Reading<Catalog>| {
-                if let Some(catalog) = reading.change {
-                    upstreams.apply_catalog(catalog, Origin::Store);
-                }
-                let currency = &upstreams.currencies().catalog;
-                currency.confirm(reading.read_at, Origin::Store);
-            },
+            apply: move |reading| upstreams.apply_catalog(reading, Origin::Store),
             is_reading: is_reading.clone(),
             heads: head_receiver.clone(),
         };
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -1,5 +1,6 @@
 //! Answers that the node generates itself.
 
+use crate::currency::VALIDITY;
 use crate::group::Group;
 use crate::message::{Answer, Code, Outcome, State};
 use crate::work::Failure;
@@ -46,6 +47,18 @@
     busy(&format!("not run: {reason}"), retry)
 }
 
+/// Returns the answer to a request for a database that has no route in a configuration
+/// of this age; none if the node has no configuration.
+#[must_use]
+pub fn no_route(age: Option<Duration>) -> Answer {
+    if age.is_some_and(|age| age < VALIDITY) {
+        let text = "no route has this database";
+        return Answer::local(Outcome::error(Code::NoDatabase, text), State::Idle);
+    }
+    let reason = "not run: no route has this database, but the configuration may be out of date";
+    busy(reason, DEFAULT_RETRY_DELAY)
+}
+
 fn busy(reason: &str, retry: Duration) -> Answer {
     let text = format!("{reason}; retry after {} ms", retry.as_millis());
     Answer::local(Outcome::error(Code::Busy, text), State::Idle)
--- a/crates/agateport-relay/src/report.rs
+++ b/crates/agateport-relay/src/report.rs
@@ -1,6 +1,6 @@
 //! Logs and counts the outcome of each statement.
 
-use crate::message::{Answer, Outcome, Request};
+use crate::message::{Answer, Code, Outcome, Request};
 use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::statement::Runner;
@@ -45,8 +45,9 @@
     }
 
     /// Counts and logs a session that is refused because its database has no route.
-    pub fn report_unknown(&self, database: &DatabaseId) {
-        self.metrics().count("session", "no_database");
+    pub fn report_refusal(&self, database: &DatabaseId, refusal: &Answer) {
+        let code = refusal.code().map_or("unknown", Code::name);
+        self.metrics().count("session", code);
         let Some(omitted) = self.metrics().allow_log("session_refused") else {
             return;
         };
@@ -54,6 +55,7 @@
         tracing::info!(
             event = "session_refused",
             database = &**database,
+            code,
             configuration = self.upstreams().catalog().version,
             configuration_age_ms = currency.age().map(millis),
             configuration_origin = currency.origin().map(tracing::field::display),
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -9,6 +9,7 @@
 use crate::record::Member;
 use crate::registry::{self, Entry, Registry};
 use crate::server::{Role, Server};
+use crate::source::Reading;
 use agateport_domain::admission::Share;
 use agateport_domain::group::Leadership;
 use agateport_domain::owner::{Assignment, Capacity};
@@ -181,12 +182,17 @@
         entry.zone == self.zone
     }
 
-    /// Applies a configuration from `origin` if it is newer than the one in force.
-    pub fn apply_catalog(&self, catalog: Catalog, origin: Origin) {
+    /// Applies a configuration from `origin` if it is newer than the one in force. In any
+    /// case the one in force then includes all that was known when it was read.
+    pub fn apply_catalog(&self, reading: Reading<Catalog>, origin: Origin) {
         let mut current = write(&self.catalog);
-        if catalog.version <= current.version {
+        let newer = reading
+            .change
+            .filter(|catalog| current.version < catalog.version);
+        let Some(catalog) = newer else {
+            self.currencies.catalog.confirm(reading.read_at, origin);
             return;
-        }
+        };
         tracing::info!(
             event = "configuration_applied",
             version = catalog.version,
@@ -195,9 +201,11 @@
             %origin,
             "a newer configuration is in force"
         );
-        self.catalog_version.send_replace(catalog.version);
+        let version = catalog.version;
         *current = Arc::new(catalog);
+        self.currencies.catalog.confirm(reading.read_at, origin);
         drop(current);
+        self.catalog_version.send_replace(version);
         self.assign_shares();
     }
 
