relay: read the era of the store

No log line told when a node saw that the store had come back from a copy, so the hypotheses about restored stores could not be told apart. Each answer's era is read, with the version it makes a revision, and store_restored has both before and after. A copy that does not include a revision of a new era catches up; a feed still continues from its version, and all other comparisons are as before.

--- a/crates/agateport-relay/src/control/follower.rs
+++ b/crates/agateport-relay/src/control/follower.rs
@@ -2,10 +2,10 @@
 //!
 //! The silence of a source proves nothing: its call may hang, or the store may deliver
 //! nothing for a time. Each read of the node's own rows therefore also returns the
-//! version of the whole store. A copy that includes that version matches the
+//! revision of the whole store. A copy that includes that revision matches the
 //! store; any other one has to catch up.
 
-use crate::source::{Head, Reading, RowVersion, Source};
+use crate::source::{Head, Reading, Revision, Source};
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
@@ -18,7 +18,7 @@
     pub apply: A,
     /// Whether this node reads the store itself.
     pub is_reading: watch::Receiver<bool>,
-    /// The latest version of the store that this node has read.
+    /// The latest state of the store that this node has read.
     pub heads: watch::Receiver<Option<Head>>,
 }
 
@@ -37,30 +37,30 @@
     }
 
     /// Applies the next reading of the source, or makes it catch up if the store has a
-    /// version that it does not include.
+    /// revision that it does not include.
     async fn advance(&mut self) {
-        let version = self.source.version();
+        let revision = self.source.revision();
         let reading = tokio::select! {
             reading = self.source.next() => reading,
-            head = unseen_head(&mut self.heads, version, &self.apply) => {
-                self.source.catch_up(head.version).await
+            head = unseen_head(&mut self.heads, revision, &self.apply) => {
+                self.source.catch_up(head.revision).await
             }
         };
         (self.apply)(reading);
     }
 }
 
-/// Waits for a read of the store at a later version than `known`. Reads at that version
+/// Waits for a read of the store at a later revision than `known`. Reads at that revision
 /// confirm the copy.
 async fn unseen_head<I>(
     heads: &mut watch::Receiver<Option<Head>>,
-    known: RowVersion,
+    known: Revision,
     confirm: &(impl Fn(Reading<I>) + Sync),
 ) -> Head {
     loop {
         let head = *heads.borrow_and_update();
         if let Some(head) = head {
-            if known < head.version {
+            if known < head.revision {
                 return head;
             }
             confirm(Reading {
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -84,7 +84,7 @@
     pub snapshots: watch::Sender<Option<Snapshot>>,
     /// Publishes whether this node reads the store itself.
     pub reading: watch::Sender<bool>,
-    /// Publishes the latest version of the store.
+    /// Publishes the latest state of the store that was read.
     pub heads: watch::Sender<Option<Head>>,
     /// Triggers a poll before its interval has elapsed.
     pub trigger: Arc<Trigger>,
@@ -248,14 +248,30 @@
         false
     }
 
+    /// Publishes the state of the store at a read.
+    fn observe(&self, head: Head) {
+        let former = self.heads.send_replace(Some(head));
+        let restored = former.filter(|former| former.revision.era != head.revision.era);
+        if let Some(former) = restored {
+            tracing::warn!(
+                event = "store_restored",
+                era = head.revision.era,
+                version = head.revision.version,
+                former_era = former.revision.era,
+                former_version = former.revision.version,
+                "the store was restored from a copy"
+            );
+        }
+    }
+
     /// Reads the row that marks changes, and all rows if its version has changed.
     async fn read(&self, known: &Arc<Records>) -> Result<Snapshot, source::Error> {
         let sent_at = uptime();
-        let (row, version) = self.store.row(record::CHANGES).await?;
-        self.heads.send_replace(Some(Head {
-            version,
+        let (row, revision) = self.store.row(record::CHANGES).await?;
+        self.observe(Head {
+            revision,
             read_at: sent_at,
-        }));
+        });
         let version = row.map_or(0, |row| row.version);
         if version > 0 && version == known.version {
             let records = known.clone();
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -1,11 +1,25 @@
 //! Interfaces to the platform: the store, its feeds, and promotions.
 
 use agateport_domain::prelude::*;
+use serde::{Deserialize, Serialize};
 use thiserror::Error;
 
 /// Version of a row; zero means that the row does not exist.
 pub type RowVersion = u64;
 
+/// Number of times that the store was restored from a copy.
+pub type Era = u64;
+
+/// A point in the store's history. A restored store gives out its versions again, so they
+/// are only comparable within an era.
+#[derive(Clone, Copy, Debug, Default, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Revision {
+    /// Era of the store.
+    pub era: Era,
+    /// Version of the store in that era.
+    pub version: RowVersion,
+}
+
 /// A row of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -18,11 +32,11 @@
 /// All rows of the project's table at one moment, by key.
 pub type Rows = BTreeMap<String, Row>;
 
-/// A version of the whole store at one read.
+/// The state of the whole store at one read.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct Head {
-    /// Latest version of the store.
-    pub version: RowVersion,
+    /// Latest revision of the store.
+    pub revision: Revision,
     /// When the read was sent to the store.
     pub read_at: Uptime,
 }
@@ -47,6 +61,10 @@
     /// The platform refused the call with this HTTP status; nothing was changed.
     #[error("the platform refused the call with status {0}")]
     Refused(u16),
+    /// The store was restored from a copy during the call, or since the version that the
+    /// call continues from.
+    #[error("the store was restored from a copy")]
+    Restored,
     /// No answer arrived, or a malformed one; a change may have been applied.
     #[error("no valid answer from the platform: {0}")]
     NoAnswer(String),
@@ -57,12 +75,10 @@
     /// Reads all rows.
     fn rows(&self) -> impl Future<Output = Result<Rows, Error>> + Send;
 
-    /// Reads one row, which is `None` if it does not exist, and the latest version of the
+    /// Reads one row, which is `None` if it does not exist, and the latest revision of the
     /// whole store.
-    fn row(
-        &self,
-        key: &str,
-    ) -> impl Future<Output = Result<(Option<Row>, RowVersion), Error>> + Send;
+    fn row(&self, key: &str)
+    -> impl Future<Output = Result<(Option<Row>, Revision), Error>> + Send;
 
     /// Applies a change and returns the new version of its rows.
     fn change(&self, change: Change) -> impl Future<Output = Result<RowVersion, Error>> + Send;
@@ -87,14 +103,13 @@
     /// This method is cancel safe.
     fn next(&mut self) -> impl Future<Output = Reading<Self::Item>> + Send;
 
-    /// Waits for an answer that includes all changes up to `version` of the store.
+    /// Waits for an answer that includes all changes up to `revision` of the store.
     ///
     /// This method is cancel safe.
-    fn catch_up(&mut self, version: RowVersion)
-    -> impl Future<Output = Reading<Self::Item>> + Send;
+    fn catch_up(&mut self, revision: Revision) -> impl Future<Output = Reading<Self::Item>> + Send;
 
-    /// Returns the version of the store up to which all changes are included.
-    fn version(&self) -> RowVersion;
+    /// Returns the revision of the store up to which all changes are included.
+    fn revision(&self) -> Revision;
 }
 
 /// Executes promotions.
