relay: let a copy wait a little before it catches up

A copy now waits 0.4 s, in which its feed may deliver by itself and further changes need no call of their own.

--- a/crates/agateport-relay/src/control/follower.rs
+++ b/crates/agateport-relay/src/control/follower.rs
@@ -6,9 +6,14 @@
 //! store; any other one has to catch up.
 
 use crate::source::{Head, Reading, Revision, Source};
+use agateport_domain::prelude::*;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
+/// Time from a read at a later revision until a copy has to catch up. The source may
+/// deliver the changes by itself, and several changes need one call.
+const CATCH_UP_DELAY: Duration = Duration::from_millis(400);
+
 /// Follows a source.
 #[derive(Debug)]
 pub struct Follower<T, A> {
@@ -42,7 +47,7 @@
         let revision = self.source.revision();
         let reading = tokio::select! {
             reading = self.source.next() => reading,
-            head = unseen_head(&mut self.heads, revision, &self.apply) => {
+            head = missed_head(&mut self.heads, revision, &self.apply) => {
                 self.source.catch_up(head.revision).await
             }
         };
@@ -50,9 +55,9 @@
     }
 }
 
-/// Waits for a read of the store at a later revision than `known`. Reads at that revision
-/// confirm the copy.
-async fn unseen_head<I>(
+/// Waits until [`CATCH_UP_DELAY`] after a read of the store at a later revision than
+/// `known`. Reads at that revision confirm the copy.
+async fn missed_head<I>(
     heads: &mut watch::Receiver<Option<Head>>,
     known: Revision,
     confirm: &(impl Fn(Reading<I>) + Sync),
@@ -61,7 +66,8 @@
         let head = *heads.borrow_and_update();
         if let Some(head) = head {
             if known < head.revision {
-                return head;
+                tokio::time::sleep(CATCH_UP_DELAY).await;
+                return heads.borrow().unwrap_or(head);
             }
             confirm(Reading {
                 change: None,
--- a/crates/agateport-relay/src/currency.rs
+++ b/crates/agateport-relay/src/currency.rs
@@ -6,9 +6,9 @@
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError};
 
-/// Time after its last confirmation for which a copy is taken as current: several
-/// intervals between the confirmations.
-pub const VALIDITY: Duration = Duration::from_secs(1);
+/// Time after its last confirmation for which a copy is taken as current: the intervals
+/// between reads of the store and between nodes, and the time in which a copy catches up.
+pub const VALIDITY: Duration = Duration::from_millis(1_500);
 
 /// Where a node received a copy from.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
