--- a/crates/agateport-relay/src/registry.rs
+++ b/crates/agateport-relay/src/registry.rs
@@ -1,5 +1,6 @@
 //! The registered upstream servers.
 
+use crate::source::Revision;
 use agateport_domain::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -29,12 +30,12 @@
 /// All registered servers, by name.
 pub type Registry = BTreeMap<ServerId, Entry>;
 
-/// The registry at one version of the store.
+/// The registry at one revision of the store.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Snapshot {
     /// The registered servers.
     pub registry: Registry,
-    /// Version of the store that the registry was read at; a node never goes back
+    /// Revision of the store that the registry was read at; a node never goes back
     /// to a lower one.
-    pub version: u64,
+    pub revision: Revision,
 }
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -9,14 +9,14 @@
 use crate::record::Member;
 use crate::registry::{self, Entry, Registry};
 use crate::server::{Role, Server};
-use crate::source::Reading;
+use crate::source::{Reading, Revision};
 use agateport_domain::admission::Share;
 use agateport_domain::group::Leadership;
 use agateport_domain::owner::{Assignment, Capacity};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
-use std::sync::{PoisonError, RwLock, RwLockWriteGuard};
+use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockWriteGuard};
 use tokio::sync::watch;
 
 /// Connections of a server that are in no node's share: for status requests, and for
@@ -53,8 +53,8 @@
     members: RwLock<Arc<Members>>,
     /// Channels to the owners of servers.
     channels: Arc<channel::Pool>,
-    /// Version of the registry.
-    registry_version: AtomicU64,
+    /// Revision of the registry.
+    registry_revision: Mutex<Revision>,
     /// Fingerprint of the registry, for comparison between nodes.
     fingerprint: AtomicU64,
 }
@@ -74,7 +74,7 @@
             catalog_version: watch::Sender::new(0),
             members: RwLock::default(),
             channels: Arc::default(),
-            registry_version: AtomicU64::new(0),
+            registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
         }
     }
@@ -128,12 +128,12 @@
         self.fingerprint.load(Ordering::Relaxed)
     }
 
-    /// Returns the registry with its version.
+    /// Returns the registry with its revision.
     #[must_use]
     pub fn registry_snapshot(&self) -> registry::Snapshot {
         registry::Snapshot {
             registry: Registry::clone(&self.registry()),
-            version: self.registry_version.load(Ordering::Relaxed),
+            revision: *self.registry_revision(),
         }
     }
 
@@ -211,11 +211,16 @@
 
     /// Applies a registry unless a newer one is known.
     pub fn apply_registry(&self, snapshot: registry::Snapshot) {
-        let registry::Snapshot { registry, version } = snapshot;
+        let registry::Snapshot { registry, revision } = snapshot;
         let former = self.registry();
-        if version < self.registry_version.fetch_max(version, Ordering::Relaxed)
-            || *former == registry
         {
+            let mut known = self.registry_revision();
+            if revision < *known {
+                return;
+            }
+            *known = revision;
+        }
+        if *former == registry {
             return;
         }
         for (name, entry) in &registry {
@@ -333,6 +338,12 @@
         self.channels.close_idle();
     }
 
+    fn registry_revision(&self) -> MutexGuard<'_, Revision> {
+        self.registry_revision
+            .lock()
+            .unwrap_or_else(PoisonError::into_inner)
+    }
+
     fn members(&self) -> Arc<Members> {
         read(&self.members)
     }
