--- a/crates/agateport-relay/src/control/monitor.rs
+++ b/crates/agateport-relay/src/control/monitor.rs
@@ -60,8 +60,8 @@
                 continue;
             };
             let sent_at = uptime();
-            let version = records.version;
-            match peers.query(member.address, &self.upstreams, version).await {
+            let revision = records.revision;
+            match peers.query(member.address, &self.upstreams, revision).await {
                 Ok(_) => unresponsive = None,
                 Err(error) => {
                     let known = unresponsive.take().filter(|(node, _)| node == next);
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -14,7 +14,7 @@
 use crate::protocol::Protocol;
 use crate::record::Records;
 use crate::registry;
-use crate::source::RowVersion;
+use crate::source::Revision;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use bytes::Bytes;
@@ -73,7 +73,7 @@
 /// Versions that the querying node already has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Query {
-    records_version: RowVersion,
+    records_revision: Revision,
     catalog_version: BundleVersion,
     /// Fingerprint of the registry.
     registry_fingerprint: u64,
@@ -168,7 +168,7 @@
     query: Query,
 ) -> Update {
     let records = snapshot.map(|snapshot| &snapshot.records);
-    let records = records.filter(|records| records.version > query.records_version);
+    let records = records.filter(|records| records.revision > query.records_revision);
     let catalog = upstreams.catalog();
     let is_newer = catalog.version > query.catalog_version;
     let is_changed = upstreams.fingerprint() != query.registry_fingerprint;
@@ -211,10 +211,10 @@
         &mut self,
         address: SocketAddr,
         upstreams: &Upstreams<W>,
-        records_version: RowVersion,
+        records_revision: Revision,
     ) -> Result<(Update, Uptime), Error> {
         let query = Query {
-            records_version,
+            records_revision,
             catalog_version: upstreams.catalog().version,
             registry_fingerprint: upstreams.fingerprint(),
         };
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -12,7 +12,7 @@
 use crate::permit;
 use crate::protocol::Protocol;
 use crate::record::{self, Records};
-use crate::source::{self, Head, Reading, Store};
+use crate::source::{self, Head, Reading, Revision, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use futures::future::join_all;
@@ -210,7 +210,7 @@
         for address in addresses {
             let records = self.records();
             let reply = peers
-                .query(*address, &self.upstreams, records.version)
+                .query(*address, &self.upstreams, records.revision)
                 .await;
             let (update, asked_at) = match reply {
                 Ok(reply) => reply,
@@ -272,21 +272,24 @@
             revision,
             read_at: sent_at,
         });
-        let version = row.map_or(0, |row| row.version);
-        if version > 0 && version == known.version {
+        let changed_at = row.map(|row| Revision {
+            era: revision.era,
+            version: row.version,
+        });
+        if changed_at == Some(known.revision) {
             let records = known.clone();
             return Ok(Snapshot { records, sent_at });
         }
         let sent_at = uptime();
-        let rows = self.store.rows().await?;
-        let records = Arc::new(Records::parse(&rows));
+        let (rows, era) = self.store.rows().await?;
+        let records = Arc::new(Records::parse(&rows, era));
         Ok(Snapshot { records, sent_at })
     }
 
     /// Applies and publishes a snapshot unless a newer one is known.
     fn apply(&self, snapshot: Snapshot) {
         let records = &snapshot.records;
-        if records.version < self.records().version {
+        if records.revision < self.records().revision {
             return;
         }
         let leaderships = records.leaderships.iter();
--- a/crates/agateport-relay/src/control/suspicion.rs
+++ b/crates/agateport-relay/src/control/suspicion.rs
@@ -118,9 +118,9 @@
     let Some(coordinator) = records.live_coordinator() else {
         return;
     };
-    let version = records.version;
+    let revision = records.revision;
     let reply = Peers::default()
-        .query(coordinator.address, upstreams, version)
+        .query(coordinator.address, upstreams, revision)
         .await;
     upstreams
         .channels()
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -1,6 +1,6 @@
 //! The rows of the project's table: leadership, membership and the coordinator.
 
-use crate::source::{Change, RowVersion, Rows};
+use crate::source::{Change, Era, Revision, RowVersion, Rows};
 use agateport_domain::group::Leadership;
 use agateport_domain::prelude::*;
 use serde::de::DeserializeOwned;
@@ -73,8 +73,8 @@
 /// The rows of the project's table at one moment, decoded.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Records {
-    /// Version of the [`CHANGES`] row.
-    pub version: RowVersion,
+    /// Revision of the [`CHANGES`] row.
+    pub revision: Revision,
     /// The coordinator, and the row's version.
     pub coordinator: Option<(Coordinator, RowVersion)>,
     /// The leadership record of each group, and the row's version.
@@ -90,10 +90,11 @@
 }
 
 impl Records {
-    /// Decodes rows; malformed and unknown ones are omitted and logged.
+    /// Decodes the rows of an era; malformed and unknown ones are omitted and logged.
     #[must_use]
-    pub fn parse(rows: &Rows) -> Self {
+    pub fn parse(rows: &Rows, era: Era) -> Self {
         let mut records = Self::default();
+        records.revision.era = era;
         for (key, row) in rows {
             if !records.insert_row(key, &row.value, row.version) {
                 tracing::warn!(
@@ -117,7 +118,7 @@
             return insert(&mut self.leaderships, group.into(), leadership);
         }
         if key == CHANGES {
-            self.version = version;
+            self.revision.version = version;
             return true;
         }
         if let Some(node) = key.strip_prefix(ACCEPTANCE) {
--- a/crates/agateport-relay/tests/record.rs
+++ b/crates/agateport-relay/tests/record.rs
@@ -30,12 +30,12 @@
 
 #[test]
 fn rows_are_decoded() {
-    insta::assert_debug_snapshot!(Records::parse(&rows()));
+    insta::assert_debug_snapshot!(Records::parse(&rows(), 0));
 }
 
 #[test]
 fn nodes_marked_as_gone_are_no_members() {
-    let records = Records::parse(&rows());
+    let records = Records::parse(&rows(), 0);
     assert_eq!(records.succession_rank(&"node-b".into()), 1);
     assert_eq!(records.succession_rank(&"node-gone".into()), 2);
     assert_eq!(
@@ -53,7 +53,7 @@
 
     let mut remaining = rows();
     remaining.remove("node/node-a");
-    assert_eq!(Records::parse(&remaining).live_coordinator(), None);
+    assert_eq!(Records::parse(&remaining, 0).live_coordinator(), None);
 }
 
 /// If the zone of the first node fails, the second in order is in another zone.
@@ -70,7 +70,7 @@
         let value = format!(r#"{{"zone":"{zone}","address":"10.1.0.8:7441"}}"#).into_bytes();
         rows.insert(format!("node/{node}"), Row { value, version: 1 });
     }
-    let records = Records::parse(&rows);
+    let records = Records::parse(&rows, 0);
     insta::assert_snapshot!(
         records
             .succession_order()
@@ -85,7 +85,7 @@
 fn a_record_is_accepted_once_all_nodes_accept_it() {
     let mut rows = rows();
     let group: GroupId = "ledger".into();
-    assert!(!Records::parse(&rows).is_accepted(&group));
+    assert!(!Records::parse(&rows, 0).is_accepted(&group));
     let value = |version: u64| format!(r#"{{"versions":{{"ledger":{version}}}}}"#).into_bytes();
     let steps = [
         ("node-b", 7, false),
@@ -98,7 +98,7 @@
             version: 10,
         };
         rows.insert(format!("acceptance/{node}"), row);
-        assert_eq!(Records::parse(&rows).is_accepted(&group), is_accepted);
+        assert_eq!(Records::parse(&rows, 0).is_accepted(&group), is_accepted);
     }
 }
 
