relay: verify the primaries after the store was restored

Cause: the records of who leads, who coordinates, and the version that served as the fencing token went back with the store, and the nodes took them as the latest.

Change: the fencing token holds the era, so it rises. A record whose token is of an earlier era renews no lease and replaces none with a higher token; the servers' confirmations carry the group meanwhile. The coordinator has a majority of the group's servers answer and records the one that leads the highest term again. Acceptances count in their era only.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -5,7 +5,7 @@
 //! stops half way, its successor continues from the record.
 
 use super::LEASE_DURATION;
-use crate::id::{Fence, ServerId, Uptime};
+use crate::id::{Fence, ServerId, Term, Uptime};
 use crate::session::Watermark;
 use serde::{Deserialize, Serialize};
 use std::time::Duration;
@@ -45,15 +45,29 @@
     pub last: Option<Watermark>,
     /// Whether it reports that it is the primary.
     pub is_primary: bool,
+    /// Term in which it answered that it is the primary.
+    pub led_term: Option<Term>,
     /// Whether it is about to leave the group.
     pub is_leaving: bool,
 }
 
+/// What the store says about a group's primary.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Record<'a> {
+    /// There is no record.
+    Absent,
+    /// The latest record, and when this node first read it.
+    Current(&'a Leadership, Uptime),
+    /// The store was restored from a copy since the record was written, so later ones
+    /// may be lost.
+    Outdated,
+}
+
 /// State of a group as known to the coordinator.
 #[derive(Clone, Debug)]
 pub struct State<'a> {
-    /// The record, and when this node first read it.
-    pub leadership: Option<(&'a Leadership, Uptime)>,
+    /// The stored record.
+    pub record: Record<'a>,
     /// Registered servers of the group.
     pub candidates: &'a [Candidate],
     /// Since when no server reports that it is the primary, if none does.
@@ -87,8 +101,10 @@
 /// Decides the next step for a group at `now`.
 #[must_use]
 pub fn decide(state: &State<'_>, now: Uptime) -> Step {
-    let Some((leadership, first_seen)) = state.leadership else {
-        return adopt(state, now);
+    let (leadership, first_seen) = match state.record {
+        Record::Absent => return adopt(state, now),
+        Record::Outdated => return verify(state, now),
+        Record::Current(leadership, first_seen) => (leadership, first_seen),
     };
     let recorded = state
         .candidates
@@ -126,6 +142,22 @@
     Step::Wait
 }
 
+/// Decides for a group whose later records may be lost. The answers of a majority of its
+/// servers show which one is the primary: the one that leads the highest term.
+fn verify(state: &State<'_>, now: Uptime) -> Step {
+    let candidates = state.candidates.iter();
+    let answers = candidates.filter(|candidate| candidate.last.is_some());
+    if answers.clone().count() * 2 <= state.candidates.len() {
+        return Step::Wait;
+    }
+    let leading = answers.filter(|candidate| candidate.led_term.is_some());
+    match leading.max_by_key(|candidate| candidate.led_term) {
+        Some(primary) if primary.is_leaving => replace(state, &primary.server),
+        Some(primary) => Step::Adopt(primary.server.clone()),
+        None => choose_if_leaderless(state, now),
+    }
+}
+
 /// Decides for a group without a record. Its reported primary stays unless it is
 /// leaving or unreachable. Without a primary, the server with the most advanced
 /// log is chosen after [`LEADERLESS_TIMEOUT`].
@@ -135,14 +167,7 @@
         .iter()
         .find(|candidate| candidate.is_primary);
     let Some(primary) = primary else {
-        let is_due = state
-            .leaderless_since
-            .is_some_and(|since| now >= since + LEADERLESS_TIMEOUT);
-        return if is_due {
-            most_advanced(state, None)
-        } else {
-            Step::Wait
-        };
+        return choose_if_leaderless(state, now);
     };
     if primary.is_leaving || state.is_unreachable {
         return replace(state, &primary.server);
@@ -150,6 +175,17 @@
     Step::Adopt(primary.server.clone())
 }
 
+fn choose_if_leaderless(state: &State<'_>, now: Uptime) -> Step {
+    let is_due = state
+        .leaderless_since
+        .is_some_and(|since| now >= since + LEADERLESS_TIMEOUT);
+    if is_due {
+        most_advanced(state, None)
+    } else {
+        Step::Wait
+    }
+}
+
 /// Chooses a new primary in place of `former`.
 ///
 /// A candidate that reports that it is the primary while another server is
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -1,6 +1,6 @@
 //! Selection of a group's primary, and its leases.
 
-use agateport_domain::group::handover::{Candidate, State, Step, decide};
+use agateport_domain::group::handover::{Candidate, Record, State, Step, decide};
 use agateport_domain::group::{Detector, LEASE_DURATION, Leadership, Lease, Progress};
 use agateport_domain::prelude::*;
 use proptest::prelude::*;
@@ -20,7 +20,10 @@
     Candidate {
         server: name.into(),
         last: position.map(|position| watermark(1, u64::from(position))),
-        is_primary: marks.contains('p'),
+        is_primary: marks.contains(['p', 'q']),
+        led_term: marks
+            .find(['p', 'q'])
+            .map(|mark| if marks[mark..].starts_with('p') { 1 } else { 2 }),
         is_leaving: marks.contains('l'),
     }
 }
@@ -34,13 +37,19 @@
 }
 
 /// Returns one line of the table: the record (`?` if it is unsettled), the servers
-/// (`p` primary, `l` leaving, a digit for the log position), the flags of the state
-/// (`n` no primary, `x` unreachable, `d` demoted, `r` released, `o` ordered), the
+/// (`p` primary, `q` primary in the next term, `l` leaving, a digit for the log
+/// position), the flags of the state
+/// (`n` no primary, `x` unreachable, `d` demoted, `r` released, `o` ordered, `u` record
+/// outdated), the
 /// time since the record was read, and the step.
 fn row(record: Option<Leadership>, servers: &str, marks: &str, milliseconds: u64) -> String {
     let candidates: Vec<_> = servers.split(' ').map(candidate).collect();
     let state = State {
-        leadership: record.as_ref().map(|leadership| (leadership, at(0))),
+        record: match &record {
+            _ if marks.contains('u') => Record::Outdated,
+            None => Record::Absent,
+            Some(leadership) => Record::Current(leadership, at(0)),
+        },
         candidates: &candidates,
         leaderless_since: marks.contains('n').then(|| at(0)),
         is_unreachable: marks.contains('x'),
@@ -96,6 +105,23 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+/// After the store was restored, a record may name a primary that was replaced since.
+#[test]
+fn a_lost_record_brings_no_former_primary_back() {
+    let outdated = || Some(leadership("a", true));
+    let rows = [
+        row(outdated(), "a:p5 b:5 c:4", "u", 0),
+        row(outdated(), "a:p9 b:q5 c:4", "u", 0),
+        row(outdated(), "a b:q5 c:4", "u", 0),
+        row(outdated(), "a b:q5 c:4", "ux", 0),
+        row(outdated(), "a:p5 b c", "u", 0),
+        row(outdated(), "a:pl5 b:5 c:4", "u", 0),
+        row(outdated(), "a b:5 c:4", "un", 100),
+        row(outdated(), "a b:5 c:4", "un", 3_000),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 #[test]
 fn a_server_is_unreachable_after_lasting_failures() {
     let mut transcript = String::new();
@@ -146,7 +172,7 @@
         for later in 0..2_000 {
             let now = seen + Duration::from_millis(later);
             let state = State {
-                leadership: Some((&record, seen)),
+                record: Record::Current(&record, seen),
                 candidates: &candidates,
                 leaderless_since: None,
                 is_unreachable: true,
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -10,7 +10,7 @@
 use crate::record::{self, COORDINATOR, Records};
 use crate::source::{self, Change, Promoter, RowVersion, Store};
 use crate::upstreams::Upstreams;
-use agateport_domain::group::handover::{self, Candidate, State, Step};
+use agateport_domain::group::handover::{self, Candidate, Record, State, Step};
 use agateport_domain::group::{LEASE_DURATION, Leadership};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
@@ -160,8 +160,10 @@
             return;
         }
         // Only the coordinator queries the servers for their current watermarks.
+        let is_outdated = is_outdated(group, records);
         let step = match step {
             Step::Record(_) => self.decide(group, records, true).await,
+            _ if is_outdated => self.decide(group, records, true).await,
             step => step,
         };
         self.execute(group, records, step, snapshot.sent_at).await;
@@ -195,9 +197,11 @@
         let is_unreachable =
             primary.is_some_and(|primary| self.suspicions.is_unreachable(&primary));
         let state = State {
-            leadership: leadership
-                .as_ref()
-                .map(|(leadership, seen)| (leadership, *seen)),
+            record: match &leadership {
+                None => Record::Absent,
+                Some((leadership, _)) if records.is_outdated(leadership) => Record::Outdated,
+                Some((leadership, first_seen)) => Record::Current(leadership, *first_seen),
+            },
             candidates: &candidates,
             leaderless_since,
             is_unreachable,
@@ -229,10 +233,17 @@
             // with an empty log.
             let known = server.watermark().map(|(watermark, _)| watermark);
             let mut last = (!is_queried).then(|| known.unwrap_or_default());
+            let mut led_term = entry
+                .is_primary
+                .then_some(Term::MIN)
+                .filter(|_| !is_queried);
             // A server that could not be promoted anyway is not queried.
             if is_queried && !entry.is_leaving && !server.is_unreachable() {
                 let status = server.request_status(Command::Status).await;
-                last = status.ok().map(|status| status.last);
+                if let Ok(status) = status {
+                    last = Some(status.last);
+                    led_term = status.is_primary.then_some(status.term);
+                }
             }
             let is_new = self
                 .first_seen
@@ -247,6 +258,7 @@
                 // watermark, the server is not chosen as the primary.
                 last: last.filter(|_| !is_new),
                 is_primary: entry.is_primary,
+                led_term,
                 is_leaving: entry.is_leaving,
             }
         });
@@ -260,8 +272,7 @@
         step: Step,
         sent_at: Uptime,
     ) {
-        // The version of the coordinator row is the fencing token.
-        let Some((_, fence)) = records.coordinator else {
+        let Some(fence) = records.fence() else {
             return;
         };
         match step {
@@ -304,13 +315,18 @@
             .leaderships
             .get(&group.name)
             .map_or(0, |(_, version)| *version);
+        let coordinator = records.coordinator.as_ref();
+        let coordinator = coordinator.map_or(0, |(_, version)| *version);
         let leadership = Leadership {
             primary,
             fence,
             is_settled,
         };
         let change = Change {
-            expected: BTreeMap::from([(COORDINATOR.to_owned(), fence), (key.clone(), version)]),
+            expected: BTreeMap::from([
+                (COORDINATOR.to_owned(), coordinator),
+                (key.clone(), version),
+            ]),
             set: BTreeMap::from([(key, record::encode(&leadership))]),
             ..Change::default()
         };
@@ -390,6 +406,12 @@
     }
 }
 
+/// Returns whether later records of the group may be lost.
+fn is_outdated(group: &Group, records: &Records) -> bool {
+    let leadership = group.leadership();
+    leadership.is_some_and(|(leadership, _)| records.is_outdated(&leadership))
+}
+
 /// Returns the outcome of a call to the platform, for the log.
 pub(super) fn outcome(result: &Result<RowVersion, source::Error>) -> String {
     match result {
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -292,14 +292,10 @@
         if records.revision < self.records().revision {
             return;
         }
-        let leaderships = records.leaderships.iter();
-        let leaderships =
-            leaderships.map(|(group, (leadership, _))| (group.clone(), leadership.clone()));
         // Handovers do not wait for a node that is not a member, so it holds no leases.
         let is_member = records.members.contains_key(&self.node);
         let read_at = is_member.then_some(snapshot.sent_at);
-        self.upstreams
-            .apply_leaderships(&leaderships.collect(), read_at);
+        self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
         self.snapshots.send_replace(Some(snapshot));
     }
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -95,11 +95,13 @@
         let versions: BTreeMap<_, _> = unsettled
             .map(|(group, (_, version))| (group.clone(), *version))
             .collect();
+        let era = records.revision.era;
         let published = records.acceptances.get(&self.node);
+        let published = published.filter(|published| published.era == era);
         let is_published = versions.iter().all(|(group, version)| {
             published.is_some_and(|published| published.versions.get(group) == Some(version))
         });
-        (!is_published).then_some(Acceptance { versions })
+        (!is_published).then_some(Acceptance { versions, era })
     }
 }
 
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -70,6 +70,15 @@
     /// which the read was sent, the lease is renewed from it.
     pub fn record_leadership(&self, leadership: Option<Leadership>, read_at: Option<Uptime>) {
         let mut inner = self.lock();
+        let known_fence = inner
+            .leadership
+            .as_ref()
+            .map(|(leadership, _)| leadership.fence);
+        let fence = leadership.as_ref().map(|leadership| leadership.fence);
+        if fence < known_fence {
+            // A restored store lacks the known record.
+            return;
+        }
         let recorded = inner
             .leadership
             .as_ref()
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -43,6 +43,9 @@
 pub struct Acceptance {
     /// Version of the record's row, by group.
     pub versions: BTreeMap<GroupId, RowVersion>,
+    /// Era of the store that the versions belong to.
+    #[serde(default)]
+    pub era: Era,
 }
 
 /// Returns the key of a node's acceptance.
@@ -157,6 +160,24 @@
         before.map(|(name, _)| name)
     }
 
+    /// Returns the fencing token of the coordinator; none if there is no coordinator.
+    #[must_use]
+    pub fn fence(&self) -> Option<Fence> {
+        let (_, version) = self.coordinator.as_ref()?;
+        let revision = Revision {
+            era: self.revision.era,
+            version: *version,
+        };
+        Some(revision.fence())
+    }
+
+    /// Returns whether the store was restored from a copy since a leadership record was
+    /// written. A later record, under which another server was promoted, may be lost.
+    #[must_use]
+    pub fn is_outdated(&self, leadership: &Leadership) -> bool {
+        Revision::era_of(leadership.fence) != self.revision.era
+    }
+
     /// Returns whether every node has applied a group's leadership record, including
     /// those marked as gone, whose leases may not have expired yet.
     #[must_use]
@@ -166,6 +187,7 @@
         };
         self.members.keys().chain(self.gone.keys()).all(|node| {
             let acceptance = self.acceptances.get(node);
+            let acceptance = acceptance.filter(|acceptance| acceptance.era == self.revision.era);
             let accepted = acceptance.and_then(|acceptance| acceptance.versions.get(group));
             accepted == Some(version)
         })
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -20,6 +20,24 @@
     pub version: RowVersion,
 }
 
+/// Bits of a fencing token that hold the version; the higher ones hold the era.
+const VERSION_BITS: u32 = 40;
+
+impl Revision {
+    /// Returns the fencing token of a row with this revision. It rises with each write of
+    /// the row, also when the store is restored.
+    #[must_use]
+    pub fn fence(self) -> Fence {
+        (self.era << VERSION_BITS) | self.version
+    }
+
+    /// Returns the era of a fencing token.
+    #[must_use]
+    pub fn era_of(fence: Fence) -> Era {
+        fence >> VERSION_BITS
+    }
+}
+
 /// A row of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -6,12 +6,11 @@
 use crate::group::Group;
 use crate::priority;
 use crate::protocol::Protocol;
-use crate::record::Member;
+use crate::record::{Member, Records};
 use crate::registry::{self, Entry, Registry};
 use crate::server::{Role, Server};
 use crate::source::{Reading, Revision};
 use agateport_domain::admission::Share;
-use agateport_domain::group::Leadership;
 use agateport_domain::owner::{Assignment, Capacity};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -283,15 +282,15 @@
     }
 
     /// Applies the leadership records of the store. If their read was sent at
-    /// `read_at`, they also renew the leases.
-    pub fn apply_leaderships(
-        &self,
-        leaderships: &BTreeMap<GroupId, Leadership>,
-        read_at: Option<Uptime>,
-    ) {
+    /// `read_at`, those that are not outdated also renew the leases.
+    pub fn apply_leaderships(&self, records: &Records, read_at: Option<Uptime>) {
         for group in self.groups() {
-            let leadership = leaderships.get(&group).cloned();
-            self.group(&group).record_leadership(leadership, read_at);
+            let leadership = records.leaderships.get(&group);
+            let leadership = leadership.map(|(leadership, _)| leadership);
+            let is_outdated = leadership.is_some_and(|leadership| records.is_outdated(leadership));
+            let read_at = read_at.filter(|_| !is_outdated);
+            self.group(&group)
+                .record_leadership(leadership.cloned(), read_at);
         }
         self.select_leaders();
     }
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -33,6 +33,25 @@
     assert!(group.holds_lease(&"two".into(), uptime()));
 }
 
+/// A restored store returns a record that was replaced since, or none.
+#[test]
+fn a_replaced_record_does_not_return() {
+    let group = Group::new("ledger".into());
+    let successor = Leadership {
+        fence: 2,
+        ..leadership("two")
+    };
+    group.record_leadership(Some(successor.clone()), None);
+    for restored in [Some(leadership("one")), None] {
+        group.record_leadership(restored, Some(uptime()));
+        group.select_leader(&["one".into(), "two".into()]);
+        let known = group.leadership().map(|(leadership, _)| leadership);
+        assert_eq!(known.as_ref(), Some(&successor));
+        assert!(!group.holds_lease(&"one".into(), uptime()));
+        assert!(!group.holds_lease(&"two".into(), uptime()));
+    }
+}
+
 #[test]
 fn a_leader_is_recorded_and_reported_as_primary() {
     let group = Group::new("ledger".into());
--- a/crates/agateport-relay/tests/record.rs
+++ b/crates/agateport-relay/tests/record.rs
@@ -107,3 +107,31 @@
     let change = record::with_change_marker(Change::default());
     assert!(change.set.contains_key(record::CHANGES));
 }
+
+/// A coordinator of a restored store must not use a token that was used before.
+#[test]
+fn fencing_tokens_rise_when_the_store_is_restored() {
+    let mut rows = rows();
+    let before = Records::parse(&rows, 0).fence();
+    let row = rows.get_mut("duty").expect("the coordinator's row");
+    row.version -= 1;
+    let restored = Records::parse(&rows, 1).fence();
+    assert!(before < restored);
+    row_written(&mut rows);
+    assert!(restored < Records::parse(&rows, 1).fence());
+}
+
+fn row_written(rows: &mut Rows) {
+    let row = rows.get_mut("duty").expect("the coordinator's row");
+    row.version += 1;
+}
+
+/// An acceptance may refer to a version that the restored store gave out again.
+#[test]
+fn acceptances_count_in_their_era_only() {
+    let mut rows = rows();
+    rows.retain(|key, _| !key.starts_with("node/") || key == "node/node-a");
+    let group = "ledger".into();
+    assert!(Records::parse(&rows, 0).is_accepted(&group));
+    assert!(!Records::parse(&rows, 1).is_accepted(&group));
+}
