group: replace an unreachable primary also after the store was restored

Cause, by the log lines of the coordinators: the two servers that answered were replicas, and the group counted as having a primary, because the isolated one is still registered as such. So nothing was decided until it answered or its entry ended.

Change: if a majority answers and none leads, the primary that a quorum of nodes cannot reach is replaced as in any handover: recorded first, promoted once the leases have ended.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -143,7 +143,8 @@
 }
 
 /// Decides for a group whose later records may be lost. The answers of a majority of its
-/// servers show which one is the primary: the one that leads the highest term.
+/// servers show which one is the primary: the one that leads the highest term. If none
+/// of them leads, an unreachable primary is replaced.
 fn verify(state: &State<'_>, now: Uptime) -> Step {
     let candidates = state.candidates.iter();
     let answers = candidates.filter(|candidate| candidate.last.is_some());
@@ -154,6 +155,7 @@
     match leading.max_by_key(|candidate| candidate.led_term) {
         Some(primary) if primary.is_leaving => replace(state, &primary.server),
         Some(primary) => Step::Adopt(primary.server.clone()),
+        None if state.is_unreachable => most_advanced(state, None),
         None => choose_if_leaderless(state, now),
     }
 }
