--- a/crates/agateport-domain/src/owner/assignment.rs
+++ b/crates/agateport-domain/src/owner/assignment.rs
@@ -47,26 +47,31 @@
     /// Returns whether `nodes` are too many for each to connect itself.
     #[must_use]
     pub fn is_oversubscribed(self, nodes: usize) -> bool {
-        let statements = self.slots * SLOT_OVERCOMMIT;
-        nodes > self.connections || nodes > statements * NODES_PER_STATEMENT
+        let statements = self.statements();
+        nodes > self.connections || nodes > statements.saturating_mul(NODES_PER_STATEMENT)
     }
 
     /// Returns the share of each of `nodes` nodes that connect.
     #[must_use]
     pub fn even_share(self, nodes: usize) -> Share {
         let nodes = nodes.max(1);
-        let slots = (self.slots * SLOT_OVERCOMMIT).div_ceil(nodes);
+        let slots = self.statements().div_ceil(nodes);
         Share {
             slots: slots.clamp(1, self.slots.max(1)),
             connections: self.connections.div_ceil(nodes).max(1),
         }
     }
 
+    /// Returns the number of statements that all nodes together may have in flight.
+    fn statements(self) -> usize {
+        self.slots.saturating_mul(SLOT_OVERCOMMIT)
+    }
+
     /// Returns the share of each owner of an oversubscribed server.
     #[must_use]
     pub fn owner_share(self) -> Share {
         Share {
-            slots: (self.slots * SLOT_OVERCOMMIT).div_ceil(OWNERS).max(1),
+            slots: self.statements().div_ceil(OWNERS).max(1),
             connections: self.connections.div_ceil(CONNECTION_DIVISOR).max(1),
         }
     }
--- a/crates/agateport-domain/tests/assignment.rs
+++ b/crates/agateport-domain/tests/assignment.rs
@@ -95,3 +95,17 @@
         }
     }
 }
+
+/// Servers report their slots themselves; no number may overflow.
+#[test_case(0)]
+#[test_case(usize::MAX / 2)]
+#[test_case(usize::MAX)]
+fn any_number_of_slots_has_a_share(slots: usize) {
+    let capacity = Capacity {
+        slots,
+        connections: 140,
+    };
+    assert!(capacity.owner_share().slots >= 1);
+    assert!(capacity.even_share(7).slots >= 1);
+    assert_eq!(capacity.is_oversubscribed(7), slots == 0);
+}
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -353,7 +353,7 @@
         if let Some(former) = former {
             is_demoted = match former.request_status(Command::Status).await {
                 Ok(status) => {
-                    let command = Command::Demote(status.term + 1);
+                    let command = Command::Demote(status.term.saturating_add(1));
                     let status = former.request_status(command).await;
                     status.is_ok_and(|status| !status.is_primary)
                 }
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -72,13 +72,15 @@
     pub registries: R,
     /// Executes promotions.
     pub promoter: P,
+    /// Counters, to which the platform's adapters add theirs.
+    pub metrics: Arc<Metrics>,
 }
 
 /// Runs a node until `stop` is cancelled and its sessions have ended or are cut.
 ///
 /// # Errors
 ///
-/// [`enum@Error`] if an address cannot be bound or the metrics cannot be created.
+/// [`enum@Error`] if an address cannot be bound.
 pub async fn run<W, S, C, R, P>(
     config: Config,
     platform: Platform<S, C, R, P>,
@@ -91,7 +93,7 @@
     R: Source<Item = registry::Snapshot>,
     P: Promoter,
 {
-    let metrics = Arc::new(Metrics::new()?);
+    let metrics = platform.metrics;
     let callers = TcpListener::bind(config.callers).await?;
     let peers = TcpListener::bind(config.peers).await?;
     let (publisher, snapshots) = watch::channel(None);
--- a/crates/agateport-relay/src/registry.rs
+++ b/crates/agateport-relay/src/registry.rs
@@ -4,6 +4,14 @@
 use agateport_domain::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
+use thiserror::Error;
+
+/// Maximum length of the name of a server or group, in bytes.
+const MAX_NAME: usize = 200;
+
+/// Maximum number of slots of a server. A larger number is not a number of statements
+/// that a server runs concurrently.
+const MAX_SLOTS: usize = 1 << 16;
 
 /// A registered server.
 #[derive(Clone, Debug, Deserialize, Eq, Hash, PartialEq, Serialize)]
@@ -27,6 +35,47 @@
     pub incarnation: Option<u64>,
 }
 
+/// Why an entry describes no server that could be used.
+#[derive(Clone, Copy, Debug, Eq, Error, PartialEq)]
+pub enum Unusable {
+    /// Nothing can listen at the address.
+    #[error("the address has no port, or is not that of one host")]
+    Address,
+    /// The name of the server or of its group is no word of a message.
+    #[error("a name is empty, too long, or contains blanks or control characters")]
+    Name,
+    /// The number of slots is zero or too large.
+    #[error("the number of slots is zero or too large")]
+    Slots,
+}
+
+impl Entry {
+    /// Returns the entry if its server can be used.
+    ///
+    /// # Errors
+    ///
+    /// [`Unusable`] if a field has a value that no server has.
+    pub fn checked(self) -> Result<Self, Unusable> {
+        let ip = self.address.ip();
+        if self.address.port() == 0 || ip.is_unspecified() || ip.is_multicast() {
+            return Err(Unusable::Address);
+        }
+        // Names are sent to servers as words of a line.
+        if [&*self.server, &*self.group].into_iter().any(is_no_word) {
+            return Err(Unusable::Name);
+        }
+        if !(1..=MAX_SLOTS).contains(&self.slots) {
+            return Err(Unusable::Slots);
+        }
+        Ok(self)
+    }
+}
+
+fn is_no_word(name: &str) -> bool {
+    let is_separator = |character: char| character.is_whitespace() || character.is_control();
+    name.is_empty() || name.len() > MAX_NAME || name.contains(is_separator)
+}
+
 /// All registered servers, by name.
 pub type Registry = BTreeMap<ServerId, Entry>;
 
