relay: hand on what is read from the store over a tree of the nodes

One node of each zone read the store 3.3 times a second; a node that found the first two of its zone silent read it for 2 s, and while it was down all nodes did. All nodes of a zone queried the same two five times a second.

Change: `tree::Tree` orders the nodes by zone, capacity and name; each follows one above it with a query that is answered at once when there is news. An answer says how long it waited, so ages count from the answer. The first node that can follow none reads the store; those that are no readers wait 0.3 s first, and ask a silent store every 2 s.

--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -16,3 +16,4 @@
 pub mod request;
 pub mod session;
 pub mod shard;
+pub mod tree;
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -8,6 +8,7 @@
 pub mod peer;
 pub mod poller;
 pub mod presence;
+pub mod sources;
 mod succession;
 pub mod suspicion;
 pub mod trigger;
--- a/crates/agateport-relay/src/control/monitor.rs
+++ b/crates/agateport-relay/src/control/monitor.rs
@@ -61,7 +61,8 @@
             };
             let sent_at = uptime();
             let revision = records.revision;
-            match peers.query(member.address, &self.upstreams, revision).await {
+            let query = peers.query(member.address, &self.upstreams, revision, Duration::ZERO);
+            match query.await {
                 Ok(_) => unresponsive = None,
                 Err(error) => {
                     let known = unresponsive.take().filter(|(node, _)| node == next);
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -8,6 +8,7 @@
 use crate::channel;
 use crate::clock::uptime;
 use crate::control::poller::Snapshot;
+use crate::currency::VALIDITY;
 use crate::lend::Lender;
 use crate::link::configure_socket;
 use crate::permit::Claim;
@@ -31,8 +32,11 @@
 use tokio_util::sync::CancellationToken;
 
 /// Timeout for a query to another node, including its connection: some round trips
-/// and the pauses of a busy VM.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+/// and the pauses of a busy VM. The time for which the node may wait is added to it.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+
+/// Maximum time for which a node waits for news before it answers a query.
+const MAX_WAIT: Duration = Duration::from_millis(500);
 
 /// Time without a query after which a node's connection is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
@@ -73,6 +77,9 @@
 /// Versions that the querying node already has.
 #[derive(Clone, Copy, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Query {
+    /// Time for which the queried node waits for something that it has not sent yet over
+    /// the same connection. It answers then in any case.
+    max_wait: Duration,
     records_revision: Revision,
     catalog_version: BundleVersion,
     /// Fingerprint of the registry.
@@ -83,6 +90,9 @@
 /// has.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Update {
+    /// Time from the receipt of the query until this answer. The ages count from the
+    /// answer.
+    pub waited: Duration,
     /// Age of the store's last answer, counted from when it was requested; none if
     /// it never answered.
     pub age: Option<Duration>,
@@ -149,23 +159,74 @@
     snapshots: watch::Receiver<Option<Snapshot>>,
 ) -> Result<(), Error> {
     configure_socket(&stream)?;
+    let mut news = News {
+        changes: lender.upstreams.subscribe(),
+        snapshots,
+        has_answered: false,
+    };
     let mut connection = Framed::new(stream, LengthDelimitedCodec::new());
     while let Ok(Some(frame)) = timeout(IDLE_TIMEOUT, connection.next()).await {
         let query = match postcard::from_bytes(&frame?)? {
             Call::Update(query) => query,
             call => return Ok(lender.serve(connection, call).await?),
         };
-        let snapshot = snapshots.borrow().clone();
-        let update = answer(&lender.upstreams, snapshot.as_ref(), query);
+        let received_at = uptime();
+        let max_wait = query.max_wait.min(MAX_WAIT);
+        // After the timeout, the answer says how old everything is.
+        let _ = timeout(max_wait, news.wait(&lender.upstreams)).await;
+        let snapshot = news.take();
+        let waited = uptime().saturating_sub(received_at);
+        let update = answer(&lender.upstreams, snapshot.as_ref(), query, waited);
         connection.send(encode(&update)?).await?;
     }
     Ok(())
 }
 
+/// What another node has not been sent over its connection.
+#[derive(Debug)]
+struct News {
+    snapshots: watch::Receiver<Option<Snapshot>>,
+    changes: watch::Receiver<u64>,
+    has_answered: bool,
+}
+
+impl News {
+    /// Waits until there is something new, or, for the first answer, until everything is
+    /// known.
+    async fn wait<W: Protocol>(&mut self, upstreams: &Upstreams<W>) {
+        while self.has_answered || !self.is_complete(upstreams) {
+            let changed = tokio::select! {
+                changed = self.snapshots.changed() => changed,
+                changed = self.changes.changed() => changed,
+            };
+            if self.has_answered || changed.is_err() {
+                return;
+            }
+        }
+    }
+
+    fn is_complete<W: Protocol>(&self, upstreams: &Upstreams<W>) -> bool {
+        let currencies = upstreams.currencies();
+        let copies = [&currencies.catalog, &currencies.registry];
+        let are_current = copies
+            .iter()
+            .all(|copy| copy.age().is_some_and(|age| age < VALIDITY));
+        are_current && self.snapshots.borrow().is_some()
+    }
+
+    /// Returns the latest snapshot; everything known now counts as sent.
+    fn take(&mut self) -> Option<Snapshot> {
+        self.has_answered = true;
+        self.changes.mark_unchanged();
+        self.snapshots.borrow_and_update().clone()
+    }
+}
+
 fn answer<W: Protocol>(
     upstreams: &Upstreams<W>,
     snapshot: Option<&Snapshot>,
     query: Query,
+    waited: Duration,
 ) -> Update {
     let records = snapshot.map(|snapshot| &snapshot.records);
     let records = records.filter(|records| records.revision > query.records_revision);
@@ -173,6 +234,7 @@
     let is_newer = catalog.version > query.catalog_version;
     let is_changed = upstreams.fingerprint() != query.registry_fingerprint;
     Update {
+        waited,
         age: snapshot.map(Snapshot::age),
         catalog_age: upstreams.currencies().catalog.age(),
         registry_age: upstreams.currencies().registry.age(),
@@ -201,8 +263,9 @@
 }
 
 impl Peers {
-    /// Queries another node, and returns its update with the time of the query. What
-    /// the update says was true at that time less the age of the respective part.
+    /// Queries another node, which may wait for `max_wait` until it has news. Returns its
+    /// update, and a time that is no later than its answer. What the update says was true
+    /// at that time less the age of the respective part.
     ///
     /// # Errors
     ///
@@ -212,8 +275,10 @@
         address: SocketAddr,
         upstreams: &Upstreams<W>,
         records_revision: Revision,
+        max_wait: Duration,
     ) -> Result<(Update, Uptime), Error> {
         let query = Query {
+            max_wait,
             records_revision,
             catalog_version: upstreams.catalog().version,
             registry_fingerprint: upstreams.fingerprint(),
@@ -222,18 +287,21 @@
         // A connection with an outstanding answer must not be used for another query.
         let connection = self.connections.remove(&address);
         let exchanging = exchange(connection, address, query);
-        let (connection, update): (_, Update) = timeout(QUERY_TIMEOUT, exchanging)
+        let (connection, update): (_, Update) = timeout(max_wait + QUERY_TIMEOUT, exchanging)
             .await
             .map_err(|_| Error::TimedOut)??;
         self.connections.insert(address, connection);
+        // The node received the query after it was sent, so this is no later than its
+        // answer.
+        let answered_at = sent_at + update.waited.min(uptime().saturating_sub(sent_at));
         for (group, position) in &update.positions {
             // Like the time of the read, this one is never later than the real time at
             // which the primary was queried.
-            let sent_at = sent_at.saturating_sub(position.age);
+            let sent_at = answered_at.saturating_sub(position.age);
             let group = upstreams.group(group);
             group.record_progress(&position.server, sent_at, position.last);
         }
-        Ok((update, sent_at))
+        Ok((update, answered_at))
     }
 }
 
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -1,10 +1,11 @@
 //! Publishes a node's membership, and which leadership records it has applied.
 
 use super::poller::Snapshot;
-use super::trigger::Trigger;
+use crate::clock::uptime;
 use crate::record::{self, Acceptance, COORDINATOR, Member, Records};
-use crate::source::{Change, Store};
+use crate::source::{Change, RowVersion, Store};
 use agateport_domain::prelude::*;
+use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -14,6 +15,9 @@
 /// the lease has expired anyway, and each costs a write and a read.
 const MAX_ACCEPTING_NODES: usize = 16;
 
+/// Time after a write in which the records that this node knows may still lack it.
+const WRITE_VISIBILITY: Duration = Duration::from_secs(1);
+
 /// Publishes a node's rows in the store.
 #[derive(Debug)]
 pub struct Presence<S> {
@@ -23,10 +27,10 @@
     pub zone: Zone,
     /// Address for other nodes.
     pub address: SocketAddr,
+    /// Processing power of its VM.
+    pub capacity: Capacity,
     /// The store that the rows are written to.
     pub store: Arc<S>,
-    /// Triggers a read of the store after a write.
-    pub trigger: Arc<Trigger>,
 }
 
 impl<S: Store> Presence<S> {
@@ -36,10 +40,19 @@
         mut snapshots: watch::Receiver<Option<Snapshot>>,
         token: CancellationToken,
     ) {
+        // The version and time of this node's last write.
+        let mut written: Option<(RowVersion, Uptime)> = None;
         loop {
             let snapshot = snapshots.borrow_and_update().clone();
+            let snapshot = snapshot.filter(|snapshot| {
+                let known = snapshot.records.revision.version;
+                written.is_none_or(|(version, at)| {
+                    version <= known || uptime() >= at + WRITE_VISIBILITY
+                })
+            });
             if let Some(snapshot) = snapshot {
-                self.publish(&snapshot.records).await;
+                let version = self.publish(&snapshot.records).await;
+                written = version.map(|version| (version, uptime())).or(written);
             }
             tokio::select! {
                 () = token.cancelled() => return,
@@ -48,14 +61,18 @@
         }
     }
 
-    /// Writes the rows of this node that are missing or out of date.
-    async fn publish(&self, records: &Records) {
+    /// Writes the rows of this node that are missing or out of date; returns their new
+    /// version. The node that reads the store hands the change on.
+    async fn publish(&self, records: &Records) -> Option<RowVersion> {
         let mut change = Change::default();
         let known = records.members.get(&self.node);
-        if known.is_none_or(|known| known.address != self.address) {
+        if known.is_none_or(|known| {
+            known.address != self.address || known.capacity != self.capacity
+        }) {
             let member = Member {
                 zone: self.zone.clone(),
                 address: self.address,
+                capacity: self.capacity,
                 is_gone: false,
             };
             let key = record::node_key(&self.node);
@@ -66,16 +83,17 @@
             change.set.insert(key, record::encode(&acceptance));
         }
         if change == Change::default() {
-            return;
+            return None;
         }
-        match self.store.change(record::with_change_marker(change)).await {
-            Ok(_) => self.trigger.reread_store(),
-            Err(error) => tracing::warn!(
+        let written = self.store.change(record::with_change_marker(change)).await;
+        if let Err(error) = &written {
+            tracing::warn!(
                 event = "presence_unsaid",
                 %error,
                 "the rows of this node could not be written"
-            ),
+            );
         }
+        written.ok()
     }
 
     /// Returns the acceptance of the records that are not settled yet, or `None`
--- a/crates/agateport-relay/src/control/suspicion.rs
+++ b/crates/agateport-relay/src/control/suspicion.rs
@@ -120,7 +120,7 @@
     };
     let revision = records.revision;
     let reply = Peers::default()
-        .query(coordinator.address, upstreams, revision)
+        .query(coordinator.address, upstreams, revision, Duration::ZERO)
         .await;
     upstreams
         .channels()
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -25,6 +25,7 @@
 use crate::statement::Runner;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
+use agateport_domain::tree::Capacity;
 use axum::Router;
 use axum::http::StatusCode;
 use axum::routing::get;
@@ -47,6 +48,11 @@
     pub node: NodeId,
     /// Availability zone that it runs in.
     pub zone: Zone,
+    /// Processing power of its VM.
+    pub capacity: Capacity,
+    /// Maximum time to wait before the first read of the store; nodes that start together
+    /// spread over it.
+    pub start_spread: Duration,
     /// Address for callers.
     pub callers: SocketAddr,
     /// Address of the readiness check.
@@ -103,6 +109,7 @@
             config.zone.clone(),
         )),
         config,
+        metrics: metrics.clone(),
         store: Arc::new(platform.store),
         trigger: Arc::default(),
         suspicions: Arc::default(),
@@ -150,6 +157,7 @@
 /// State shared by the tasks of a node.
 struct Node<W, S> {
     config: Config,
+    metrics: Arc<Metrics>,
     upstreams: Arc<Upstreams<W>>,
     store: Arc<S>,
     trigger: Arc<Trigger>,
@@ -173,7 +181,7 @@
         C: Source<Item = Catalog>,
         R: Source<Item = registry::Snapshot>,
     {
-        let (reading, is_reading) = watch::channel(true);
+        let (reading, is_reading) = watch::channel(false);
         let (heads, head_receiver) = watch::channel(None);
         let upstreams = self.upstreams.clone();
         let catalogs = Follower {
@@ -200,12 +208,14 @@
         let poller = Poller {
             node: self.config.node.clone(),
             zone: self.config.zone.clone(),
+            start_delay: self.config.start_spread.mul_f64(rand::random()),
             store: self.store.clone(),
             upstreams: self.upstreams.clone(),
             snapshots: publisher,
             reading,
             heads,
             trigger: self.trigger.clone(),
+            metrics: self.metrics.clone(),
         };
         self.tasks.spawn(poller.run(self.end.clone()));
     }
@@ -230,8 +240,8 @@
             node: self.config.node.clone(),
             zone: self.config.zone.clone(),
             address: self.config.peers,
+            capacity: self.config.capacity,
             store: self.store.clone(),
-            trigger: self.trigger.clone(),
         };
         let publisher = presence.run(self.snapshots.clone(), self.end.clone());
         self.tasks.spawn(publisher);
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -3,6 +3,7 @@
 use crate::source::{Change, Era, Revision, RowVersion, Rows};
 use agateport_domain::group::Leadership;
 use agateport_domain::prelude::*;
+use agateport_domain::tree::Capacity;
 use serde::de::DeserializeOwned;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
@@ -32,6 +33,9 @@
     pub zone: Zone,
     /// Its address for other nodes.
     pub address: SocketAddr,
+    /// Processing power of its VM.
+    #[serde(default)]
+    pub capacity: Capacity,
     /// Whether it was marked as gone because it no longer answers.
     #[serde(default)]
     pub is_gone: bool,
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -90,8 +90,8 @@
 
 /// The table that holds the project's persistent state.
 pub trait Store: Send + Sync + 'static {
-    /// Reads all rows, and the era of the store.
-    fn rows(&self) -> impl Future<Output = Result<(Rows, Era), Error>> + Send;
+    /// Reads all rows, and the latest revision of the whole store.
+    fn rows(&self) -> impl Future<Output = Result<(Rows, Revision), Error>> + Send;
 
     /// Reads one row, which is `None` if it does not exist, and the latest revision of the
     /// whole store.
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -48,6 +48,8 @@
     currencies: Currencies,
     /// Publishes the version of the configuration; zero before the first one.
     catalog_version: watch::Sender<BundleVersion>,
+    /// Counts the changes of the configuration and of the registry.
+    changes: watch::Sender<u64>,
     /// Members of the cluster.
     members: RwLock<Arc<Members>>,
     /// Channels to the owners of servers.
@@ -71,6 +73,7 @@
             catalog: RwLock::default(),
             currencies: Currencies::default(),
             catalog_version: watch::Sender::new(0),
+            changes: watch::Sender::new(0),
             members: RwLock::default(),
             channels: Arc::default(),
             registry_revision: Mutex::default(),
@@ -90,6 +93,12 @@
         &self.currencies
     }
 
+    /// Returns a receiver that is notified when the configuration or the registry changes.
+    #[must_use]
+    pub fn subscribe(&self) -> watch::Receiver<u64> {
+        self.changes.subscribe()
+    }
+
     /// Waits for the first configuration, for at most `max_wait`.
     pub async fn wait_configured(&self, max_wait: Duration) {
         let mut catalog_version = self.catalog_version.subscribe();
@@ -206,6 +215,7 @@
         drop(current);
         self.catalog_version.send_replace(version);
         self.assign_shares();
+        self.changes.send_modify(|count| *count += 1);
     }
 
     /// Applies a registry unless a newer one is known.
@@ -243,6 +253,7 @@
         *current = Arc::new(registry);
         drop(current);
         self.select_leaders();
+        self.changes.send_modify(|count| *count += 1);
     }
 
     /// Applies a new or changed registry entry. If the server is a new process or has
