owner: change the assignment of servers by what one node moves

A node that is added now costs one hash for each server; one that leaves has only the servers ranked again that it was an owner or backup of. `Ownership` holds the members and the assignments, cut out of `Upstreams`.

Test: a node that is added later is ranked like one that was there from the start.

--- a/crates/agateport-domain/src/owner/assignment.rs
+++ b/crates/agateport-domain/src/owner/assignment.rs
@@ -77,13 +77,19 @@
     }
 }
 
+/// Rank of a node for a server: whether it is in another zone, its hash, and its name.
+type Rank = (bool, [u8; 32], NodeId);
+
 /// The owners and backups of an oversubscribed server, in this order.
 ///
 /// They are selected by a hash that all nodes compute alike; nodes in the
-/// server's zone come before others.
+/// server's zone come before others. A change of one node costs one hash, unless
+/// the node was an owner or a backup.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Assignment {
-    nodes: Vec<NodeId>,
+    server: ServerId,
+    zone: Zone,
+    ranked: Vec<Rank>,
 }
 
 impl Assignment {
@@ -94,20 +100,39 @@
         zone: &Zone,
         nodes: impl Iterator<Item = (&'a NodeId, &'a Zone)>,
     ) -> Self {
-        let mut ranked: Vec<_> = nodes
-            .map(|(node, other)| (other != zone, score(node, server), node))
-            .collect();
-        ranked.sort();
-        let chosen = ranked.into_iter().take(OWNERS + BACKUPS);
-        Self {
-            nodes: chosen.map(|(_, _, node)| node.clone()).collect(),
+        let mut assignment = Self {
+            server: server.clone(),
+            zone: zone.clone(),
+            ranked: Vec::new(),
+        };
+        for (node, zone) in nodes {
+            assignment.add(node, zone);
+        }
+        assignment
+    }
+
+    /// Adds a node in `zone`; it replaces the last backup if it ranks before it.
+    pub fn add(&mut self, node: &NodeId, zone: &Zone) {
+        let rank = (*zone != self.zone, score(node, &self.server), node.clone());
+        let Err(position) = self.ranked.binary_search(&rank) else {
+            return;
+        };
+        if position < OWNERS + BACKUPS {
+            self.ranked.insert(position, rank);
+            self.ranked.truncate(OWNERS + BACKUPS);
         }
     }
 
+    /// Returns the zone of the server.
+    #[must_use]
+    pub fn zone(&self) -> &Zone {
+        &self.zone
+    }
+
     /// Returns whether a node is an owner or a backup, which connect themselves.
     #[must_use]
     pub fn contains(&self, node: &NodeId) -> bool {
-        self.nodes.contains(node)
+        self.ranked.iter().any(|(.., other)| other == node)
     }
 
     /// Returns the nodes that `borrower` requests permits from, in order: the
@@ -117,11 +142,12 @@
         borrower: &NodeId,
         server: &ServerId,
     ) -> impl Iterator<Item = &NodeId> {
-        let owners = self.nodes.len().min(OWNERS);
-        let (owners, backups) = self.nodes.split_at(owners);
+        let owners = self.ranked.len().min(OWNERS);
+        let (owners, backups) = self.ranked.split_at(owners);
         let [high, low, ..] = score(borrower, server);
         let first = usize::from(u16::from_be_bytes([high, low])) % owners.len().max(1);
         let (later, earlier) = owners.split_at(first);
-        earlier.iter().chain(later).chain(backups)
+        let ranked = earlier.iter().chain(later).chain(backups);
+        ranked.map(|(.., node)| node)
     }
 }
--- a/crates/agateport-domain/tests/assignment.rs
+++ b/crates/agateport-domain/tests/assignment.rs
@@ -84,6 +84,20 @@
         }
     }
 
+    /// A node that is added later is ranked like one that was there from the start.
+    #[test]
+    fn adding_a_node_selects_as_from_the_start(index in 0usize..60, server in "i-[0-9a-f]{6}") {
+        let fleet = fleet(3, 20);
+        let server: ServerId = server.as_str().into();
+        let zone = "zone-0".into();
+        let mut rest = fleet.clone();
+        let (node, node_zone) = rest.remove(index);
+        let mut added = assignment(&server, &zone, &rest);
+        added.add(&node, &node_zone);
+        added.add(&node, &node_zone);
+        prop_assert_eq!(added, assignment(&server, &zone, &fleet));
+    }
+
     /// Owners are in the server's zone if the zone has enough nodes.
     #[test]
     fn owners_are_in_the_zone_of_the_server(nodes in 6usize..30, server in "i-[0-9a-f]{6}") {
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -21,6 +21,7 @@
 pub mod message;
 pub mod metrics;
 pub mod node;
+pub mod ownership;
 pub mod permit;
 pub mod placement;
 pub mod priority;
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -4,42 +4,27 @@
 use crate::channel;
 use crate::currency::{Currencies, Origin};
 use crate::group::Group;
+use crate::ownership::{Members, Ownership};
 use crate::priority;
 use crate::protocol::Protocol;
-use crate::record::{Member, Records};
+use crate::record::Records;
 use crate::registry::{self, Entry, Registry};
 use crate::server::{Role, Server};
 use crate::source::{Reading, Revision};
 use agateport_domain::admission::Share;
-use agateport_domain::owner::{Assignment, Capacity};
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock, RwLockWriteGuard};
 use tokio::sync::watch;
 
-/// Connections of a server that are in no node's share: for status requests, and for
-/// nodes that start.
-const RESERVED_CONNECTIONS: usize = 2;
-
-/// Share of a server at a node that has not read the list of members yet. Such a node
-/// borrows permits, but knows no owners.
-const MIN_SHARE: Share = Share {
-    slots: 1,
-    connections: 1,
-};
-
 /// Connections that a server is assumed to have if the configuration does not
 /// specify them.
 const DEFAULT_CONNECTIONS: usize = 16;
 
-/// Members of the cluster, by name.
-pub type Members = BTreeMap<NodeId, Member>;
-
 /// Groups and servers known to a node.
 #[derive(Debug)]
 pub struct Upstreams<W> {
-    node: NodeId,
     zone: Zone,
     groups: Sharded<GroupId, Arc<Group>>,
     servers: Sharded<ServerId, Arc<Server<W>>>,
@@ -50,8 +35,8 @@
     catalog_version: watch::Sender<BundleVersion>,
     /// Counts the changes of the configuration and of the registry.
     changes: watch::Sender<u64>,
-    /// Members of the cluster.
-    members: RwLock<Arc<Members>>,
+    /// Which nodes connect to which servers.
+    ownership: Ownership,
     /// Channels to the owners of servers.
     channels: Arc<channel::Pool>,
     /// Revision of the registry.
@@ -65,7 +50,7 @@
     #[must_use]
     pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
-            node,
+            ownership: Ownership::new(node),
             zone,
             groups: Sharded::new(),
             servers: Sharded::new(),
@@ -74,7 +59,6 @@
             currencies: Currencies::default(),
             catalog_version: watch::Sender::new(0),
             changes: watch::Sender::new(0),
-            members: RwLock::default(),
             channels: Arc::default(),
             registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
@@ -245,6 +229,7 @@
                 "a server left the registry"
             );
             self.servers.remove(name);
+            self.ownership.remove(name);
         }
         let mut current = write(&self.registry);
         let mut hasher = DefaultHasher::new();
@@ -327,13 +312,9 @@
 
     /// Applies the list of nodes that use the servers.
     pub fn apply_members(&self, members: &Members) {
-        let mut current = write(&self.members);
-        if **current == *members {
-            return;
+        if self.ownership.apply(members) {
+            self.assign_shares();
         }
-        *current = Arc::new(members.clone());
-        drop(current);
-        self.assign_shares();
     }
 
     /// Returns the channels to the owners of servers.
@@ -354,10 +335,6 @@
             .unwrap_or_else(PoisonError::into_inner)
     }
 
-    fn members(&self) -> Arc<Members> {
-        read(&self.members)
-    }
-
     fn assign_shares(&self) {
         let mut servers = Vec::new();
         self.servers
@@ -373,28 +350,7 @@
     fn share(&self, entry: &Entry) -> (Role, Share) {
         let declared = self.catalog().connections.get(&entry.group).copied();
         let total = declared.unwrap_or(DEFAULT_CONNECTIONS);
-        let capacity = Capacity {
-            slots: entry.slots,
-            connections: total.saturating_sub(RESERVED_CONNECTIONS).max(1),
-        };
-        let members = self.members();
-        if members.is_empty() {
-            // Other nodes may already use all of the server's connections.
-            return (Role::Borrower(Vec::new()), MIN_SHARE);
-        }
-        let even = capacity.even_share(members.len());
-        if !capacity.is_oversubscribed(members.len()) {
-            return (Role::Owner, even);
-        }
-        let nodes = members.iter().map(|(node, member)| (node, &member.zone));
-        let assignment = Assignment::new(&entry.server, &entry.zone, nodes);
-        if assignment.contains(&self.node) {
-            return (Role::Owner, capacity.owner_share());
-        }
-        let owners = assignment.candidates(&self.node, &entry.server);
-        let addresses = owners.filter_map(|owner| members.get(owner));
-        let addresses = addresses.map(|member| member.address).collect();
-        (Role::Borrower(addresses), even)
+        self.ownership.role(entry, total)
     }
 
     /// Selects the leader of each group among the servers that report that they are
