relay: stop a node whose background task panicked

A panic in a background task ended only that task: the node went on serving callers, but no longer followed the store, the servers or its peers. `Tasks` stops the node like SIGTERM does and lets it end with an error, so that the platform starts it again.

--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -45,8 +45,8 @@
 const FALLBACK_PEERS: usize = 3;
 
 /// Time without an update after which a node that is no reader reads the store itself.
-/// Until then one of its sources has usually found another source.
-const FOLLOWER_DELAY: Duration = Duration::from_millis(200);
+/// Until then one of its sources has usually started, or found another source.
+const FOLLOWER_DELAY: Duration = Duration::from_millis(300);
 
 /// Time after which a node that is no reader retries a failed read of the store.
 const FOLLOWER_RETRY_DELAY: Duration = Duration::from_secs(2);
@@ -293,7 +293,10 @@
                 Ok(false) => Fault::Outdated,
                 Err(error) => {
                     tracing::debug!(%address, %error, "another node returned no update");
-                    Fault::Silent
+                    match error {
+                        peer::Error::Disconnected(_) => Fault::Refused,
+                        _ => Fault::Silent,
+                    }
                 }
             };
             progress.sources.back_off(*address, fault);
--- a/crates/agateport-relay/src/control/sources.rs
+++ b/crates/agateport-relay/src/control/sources.rs
@@ -7,6 +7,10 @@
 use agateport_domain::tree::Tree;
 use std::net::SocketAddr;
 
+/// Time for which a node that refused the connection is not queried again: its process may
+/// be starting, and another refusal costs little.
+const REFUSAL_BACKOFF: Duration = Duration::from_millis(50);
+
 /// Time for which a node that did not answer is not queried again: about the time of a
 /// restart.
 const SILENCE_BACKOFF: Duration = Duration::from_secs(1);
@@ -17,6 +21,8 @@
 /// Why a node is not queried for some time.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Fault {
+    /// It refused or closed the connection.
+    Refused,
     /// It did not answer.
     Silent,
     /// Its update was too old.
@@ -68,6 +74,7 @@
     /// Records that a node could not be followed.
     pub fn back_off(&mut self, address: SocketAddr, fault: Fault) {
         let delay = match fault {
+            Fault::Refused => REFUSAL_BACKOFF,
             Fault::Silent => SILENCE_BACKOFF,
             Fault::Outdated => OUTDATED_BACKOFF,
         };
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod slot;
 pub mod source;
 pub mod statement;
+pub mod tasks;
 pub mod transaction;
 pub mod upstreams;
 pub mod work;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -23,6 +23,7 @@
 use crate::registry;
 use crate::source::{Promoter, Reading, Source, Store};
 use crate::statement::Runner;
+use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
@@ -114,21 +115,22 @@
         trigger: Arc::default(),
         suspicions: Arc::default(),
         snapshots,
+        tasks: Tasks::new(stop.clone()),
         stop,
         end: CancellationToken::new(),
-        tasks: TaskTracker::new(),
     };
     node.follow_store(platform.catalogs, platform.registries, publisher);
     let lent = node.serve_peers(peers);
     node.maintain_membership();
     node.run_handover(platform.promoter);
     let upstreams = node.upstreams.clone();
-    node.tasks.spawn(run_upkeep(upstreams, node.end.clone()));
+    let upkeep = run_upkeep(upstreams, node.tasks.clone(), node.end.clone());
+    node.tasks.spawn("upkeep", upkeep);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let shutdown = Arc::new(shutdown);
     let readiness = node.readiness();
     let closing_idle = close_idle_sessions(readiness.clone(), shutdown.clone(), node.end.clone());
-    node.tasks.spawn(closing_idle);
+    node.tasks.spawn("idle_sessions", closing_idle);
     serve_ready(&node.config, readiness).await?;
     serve_metrics(&node, metrics.clone()).await?;
 
@@ -151,7 +153,7 @@
         node = &*node.config.node,
         "the node has stopped"
     );
-    Ok(())
+    node.tasks.panicked().map_or(Ok(()), |task| Err(Error::Panicked(task)))
 }
 
 /// State shared by the tasks of a node.
@@ -167,7 +169,7 @@
     stop: CancellationToken,
     /// Cancelled when the sessions have ended or are cut.
     end: CancellationToken,
-    tasks: TaskTracker,
+    tasks: Tasks,
 }
 
 impl<W: Protocol, S: Store> Node<W, S> {
@@ -190,7 +192,7 @@
             is_reading: is_reading.clone(),
             heads: head_receiver.clone(),
         };
-        self.tasks.spawn(catalogs.run(self.end.clone()));
+        self.tasks.spawn("configurations", catalogs.run(self.end.clone()));
         let upstreams = self.upstreams.clone();
         let registries = Follower {
             source: registries,
@@ -204,7 +206,7 @@
             is_reading,
             heads: head_receiver,
         };
-        self.tasks.spawn(registries.run(self.end.clone()));
+        self.tasks.spawn("registries", registries.run(self.end.clone()));
         let poller = Poller {
             node: self.config.node.clone(),
             zone: self.config.zone.clone(),
@@ -217,7 +219,7 @@
             trigger: self.trigger.clone(),
             metrics: self.metrics.clone(),
         };
-        self.tasks.spawn(poller.run(self.end.clone()));
+        self.tasks.spawn("poller", poller.run(self.end.clone()));
     }
 
     /// Starts to answer other nodes, and returns the tracker of permits lent to them.
@@ -230,7 +232,7 @@
             lent: lent.clone(),
         };
         let server = peer::serve(listener, lender, self.snapshots.clone(), self.end.clone());
-        self.tasks.spawn(server);
+        self.tasks.spawn("peers", server);
         lent
     }
 
@@ -244,14 +246,14 @@
             store: self.store.clone(),
         };
         let publisher = presence.run(self.snapshots.clone(), self.end.clone());
-        self.tasks.spawn(publisher);
+        self.tasks.spawn("presence", publisher);
         let monitor = Monitor {
             node: self.config.node.clone(),
             store: self.store.clone(),
             upstreams: self.upstreams.clone(),
         };
         let monitoring = monitor.run(self.snapshots.clone(), self.end.clone());
-        self.tasks.spawn(monitoring);
+        self.tasks.spawn("monitor", monitoring);
     }
 
     /// Starts to monitor the primaries, and to replace those that are down or leave.
@@ -263,7 +265,7 @@
             self.snapshots.clone(),
             self.end.clone(),
         );
-        self.tasks.spawn(detecting);
+        self.tasks.spawn("suspicion", detecting);
         let handover = Handover::new(
             self.config.node.clone(),
             self.upstreams.clone(),
@@ -273,7 +275,7 @@
             self.suspicions.clone(),
         );
         let handing_over = handover.run(self.snapshots.clone(), self.end.clone());
-        self.tasks.spawn(handing_over);
+        self.tasks.spawn("handover", handing_over);
     }
 
     fn readiness(&self) -> Readiness<W> {
@@ -359,14 +361,18 @@
 }
 
 /// Starts the confirmation tasks of new groups, and closes idle connections.
-async fn run_upkeep<W: Protocol>(upstreams: Arc<Upstreams<W>>, end: CancellationToken) {
+async fn run_upkeep<W: Protocol>(
+    upstreams: Arc<Upstreams<W>>,
+    tasks: Tasks,
+    end: CancellationToken,
+) {
     let mut known = BTreeSet::new();
-    let confirmations = TaskTracker::new();
     loop {
         for name in upstreams.groups() {
             if known.insert(name.clone()) {
                 let group = upstreams.group(&name);
-                confirmations.spawn(confirmation::run(group, upstreams.clone(), end.clone()));
+                let confirming = confirmation::run(group, upstreams.clone(), end.clone());
+                tasks.spawn("confirmation", confirming);
             }
         }
         upstreams.close_idle();
