admission: hold back requests that displace more worth than their own

Shares were divided among the nodes, but callers are divided among the zones.

Change: a reserving queue measures how many requests of each priority are refused for want of a slot, and holds a request back if more worth is refused while it holds a slot than it has. Minimum shares stay. If all nodes connect, each zone gets the same share of a server.

--- a/crates/agateport-domain/src/admission/class.rs
+++ b/crates/agateport-domain/src/admission/class.rs
@@ -2,10 +2,11 @@
 
 use super::Ticket;
 use super::estimate::Estimate;
+use super::rate::Rate;
 use crate::bundle::Priority;
 use crate::id::{CallerId, RequestId};
 use std::collections::{BTreeMap, VecDeque};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 /// Longest time, in seconds, over which a priority that sends no requests
 /// accumulates its minimum share.
@@ -21,6 +22,8 @@
     credit: f64,
     /// Estimated time that its requests hold a slot.
     pub hold_time: Estimate,
+    /// Requests that were refused because no slot was free in time.
+    pub refusals: Rate,
     waiting: BTreeMap<CallerId, VecDeque<Ticket>>,
     /// Callers with waiting requests, in round-robin order, the next one first.
     rotation: VecDeque<CallerId>,
@@ -34,6 +37,7 @@
             share: f64::from(priority.minimum_share) / 100.0,
             credit: 0.0,
             hold_time: Estimate::default(),
+            refusals: Rate::default(),
             waiting: BTreeMap::new(),
             rotation: VecDeque::new(),
             count: 0,
@@ -45,6 +49,7 @@
     pub fn inherit(&mut self, older: Self) {
         self.credit = older.credit;
         self.hold_time = older.hold_time;
+        self.refusals = older.refusals;
         self.waiting = older.waiting;
         self.rotation = older.rotation;
         self.count = older.count;
@@ -75,6 +80,19 @@
         worth / held
     }
 
+    /// Returns the worth of one request.
+    pub fn worth(&self) -> f64 {
+        f64::from(self.worth)
+    }
+
+    /// Returns the worth of its requests that are refused at `now` in each second in
+    /// which a slot is held by others.
+    pub fn displaced_worth(&self, now: Instant) -> f64 {
+        let held = self.hold_time.expected(now).as_secs_f64();
+        let most = held.max(f64::MIN_POSITIVE).recip();
+        self.worth() * self.refusals.get(now).min(most)
+    }
+
     /// Returns the minimum share of the slots, between 0 and 1.
     pub fn share(&self) -> f64 {
         self.share
--- a/crates/agateport-domain/src/admission/mod.rs
+++ b/crates/agateport-domain/src/admission/mod.rs
@@ -4,6 +4,10 @@
 //! priority that has had less than its minimum share, then to the priority with
 //! the highest worth per slot-second. Within a priority, callers are served
 //! round-robin, and the requests of each caller keep their order.
+//!
+//! A reserving queue also leaves a slot free if a request of a lower priority would
+//! cost more than it is worth: the more urgent requests that were refused recently, and
+//! would be refused while it holds the slot.
 
 mod breaker;
 mod class;
@@ -11,6 +15,7 @@
 mod estimate;
 mod limit;
 mod queue;
+mod rate;
 mod throttle;
 
 pub use breaker::Breaker;
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -30,6 +30,8 @@
     /// slot.
     paused: BTreeMap<RequestId, PriorityId>,
     accrued_at: Instant,
+    /// Whether slots are left free for more urgent requests.
+    is_reserving: bool,
 }
 
 impl Queue {
@@ -67,9 +69,20 @@
             running: BTreeMap::new(),
             paused: BTreeMap::new(),
             accrued_at: now,
+            is_reserving: false,
         })
     }
 
+    /// Makes the queue leave slots free for more urgent requests. A request that it holds
+    /// back is offered a slot at each later decision, until its caller gives up.
+    #[must_use]
+    pub fn reserving(self) -> Self {
+        Self {
+            is_reserving: true,
+            ..self
+        }
+    }
+
     /// Starts or queues a request.
     ///
     /// # Errors
@@ -88,7 +101,7 @@
             // of owners have all connections.
             return Err(refusal(Reason::QueueFull, hold_time));
         }
-        if self.is_empty() && self.has_capacity() {
+        if self.is_empty() && self.has_capacity() && !self.is_held_back(class, now) {
             // An idle server gets the request even if the estimate exceeds the
             // target.
             if !self.running.is_empty() && now + class.hold_time.expected(now) > ticket.due {
@@ -99,6 +112,9 @@
         }
         let wait = self.minimum_wait(&ticket, now);
         if now + wait + hold_time > ticket.due {
+            if now + hold_time <= ticket.due {
+                self.record_refusal(&ticket.priority, now);
+            }
             return Err(refusal(Reason::TargetMissed, wait));
         }
         let latest_start = ticket.due.checked_sub(hold_time).unwrap_or(now);
@@ -110,6 +126,7 @@
         let mut evicted = None;
         if class.len() >= capacity {
             let full = refusal(Reason::QueueFull, wait);
+            class.refusals.record(now);
             let last = class.evict_for(&ticket.caller).ok_or(full)?;
             evicted = Some((last.request, full));
         }
@@ -129,6 +146,7 @@
         }
         for class in self.classes.values_mut() {
             if class.remove(request) {
+                class.refusals.record(now);
                 return;
             }
         }
@@ -165,12 +183,16 @@
             return None;
         }
         let priority = self.select()?;
+        if self.is_held_back(self.classes.get(&priority)?, now) {
+            return None;
+        }
         let class = self.classes.get_mut(&priority)?;
         let is_below_share = class.is_below_share();
         let ticket = class.pop()?;
         let is_too_late =
             !self.running.is_empty() && now + class.hold_time.expected(now) > ticket.due;
         if is_too_late || now >= ticket.due {
+            class.refusals.record(now);
             let refusal = refusal(Reason::TargetMissed, class.hold_time.upper_bound(now));
             return Some(Decision::Refuse(ticket.request, refusal));
         }
@@ -201,6 +223,7 @@
         }
         next.running = std::mem::take(&mut self.running);
         next.paused = std::mem::take(&mut self.paused);
+        next.is_reserving = self.is_reserving;
         *self = next;
         Ok(())
     }
@@ -289,6 +312,29 @@
         self.accrued_at = now;
     }
 
+    fn record_refusal(&mut self, priority: &PriorityId, now: Instant) {
+        if let Some(class) = self.classes.get_mut(priority) {
+            class.refusals.record(now);
+        }
+    }
+
+    /// Returns whether a request of `class` would cost more than it is worth: the requests
+    /// of denser classes that are refused while it holds a slot. A class that has had less
+    /// than its minimum share is not held back.
+    fn is_held_back(&self, class: &Class, now: Instant) -> bool {
+        if !self.is_reserving || class.is_below_share() {
+            return false;
+        }
+        let density = class.density();
+        let denser = self
+            .classes
+            .values()
+            .filter(|other| other.density() > density);
+        let displaced: f64 = denser.map(|other| other.displaced_worth(now)).sum();
+        let held = class.hold_time.expected(now).as_secs_f64();
+        displaced * held > class.worth()
+    }
+
     /// Returns the priority that gets the next slot.
     fn select(&self) -> Option<PriorityId> {
         let waiting = self.classes.iter().filter(|(_, class)| class.len() > 0);
--- a/crates/agateport-domain/src/owner/assignment.rs
+++ b/crates/agateport-domain/src/owner/assignment.rs
@@ -51,10 +51,13 @@
         nodes > self.connections || nodes > statements.saturating_mul(NODES_PER_STATEMENT)
     }
 
-    /// Returns the share of each of `nodes` nodes that connect.
+    /// Returns the share of a node, if all connect, in a zone with `nodes` nodes.
+    ///
+    /// Callers connect to a node of their zone, so each of the `zones` gets the same
+    /// share, which its nodes divide.
     #[must_use]
-    pub fn even_share(self, nodes: usize) -> Share {
-        let nodes = nodes.max(1);
+    pub fn even_share(self, zones: usize, nodes: usize) -> Share {
+        let nodes = zones.max(1).saturating_mul(nodes.max(1));
         let slots = self.statements().div_ceil(nodes);
         Share {
             slots: slots.clamp(1, self.slots.max(1)),
--- a/crates/agateport-domain/tests/assignment.rs
+++ b/crates/agateport-domain/tests/assignment.rs
@@ -39,12 +39,19 @@
 #[test]
 fn shares_of_a_server() {
     let mut table = String::new();
-    for (slots, connections, nodes) in [(3, 19, 7), (2, 26, 6), (5, 49, 78), (0, 1, 1)] {
+    for (slots, connections, zones, nodes) in [
+        (3, 19, 3, 2),
+        (3, 19, 3, 3),
+        (2, 14, 3, 1),
+        (2, 14, 3, 3),
+        (5, 49, 3, 26),
+        (0, 1, 1, 1),
+    ] {
         let capacity = Capacity { slots, connections };
-        let (even, owner) = (capacity.even_share(nodes), capacity.owner_share());
+        let (even, owner) = (capacity.even_share(zones, nodes), capacity.owner_share());
         writeln!(
             table,
-            "{capacity:?} among {nodes}: {even:?}; as an owner {owner:?}"
+            "{capacity:?} among {zones} zones of {nodes}: {even:?}; as an owner {owner:?}"
         )
         .expect("writing to a string cannot fail");
     }
@@ -120,6 +127,6 @@
         connections: 140,
     };
     assert!(capacity.owner_share().slots >= 1);
-    assert!(capacity.even_share(7).slots >= 1);
+    assert!(capacity.even_share(3, 7).slots >= 1);
     assert_eq!(capacity.is_oversubscribed(7), slots == 0);
 }
--- a/crates/agateport-relay/src/ownership.rs
+++ b/crates/agateport-relay/src/ownership.rs
@@ -28,17 +28,22 @@
     /// Name of this node.
     node: NodeId,
     members: RwLock<Arc<Members>>,
+    /// Number of members in each zone.
+    zones: RwLock<Arc<BTreeMap<Zone, usize>>>,
+    zone: Zone,
     /// The owners and backups of the oversubscribed servers.
     assignments: Sharded<ServerId, Assignment>,
 }
 
 impl Ownership {
-    /// Creates the state of `node`, which does not know the members yet.
+    /// Creates the state of `node` in `zone`, which does not know the members yet.
     #[must_use]
-    pub fn new(node: NodeId) -> Self {
+    pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
             node,
             members: RwLock::default(),
+            zones: RwLock::default(),
+            zone,
             assignments: Sharded::new(),
         }
     }
@@ -51,6 +56,11 @@
         }
         let former = std::mem::replace(&mut *current, Arc::new(members.clone()));
         drop(current);
+        let mut zones = BTreeMap::new();
+        for member in members.values() {
+            *zones.entry(member.zone.clone()).or_default() += 1;
+        }
+        *self.zones.write().unwrap_or_else(PoisonError::into_inner) = Arc::new(zones);
         self.update_assignments(&former, members);
         true
     }
@@ -91,7 +101,9 @@
             // Other nodes may already use all of the server's connections.
             return (Role::Borrower(Vec::new()), MIN_SHARE);
         }
-        let even = capacity.even_share(members.len());
+        let zones = self.zones();
+        let neighbours = zones.get(&self.zone).copied().unwrap_or(1);
+        let even = capacity.even_share(zones.len(), neighbours);
         if !capacity.is_oversubscribed(members.len()) {
             return (Role::Owner, even);
         }
@@ -121,8 +133,13 @@
     }
 
     fn members(&self) -> Arc<Members> {
-        let members = self.members.read().unwrap_or_else(PoisonError::into_inner);
-        members.clone()
+        let members = self.members.read();
+        members.unwrap_or_else(PoisonError::into_inner).clone()
+    }
+
+    fn zones(&self) -> Arc<BTreeMap<Zone, usize>> {
+        let zones = self.zones.read();
+        zones.unwrap_or_else(PoisonError::into_inner).clone()
     }
 }
 
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -105,7 +105,7 @@
         share: Share,
         priorities: &[Priority],
     ) -> Result<Self, agateport_domain::admission::Error> {
-        let queue = Queue::new(share, QUEUE_CAPACITY, priorities, Instant::now())?;
+        let queue = Queue::new(share, QUEUE_CAPACITY, priorities, Instant::now())?.reserving();
         let inner = Inner {
             queue,
             waiting: BTreeMap::new(),
@@ -199,6 +199,8 @@
                 // The evicted request may have been abandoned already.
                 let _ = waiter.send(Err(refusal));
             }
+            // The slot may be free, if it was left so for more urgent requests.
+            Self::dispatch(&mut inner);
         }
         Ok((request, admission, receiver))
     }
@@ -265,10 +267,12 @@
         self.lock().idle.push(link);
     }
 
-    /// Closes connections that are broken or were idle for too long.
+    /// Closes connections that are broken or were idle for too long, and assigns slots to
+    /// requests that are no longer held back for more urgent ones.
     pub fn close_idle(&self) {
         let now = uptime();
         let mut inner = self.lock();
+        Self::dispatch(&mut inner);
         let idle_timeout = inner.idle_timeout;
         inner
             .idle
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -50,7 +50,7 @@
     #[must_use]
     pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
-            ownership: Ownership::new(node),
+            ownership: Ownership::new(node, zone.clone()),
             zone,
             groups: Sharded::new(),
             servers: Sharded::new(),
