--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -239,7 +239,10 @@
     /// requests as are before it are expected to end early enough.
     #[must_use]
     pub fn is_due_to_start(&self, request: RequestId, now: Instant) -> bool {
-        let Some(class) = self.select().and_then(|priority| self.classes.get(&priority)) else {
+        let Some(class) = self
+            .select()
+            .and_then(|priority| self.classes.get(&priority))
+        else {
             return false;
         };
         let mut next = class.next_of_callers().enumerate();
--- a/crates/agateport-domain/tests/overload.rs
+++ b/crates/agateport-domain/tests/overload.rs
@@ -10,11 +10,11 @@
     reason = "the counts are small"
 )]
 
+use agateport_domain::admission::Ticket;
 use agateport_domain::admission::{Admission, Decision, Queue};
 use agateport_domain::bundle::Priority;
 use agateport_domain::owner::Capacity;
 use agateport_domain::prelude::*;
-use agateport_domain::admission::Ticket;
 use rand::{RngExt, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use std::collections::VecDeque;
@@ -113,11 +113,18 @@
             slots: SLOTS,
             connections: 14,
         };
-        let queues = zones.iter().flat_map(|nodes| vec![*nodes; *nodes]).map(|nodes| {
-            let share = capacity.even_share(zones.len(), nodes);
-            let queue = Queue::new(share, 64, &priorities, start).expect("a share");
-            if is_reserving { queue.reserving() } else { queue }
-        });
+        let queues = zones
+            .iter()
+            .flat_map(|nodes| vec![*nodes; *nodes])
+            .map(|nodes| {
+                let share = capacity.even_share(zones.len(), nodes);
+                let queue = Queue::new(share, 64, &priorities, start).expect("a share");
+                if is_reserving {
+                    queue.reserving()
+                } else {
+                    queue
+                }
+            });
         let mut replay = Self {
             start,
             events: BTreeSet::new(),
@@ -189,7 +196,9 @@
         match event {
             Event::Arrival(id) => self.arrive(id, now),
             Event::Waited(id, latest) => {
-                let Request { node, is_started, .. } = self.requests[id as usize];
+                let Request {
+                    node, is_started, ..
+                } = self.requests[id as usize];
                 let is_due = self.queues[node].is_due_to_start(id, self.start + now);
                 if !is_started {
                     let end = if self.waits_on && is_due { latest } else { now };
@@ -197,7 +206,12 @@
                 }
             }
             Event::GivenUp(id) => {
-                let Request { node, kind, is_started, .. } = self.requests[id as usize];
+                let Request {
+                    node,
+                    kind,
+                    is_started,
+                    ..
+                } = self.requests[id as usize];
                 if !is_started {
                     self.queues[node].finish(id, self.start + now);
                     self.refused[kind] += 1;
@@ -214,7 +228,12 @@
                 self.serve(now);
             }
             Event::Answered(id) => {
-                let Request { node, kind, arrived, .. } = self.requests[id as usize];
+                let Request {
+                    node,
+                    kind,
+                    arrived,
+                    ..
+                } = self.requests[id as usize];
                 self.queues[node].finish(id, self.start + now);
                 if now <= arrived + KINDS[kind].target {
                     self.served[kind] += 1;
@@ -288,12 +307,14 @@
     let variants = [
         ("neither", [false, false]),
         ("reservation", [true, false]),
-        ("reservation, and what is due to start waits on", [true, true]),
+        (
+            "reservation, and what is due to start waits on",
+            [true, true],
+        ),
     ];
     for (label, variant) in variants {
         let replay = Replay::new(&[2, 3, 1], factor, variant, 7);
-        writeln!(transcript, "{label}\n{}", replay.run())
-            .expect("writing to a string succeeds");
+        writeln!(transcript, "{label}\n{}", replay.run()).expect("writing to a string succeeds");
     }
     insta::assert_snapshot!(name.replace(' ', "_"), transcript);
 }
--- a/crates/agateport-domain/tests/tree.rs
+++ b/crates/agateport-domain/tests/tree.rs
@@ -21,7 +21,11 @@
 }
 
 fn tree(fleet: &[(NodeId, Zone, Capacity)]) -> Tree {
-    Tree::new(fleet.iter().map(|(node, zone, capacity)| (node, zone, *capacity)))
+    Tree::new(
+        fleet
+            .iter()
+            .map(|(node, zone, capacity)| (node, zone, *capacity)),
+    )
 }
 
 #[test]
@@ -30,7 +34,9 @@
     let tree = tree(&fleet);
     let mut transcript = String::new();
     for (node, zone, _) in fleet.iter().filter(|(node, ..)| {
-        ["-056", "-057", "-000", "-007", "-055"].iter().any(|end| node.ends_with(end))
+        ["-056", "-057", "-000", "-007", "-055"]
+            .iter()
+            .any(|end| node.ends_with(end))
     }) {
         let sources = tree.sources(node, zone);
         writeln!(transcript, "{node}: {sources:?}").expect("writing to a string succeeds");
@@ -58,9 +64,17 @@
     for parent in parents.values() {
         *followers.entry(parent).or_default() += 1;
     }
-    assert!(followers.values().all(|count| *count <= 16), "{followers:?}");
-    assert_eq!(parents.len(), fleet.len() - 1, "only the root has no parent");
-    let depth = |node| std::iter::successors(Some(node), |node| parents.get(*node).copied()).count();
+    assert!(
+        followers.values().all(|count| *count <= 16),
+        "{followers:?}"
+    );
+    assert_eq!(
+        parents.len(),
+        fleet.len() - 1,
+        "only the root has no parent"
+    );
+    let depth =
+        |node| std::iter::successors(Some(node), |node| parents.get(*node).copied()).count();
     let deepest = fleet.iter().map(|(node, ..)| depth(node)).max();
     assert!(deepest <= Some(7), "{deepest:?}");
 }
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -200,6 +200,11 @@
                     tracing::info!(event = "store_regained", "the store is available again");
                 }
                 progress.retry_delay = Duration::ZERO;
+                let sources = &mut progress.sources;
+                sources.update(&self.node, &self.zone, &self.records());
+                if cause == "start" && !sources.due().is_empty() {
+                    return Duration::ZERO;
+                }
                 if cause != "own_change" {
                     self.set_reading(true);
                     tokio::spawn(refresh_watermarks(self.upstreams.clone()));
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -66,9 +66,9 @@
     async fn publish(&self, records: &Records) -> Option<RowVersion> {
         let mut change = Change::default();
         let known = records.members.get(&self.node);
-        if known.is_none_or(|known| {
-            known.address != self.address || known.capacity != self.capacity
-        }) {
+        if known
+            .is_none_or(|known| known.address != self.address || known.capacity != self.capacity)
+        {
             let member = Member {
                 zone: self.zone.clone(),
                 address: self.address,
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -153,7 +153,9 @@
         node = &*node.config.node,
         "the node has stopped"
     );
-    node.tasks.panicked().map_or(Ok(()), |task| Err(Error::Panicked(task)))
+    node.tasks
+        .panicked()
+        .map_or(Ok(()), |task| Err(Error::Panicked(task)))
 }
 
 /// State shared by the tasks of a node.
@@ -192,7 +194,8 @@
             is_reading: is_reading.clone(),
             heads: head_receiver.clone(),
         };
-        self.tasks.spawn("configurations", catalogs.run(self.end.clone()));
+        self.tasks
+            .spawn("configurations", catalogs.run(self.end.clone()));
         let upstreams = self.upstreams.clone();
         let registries = Follower {
             source: registries,
@@ -206,7 +209,8 @@
             is_reading,
             heads: head_receiver,
         };
-        self.tasks.spawn("registries", registries.run(self.end.clone()));
+        self.tasks
+            .spawn("registries", registries.run(self.end.clone()));
         let poller = Poller {
             node: self.config.node.clone(),
             zone: self.config.zone.clone(),
