--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -31,9 +31,12 @@
 use tokio_util::codec::{Framed, LengthDelimitedCodec};
 use tokio_util::sync::CancellationToken;
 
-/// Timeout for a query to another node, including its connection: some round trips
-/// and the pauses of a busy VM. The time for which the node may wait is added to it.
-const QUERY_TIMEOUT: Duration = Duration::from_millis(150);
+/// Timeout for a query that a node answers at once, including its connection: some round
+/// trips and the pauses of a busy VM.
+const QUERY_TIMEOUT: Duration = Duration::from_millis(250);
+
+/// Time that the answer to a query may take beyond the time for which the node may wait.
+const NEWS_MARGIN: Duration = Duration::from_millis(150);
 
 /// Maximum time for which a node waits for news before it answers a query.
 const MAX_WAIT: Duration = Duration::from_millis(500);
@@ -287,7 +290,8 @@
         // A connection with an outstanding answer must not be used for another query.
         let connection = self.connections.remove(&address);
         let exchanging = exchange(connection, address, query);
-        let (connection, update): (_, Update) = timeout(max_wait + QUERY_TIMEOUT, exchanging)
+        let max_time = (max_wait + NEWS_MARGIN).max(QUERY_TIMEOUT);
+        let (connection, update): (_, Update) = timeout(max_time, exchanging)
             .await
             .map_err(|_| Error::TimedOut)??;
         self.connections.insert(address, connection);
