--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -12,3 +12,4 @@
 mod succession;
 pub mod suspicion;
 pub mod trigger;
+mod watermark;
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -8,16 +8,15 @@
 use super::peer::{self, Peers};
 use super::sources::{Fault, Sources};
 use super::trigger::Trigger;
+use super::watermark::refresh_watermarks;
 use crate::clock::uptime;
 use crate::currency::{Origin, VALIDITY};
 use crate::metrics::{Metrics, millis};
-use crate::permit;
 use crate::protocol::Protocol;
 use crate::record::{self, Records};
 use crate::source::{self, Head, Reading, Revision, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
-use futures::future::join_all;
 use std::net::SocketAddr;
 use tokio::sync::watch;
 use tokio::time::timeout;
@@ -64,15 +63,6 @@
 /// Maximum time between retries while the store fails.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
-/// Time from a read of the store until the watermarks of the primaries are refreshed:
-/// shortly before the next read, with which the other nodes receive them.
-const WATERMARK_DELAY: Duration = Duration::from_millis(220);
-
-/// Age of a primary's watermark after which it is queried again. Reads at replicas
-/// need a watermark younger than the staleness that their route allows, also during
-/// a handover.
-const WATERMARK_REFRESH_AGE: Duration = Duration::from_millis(250);
-
 /// The rows of the store at one read.
 #[derive(Clone, Debug, Default)]
 pub struct Snapshot {
@@ -422,32 +412,3 @@
         });
     }
 }
-
-/// Queries the primaries whose watermarks no statement has reported recently. The
-/// other nodes receive them with their updates.
-async fn refresh_watermarks<W: Protocol>(upstreams: Arc<Upstreams<W>>) {
-    tokio::time::sleep(WATERMARK_DELAY).await;
-    let now = uptime();
-    let groups = upstreams.groups().into_iter();
-    let groups = groups.map(|group| upstreams.group(&group));
-    let stale = groups.filter(|group| {
-        let latest = group.latest_progress();
-        latest.is_none_or(|(_, sent_at, _)| sent_at + WATERMARK_REFRESH_AGE < now)
-    });
-    let channels = upstreams.channels();
-    let queries = stale.map(|group| {
-        let leader = group.leader();
-        let server = leader.and_then(|leader| upstreams.server(&leader.server));
-        async move {
-            let Some(server) = server.filter(|server| !server.is_unreachable()) else {
-                return;
-            };
-            let sent_at = uptime();
-            let status = permit::status(&server, channels).await;
-            if let Some(status) = status.filter(|status| status.is_primary) {
-                group.record_progress(&server.entry().server, sent_at, status.last);
-            }
-        }
-    });
-    join_all(queries).await;
-}
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod error;
 pub mod exchange;
 pub mod group;
+pub mod http;
 pub mod lease;
 pub mod lend;
 pub mod link;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -3,7 +3,6 @@
 
 use crate::caller::Session;
 use crate::catalog::Catalog;
-use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::control::confirmation;
 use crate::control::follower::Follower;
@@ -16,8 +15,9 @@
 use crate::control::trigger::Trigger;
 use crate::currency::Origin;
 use crate::error::Error;
+use crate::http;
 use crate::lend::Lender;
-use crate::metrics::{Metrics, millis};
+use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::readiness::{DRAIN_DELAY, Readiness, close_idle_sessions};
 use crate::registry;
@@ -27,9 +27,6 @@
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
-use axum::Router;
-use axum::http::StatusCode;
-use axum::routing::get;
 use std::net::SocketAddr;
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
@@ -131,8 +128,9 @@
     let readiness = node.readiness();
     let closing_idle = close_idle_sessions(readiness.clone(), shutdown.clone(), node.end.clone());
     node.tasks.spawn("idle_sessions", closing_idle);
-    serve_ready(&node.config, readiness).await?;
-    serve_metrics(&node, metrics.clone()).await?;
+    http::serve_ready(node.config.ready, node.config.ready_path, readiness).await?;
+    let (upstreams, snapshots) = (node.upstreams.clone(), node.snapshots.clone());
+    http::serve_metrics(node.config.metrics, upstreams, snapshots, metrics.clone()).await?;
 
     tracing::info!(
         event = "node_started",
@@ -386,61 +384,3 @@
         }
     }
 }
-
-async fn serve_ready<W: Protocol>(config: &Config, readiness: Readiness<W>) -> Result<(), Error> {
-    let answer = move || {
-        let status = if readiness.is_ready() {
-            StatusCode::OK
-        } else {
-            StatusCode::SERVICE_UNAVAILABLE
-        };
-        std::future::ready(status)
-    };
-    let router = Router::new().route(config.ready_path, get(answer));
-    spawn_http(config.ready, router).await
-}
-
-async fn serve_metrics<W: Protocol, S: Store>(
-    node: &Node<W, S>,
-    metrics: Arc<Metrics>,
-) -> Result<(), Error> {
-    let upstreams = node.upstreams.clone();
-    let snapshots = node.snapshots.clone();
-    let answer = move || {
-        let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
-        std::future::ready(metrics.render(&gauges))
-    };
-    let router = Router::new().route("/metrics", get(answer));
-    spawn_http(node.config.metrics, router).await
-}
-
-/// Returns the version of the configuration and the ages of what the node knows, in
-/// milliseconds; the age of something that is not known yet is omitted.
-fn gauges<W: Protocol>(
-    upstreams: &Upstreams<W>,
-    snapshot: Option<&Snapshot>,
-) -> BTreeMap<&'static str, u64> {
-    let currencies = upstreams.currencies();
-    let ages = [
-        ("configuration_age_milliseconds", currencies.catalog.age()),
-        ("registry_age_milliseconds", currencies.registry.age()),
-        ("records_age_milliseconds", snapshot.map(Snapshot::age)),
-    ];
-    let ages = ages
-        .into_iter()
-        .filter_map(|(name, age)| Some((name, millis(age?))));
-    let version = ("configuration_version", upstreams.catalog().version);
-    ages.chain([version]).collect()
-}
-
-async fn spawn_http(address: SocketAddr, router: Router) -> Result<(), Error> {
-    let listener = TcpListener::bind(address).await?;
-    tokio::spawn(async move {
-        if let Err(error) = axum::serve(listener, router).await {
-            tracing::error!(event = "http_ended", %address, %error, "an HTTP server ended with an error");
-        }
-    });
-    let started = uptime();
-    tracing::debug!(%address, ?started, "an HTTP server has started");
-    Ok(())
-}
