--- a/crates/agateport-domain/tests/overload.rs
+++ b/crates/agateport-domain/tests/overload.rs
@@ -6,8 +6,7 @@
 
 #![expect(
     clippy::cast_possible_truncation,
-    clippy::cast_precision_loss,
-    reason = "the counts are small"
+    reason = "the numbers of requests are small"
 )]
 
 use agateport_domain::admission::Ticket;
