--- a/crates/agateport-domain/benches/slopes.rs
+++ b/crates/agateport-domain/benches/slopes.rs
@@ -3,9 +3,10 @@
 
 use agateport_domain::bundle::Bundle;
 use agateport_domain::membership::{Member, State, View};
-use agateport_domain::owner::{Cache, Policy, Rendezvous};
+use agateport_domain::owner::{Assignment, Cache, Policy, Rendezvous};
 use agateport_domain::prelude::*;
 use agateport_domain::session::Session;
+use agateport_domain::tree::Tree;
 use std::fmt::Write;
 use std::hint::black_box;
 
@@ -15,6 +16,12 @@
 /// Numbers of members in the measured views.
 const MEMBERS: [u32; 5] = [7, 39, 390, 1_950, 3_900];
 
+/// Numbers of nodes on the users' platform.
+const NODES: [u32; 3] = [300, 1_000, 4_000];
+
+/// Number of servers whose owners are selected.
+const SERVERS: u32 = 60;
+
 /// Numbers of sessions of a node.
 const SESSIONS: [u32; 4] = [10_000, 50_000, 100_000, 200_000];
 
@@ -51,6 +58,8 @@
     }
     bundle();
     owners();
+    assignments();
+    tree();
     view();
     sessions();
     threads();
@@ -192,6 +201,57 @@
     print("owners of one server, cached", "us", "members", &cached);
 }
 
+/// Measures the selection of the owners of [`SERVERS`] servers, and a change of one node.
+fn assignments() {
+    let (mut selections, mut changes) = (vec![], vec![]);
+    for count in NODES {
+        let nodes = members(count);
+        let servers =
+            (0..SERVERS).map(|server| (format!("i-{server}"), format!("z{}", server % 15)));
+        let servers: Vec<(ServerId, Zone)> = servers
+            .map(|(server, zone)| (server.as_str().into(), zone.as_str().into()))
+            .collect();
+        let select = || -> Vec<_> {
+            let assigned = servers.iter().map(|(server, zone)| {
+                let nodes = nodes.iter().map(|node| (&node.name, &node.zone));
+                Assignment::new(server, zone, nodes)
+            });
+            assigned.collect()
+        };
+        let time = fastest(|| drop(black_box(select())));
+        selections.push(point(count, 1e6 * time.as_secs_f64()));
+        let mut assigned = select();
+        let (node, zone): (NodeId, Zone) = ("node-new".into(), "z1".into());
+        let time = fastest(|| {
+            for assignment in &mut assigned {
+                assignment.add(&node, &zone);
+            }
+        });
+        changes.push(point(count, 1e6 * time.as_secs_f64()));
+    }
+    print("owners of 60 servers, selected", "us", "nodes", &selections);
+    print(
+        "owners of 60 servers, a node added",
+        "us",
+        "nodes",
+        &changes,
+    );
+}
+
+/// Measures the order of the nodes in the tree, and the sources of one of them.
+fn tree() {
+    let mut points = vec![];
+    for count in NODES {
+        let nodes = members(count);
+        let time = fastest(|| {
+            let tree = Tree::new(nodes.iter().map(|node| (&node.name, &node.zone, 120)));
+            black_box(tree.sources(&nodes[7].name, &nodes[7].zone));
+        });
+        points.push(point(count, 1e6 * time.as_secs_f64()));
+    }
+    print("tree of the nodes", "us", "nodes", &points);
+}
+
 fn view() {
     let (mut memory, mut clone) = (vec![], vec![]);
     for count in MEMBERS {
