--- a/review/standin/lost.rs
+++ b/review/standin/lost.rs
@@ -43,7 +43,15 @@
         .iter()
         .map(|zone| {
             let name = format!("front-{zone}-1");
-            Node::start(folder, &name, zone, free_address(), platform, platform)
+            Node::start(
+                folder,
+                &name,
+                zone,
+                free_address(),
+                platform,
+                platform,
+                true,
+            )
         })
         .collect();
     if !wait_for(20, || nodes.iter().all(|node| is_ready(node.ready))) {
@@ -101,7 +109,11 @@
             run.began.saturating_sub(term),
             request.ended - request.at,
             request.ended.saturating_sub(term),
-            if is_counted { ": LOST" } else { " (not counted)" }
+            if is_counted {
+                ": LOST"
+            } else {
+                " (not counted)"
+            }
         ));
         lost += usize::from(is_counted);
     }
@@ -118,7 +130,11 @@
 /// Runs one transaction of up to [`STATEMENTS`] statements, which writes and commits.
 fn transaction(address: std::net::SocketAddr, number: u64, begin: u64, sent: &Mutex<Vec<Sent>>) {
     let is_writing = number % 2 == 0;
-    let database = if is_writing { "ledger-now" } else { "ledger-old" };
+    let database = if is_writing {
+        "ledger-now"
+    } else {
+        "ledger-old"
+    };
     let Some(mut client) = Client::open(address, database, &format!("u{number}")) else {
         note(&format!("client u{number} is refused"));
         return;
--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -5,6 +5,7 @@
 mod lost;
 mod net;
 mod order;
+mod restart;
 mod util;
 mod world;
 
@@ -24,6 +25,7 @@
     util::note(&format!("case {case}, TROUBLE={}", u8::from(has_trouble)));
     let verdict = match case.as_str() {
         "lost" => lost::run(folder, has_trouble),
+        "restart" => restart::run(folder, has_trouble),
         "order" => order::run(folder, has_trouble),
         _ => Err("no such case".to_owned()),
     };
--- a/review/standin/net.rs
+++ b/review/standin/net.rs
@@ -52,7 +52,10 @@
         if !line.starts_with("READY") {
             return None;
         }
-        client.stream.set_read_timeout(Some(Duration::from_secs(12))).ok()?;
+        client
+            .stream
+            .set_read_timeout(Some(Duration::from_secs(12)))
+            .ok()?;
         Some(client)
     }
 
--- a/review/standin/order.rs
+++ b/review/standin/order.rs
@@ -29,7 +29,15 @@
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let path = proxy(any, promotions, vec![cut.clone()]);
         let name = format!("front-{zone}-1");
-        nodes.push(Node::start(folder, &name, zone, free_address(), platform, path));
+        nodes.push(Node::start(
+            folder,
+            &name,
+            zone,
+            free_address(),
+            platform,
+            path,
+            true,
+        ));
         cuts.push(cut);
     }
     if !wait_for(20, || nodes.iter().all(|node| is_ready(node.ready))) {
--- a/review/standin/util.rs
+++ b/review/standin/util.rs
@@ -232,6 +232,8 @@
     pub name: String,
     pub callers: SocketAddr,
     pub ready: SocketAddr,
+    settings: String,
+    log: String,
     child: Mutex<Child>,
 }
 
@@ -244,41 +246,42 @@
         peers: SocketAddr,
         store: SocketAddr,
         promotions: SocketAddr,
+        is_first_start: bool,
     ) -> Node {
         let (callers, ready, metrics) = (free_address(), free_address(), free_address());
         let settings = format!("{folder}/{name}.toml");
         let text = format!(
             "node = \"{name}\"\nzone = \"{zone}\"\ncore_share = 0.25\ncores = 1\n\
-             is_first_start = true\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
+             is_first_start = {is_first_start}\ncallers = \"{callers}\"\nready = \"{ready}\"\n\
              metrics = \"{metrics}\"\npeers = \"{peers}\"\nstore = \"{store}\"\n\
              promotions = \"{promotions}\"\ngrace_seconds = 6.0\n"
         );
         std::fs::write(&settings, text).expect("the settings can be written");
-        let log = File::create(format!("{folder}/{name}.log")).expect("a log can be created");
-        let errors = log.try_clone().expect("a log can be shared");
-        let child = Command::new("target/release/agateport-platform")
-            .env_clear()
-            .env("AGATEPORT_BOOT", &settings)
-            .env("PATH", "/usr/bin:/bin")
-            .stdin(Stdio::null())
-            .stdout(log)
-            .stderr(errors)
-            .spawn()
-            .expect("the program starts");
-        // For `run.sh`, which ends the nodes if this process is ended.
-        let pids = File::options().create(true).append(true).open(format!("{folder}/pids"));
-        writeln!(pids.expect("the folder is writable"), "{}", child.id()).expect("it is written");
+        let log = format!("{folder}/{name}.log");
         note(&format!(
-            "node {name} (zone {zone}) started for callers at {callers}"
+            "node {name} (zone {zone}) is started for callers at {callers}"
         ));
         Node {
             name: name.to_owned(),
             callers,
             ready,
-            child: Mutex::new(child),
+            child: Mutex::new(spawn(folder, &settings, &log)),
+            settings,
+            log,
         }
     }
 
+    /// Kills the process, and starts it again after `pause_ms`.
+    pub fn kill_and_restart(&self, folder: &str, pause_ms: u64) {
+        let mut child = self.child.lock().unwrap();
+        note(&format!("SIGKILL to {}", self.name));
+        let _ = child.kill();
+        let _ = child.wait();
+        sleep_ms(pause_ms);
+        note(&format!("{} is started again", self.name));
+        *child = spawn(folder, &self.settings, &self.log);
+    }
+
     pub fn signal(&self, signal: i32) {
         let mut child = self.child.lock().unwrap();
         if matches!(child.try_wait(), Ok(None)) {
@@ -292,6 +295,25 @@
     }
 }
 
+fn spawn(folder: &str, settings: &str, log: &str) -> Child {
+    let open = |path: &str| File::options().create(true).append(true).open(path);
+    let log = open(log).expect("a log can be created");
+    let errors = log.try_clone().expect("a log can be shared");
+    let child = Command::new("target/release/agateport-platform")
+        .env_clear()
+        .env("AGATEPORT_BOOT", settings)
+        .env("PATH", "/usr/bin:/bin")
+        .stdin(Stdio::null())
+        .stdout(log)
+        .stderr(errors)
+        .spawn()
+        .expect("the program starts");
+    // For `run.sh`, which ends the nodes if this process is ended.
+    let mut pids = open(&format!("{folder}/pids")).expect("the folder is writable");
+    writeln!(pids, "{}", child.id()).expect("it is written");
+    child
+}
+
 impl Drop for Node {
     fn drop(&mut self) {
         let mut child = self.child.lock().unwrap();
--- a/review/standin/world.rs
+++ b/review/standin/world.rs
@@ -40,8 +40,6 @@
     pub log: Vec<Entry>,
     pub busy: usize,
     pub connections: usize,
-    /// Whether its row is in the store.
-    pub is_listed: bool,
 }
 
 impl Server {
@@ -141,7 +139,14 @@
             for (suffix, kind, timeout, target, prio, stale) in [
                 ("now", "primary", 1_000, 200, 0, ""),
                 ("own", "own", 1_000, 400, 1, ",\"max_stale_ms\":2500"),
-                ("old", "bounded_staleness", 2_000, 1_200, 2, ",\"max_stale_ms\":1500"),
+                (
+                    "old",
+                    "bounded_staleness",
+                    2_000,
+                    1_200,
+                    2,
+                    ",\"max_stale_ms\":1500",
+                ),
             ] {
                 routes.push(format!(
                     "{{\"name\":\"r-{service}-{suffix}\",\"host\":\"{service}-{suffix}\",\
@@ -171,18 +176,30 @@
 
     /// Starts a server of term 1 and registers it.
     pub fn start_server(self: &Arc<Self>, id: &str, service: &str, zone: &str, is_primary: bool) {
+        self.start_server_behind(id, service, zone, is_primary, |address| address);
+    }
+
+    /// Starts a server whose address for the nodes is the one that `path` returns for its
+    /// own.
+    pub fn start_server_behind(
+        self: &Arc<Self>,
+        id: &str,
+        service: &str,
+        zone: &str,
+        is_primary: bool,
+        path: impl Fn(SocketAddr) -> SocketAddr,
+    ) {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
         let server = Server {
             service: service.to_owned(),
             zone: zone.to_owned(),
-            address: listener.local_addr().unwrap(),
+            address: path(listener.local_addr().unwrap()),
             is_primary,
             is_draining: false,
             term: 1,
             log: Vec::new(),
             busy: 0,
             connections: 0,
-            is_listed: true,
         };
         self.with(|state| {
             state.servers.insert(id.to_owned(), server);
@@ -210,9 +227,6 @@
         state.sequence += 1;
         let sequence = state.sequence;
         let server = &state.servers[id];
-        if !server.is_listed {
-            return;
-        }
         let text = format!(
             "{{\"service\":\"{}\",\"addr\":\"{}\",\"zone\":\"{}\",\"version\":\"v1\",\
              \"slots\":{SLOTS},\"state\":\"{}\",\"cold_left_ms\":0,\"db_role\":\"{}\",\
@@ -220,8 +234,16 @@
             server.service,
             server.address,
             server.zone,
-            if server.is_draining { "draining" } else { "ready" },
-            if server.is_primary { "primary" } else { "replica" },
+            if server.is_draining {
+                "draining"
+            } else {
+                "ready"
+            },
+            if server.is_primary {
+                "primary"
+            } else {
+                "replica"
+            },
         );
         self.set_row(state, "servers", id, Some(base64(text.as_bytes())));
     }
@@ -235,20 +257,6 @@
         note(&format!("server {id} reports that it is draining"));
     }
 
-    /// Removes a server's row, as after three intervals of silence, or writes it again.
-    pub fn list(&self, id: &str, is_listed: bool) {
-        self.with(|state| {
-            state.servers.get_mut(id).unwrap().is_listed = is_listed;
-            if is_listed {
-                self.register(state, id);
-            } else {
-                self.set_row(state, "servers", id, None);
-            }
-        });
-        let what = if is_listed { "is back" } else { "is removed" };
-        note(&format!("the row of server {id} {what}"));
-    }
-
     /// Serves the platform at a new address.
     pub fn serve_platform(self: &Arc<Self>) -> SocketAddr {
         let listener = TcpListener::bind("127.0.0.1:0").expect("a port is free");
@@ -372,7 +380,10 @@
             )
         };
         for entry in body.get("expected_rev").list() {
-            let version = state.rows.get(&key(entry)).map_or(0, |(_, version)| *version);
+            let version = state
+                .rows
+                .get(&key(entry))
+                .map_or(0, |(_, version)| *version);
             if version != entry.get("ver").number() {
                 return (412, "{\"rows\":[]}".to_owned());
             }
@@ -393,14 +404,13 @@
             state.changes.push((version, table, name, None));
         }
         self.changed.notify_all();
-        (200, format!("{{\"ver\":{version},\"now_ms\":{}}}", now_ms()))
+        (
+            200,
+            format!("{{\"ver\":{version},\"now_ms\":{}}}", now_ms()),
+        )
     }
 
-    fn promote(
-        self: &Arc<Self>,
-        headers: &BTreeMap<String, String>,
-        body: &[u8],
-    ) -> (u16, String) {
+    fn promote(self: &Arc<Self>, headers: &BTreeMap<String, String>, body: &[u8]) -> (u16, String) {
         let body = parse_json(body);
         let header = |name: &str| headers.get(name).cloned().unwrap_or_default();
         let order = Order {
@@ -438,7 +448,9 @@
                 server.is_primary = true;
                 server.term = term;
                 state.effects.push((now_ms(), service.clone(), id.clone()));
-                note(&format!("server {id} leads service {service} in term {term}"));
+                note(&format!(
+                    "server {id} leads service {service} in term {term}"
+                ));
                 world.register(state, &id);
                 true
             });
@@ -506,7 +518,7 @@
     let mut at = 0;
     while at < bytes.len() {
         match bytes[at] {
-            b'%' if at + 2 < bytes.len() + 0 => {
+            b'%' if at + 2 < bytes.len() => {
                 let code = std::str::from_utf8(&bytes[at + 1..at + 3]).unwrap_or("00");
                 decoded.push(u8::from_str_radix(code, 16).unwrap_or(0));
                 at += 3;
@@ -573,7 +585,11 @@
 }
 
 fn ready(world: &World, id: &str, session: &Session) -> String {
-    let state = if session.transaction.is_some() { "T" } else { "I" };
+    let state = if session.transaction.is_some() {
+        "T"
+    } else {
+        "I"
+    };
     let (term, number) = world.with(|state| state.servers[id].position());
     format!("READY {state} {term}.{number}\r\n")
 }
@@ -598,9 +614,9 @@
         Some(rest) => rest.split_once(' ').unwrap_or((rest, "")),
         None => ("0.0", text),
     };
-    let floor = floor.split_once('.').and_then(|(term, number)| {
-        Some((term.parse::<u64>().ok()?, number.parse::<u64>().ok()?))
-    });
+    let floor = floor
+        .split_once('.')
+        .and_then(|(term, number)| Some((term.parse::<u64>().ok()?, number.parse::<u64>().ok()?)));
     if floor > Some(world.with(|state| state.servers[id].position())) {
         return "ERROR LAGGING behind\r\n".to_owned();
     }
@@ -621,7 +637,11 @@
             }
             world.with(|state| {
                 let server = &state.servers[id];
-                let role = if server.is_primary { "primary" } else { "replica" };
+                let role = if server.is_primary {
+                    "primary"
+                } else {
+                    "replica"
+                };
                 let (term, number) = server.position();
                 format!(
                     "ROW {role} {} {term}.{number} 0 0 {} {}\r\nDONE -\r\n",
@@ -675,7 +695,10 @@
     request: &str,
     words: &[&str],
 ) -> String {
-    note(&format!("server {id} begins to run {request}: {}", words.join(" ")));
+    note(&format!(
+        "server {id} begins to run {request}: {}",
+        words.join(" ")
+    ));
     let index = world.with(|state| {
         state.runs.push(Run {
             id: request.to_owned(),
@@ -693,9 +716,17 @@
         let writes = match words[0] {
             "READ" => {
                 let log = &state.servers[id].log;
-                let found = log.iter().rev().find(|entry| Some(&&*entry.item) == words.get(1));
-                let own = session.transaction.iter().flat_map(|(_, writes)| writes.iter().rev());
-                let own = own.clone().find(|(_, item, _)| Some(&&**item) == words.get(1));
+                let found = log
+                    .iter()
+                    .rev()
+                    .find(|entry| Some(&&*entry.item) == words.get(1));
+                let own = session
+                    .transaction
+                    .iter()
+                    .flat_map(|(_, writes)| writes.iter().rev());
+                let own = own
+                    .clone()
+                    .find(|(_, item, _)| Some(&&**item) == words.get(1));
                 let data = own.map(|(_, _, data)| data.clone());
                 let data = data.or(found.map(|entry| entry.data.clone()));
                 rows = format!("ROW {}\r\n", data.unwrap_or_else(|| "none".to_owned()));
@@ -726,7 +757,12 @@
         let term = server.term;
         let has_written = !writes.is_empty();
         for (write, item, data) in writes {
-            server.log.push(Entry { term, id: write, item, data });
+            server.log.push(Entry {
+                term,
+                id: write,
+                item,
+                data,
+            });
         }
         let position = server.position();
         if has_written {
