relay: log what a handover and a confirmation are based on

The record of the incident fits a restarted coordinator, a confirmation by nodes that do not know the promoted server, and a late order. The logs did not tell them apart.

- reign_recorded: the version that the write was conditional on, and the new one.
- promotion_started: before the order is sent; the outcome has its duration.
An order without an outcome is one whose sender ended.
- primary_confirmed: the servers that confirmed a primary without the store, and the age of the node's records.
- records_adopted: what a starting node takes over.

--- a/crates/agateport-relay/src/control/confirmation.rs
+++ b/crates/agateport-relay/src/control/confirmation.rs
@@ -3,8 +3,10 @@
 
 use crate::clock::uptime;
 use crate::group::Group;
+use crate::metrics::millis;
 use crate::permit;
 use crate::protocol::Protocol;
+use crate::server::Server;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use futures::future::join_all;
@@ -42,7 +44,32 @@
         status.is_some_and(|status| !status.is_primary)
     });
     let answers = join_all(queries).await;
-    if !answers.is_empty() && answers.iter().all(|is_replica| *is_replica) {
-        group.confirm(&leader.server, sent_at);
+    if answers.is_empty() || !answers.iter().all(|is_replica| *is_replica) {
+        return;
     }
+    if group.confirm(&leader.server, sent_at) {
+        report_confirmed(group, &leader.server, &servers, sent_at);
+    }
+}
+
+/// Logs the first confirmation since the store was last read.
+fn report_confirmed<W: Protocol>(
+    group: &Group,
+    primary: &ServerId,
+    servers: &[Arc<Server<W>>],
+    sent_at: Uptime,
+) {
+    let entries = servers.iter().map(|server| server.entry());
+    let others: Vec<_> = entries
+        .filter(|entry| entry.server != *primary)
+        .map(|entry| entry.server.clone())
+        .collect();
+    tracing::info!(
+        event = "primary_confirmed",
+        group = &*group.name,
+        primary = &**primary,
+        ?others,
+        store_age_ms = millis(sent_at.saturating_sub(group.store_read_at())),
+        "the other servers confirmed the primary, as the store does not answer"
+    );
 }
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -6,6 +6,7 @@
 use crate::clock::uptime;
 use crate::group::{Group, REGISTRY_VALIDITY};
 use crate::message::Command;
+use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::record::{self, COORDINATOR, Records};
 use crate::source::{self, Change, Promoter, RowVersion, Store};
@@ -337,6 +338,8 @@
             primary = &*leadership.primary,
             is_settled,
             fence,
+            based_on = version,
+            version = written.as_ref().ok(),
             outcome = outcome(&written),
             "a write of a leadership record was attempted"
         );
@@ -387,6 +390,14 @@
         if now < self.promotions_allowed_at || now >= sent_at + LEASE_DURATION {
             return;
         }
+        tracing::info!(
+            event = "promotion_started",
+            group = &*group.name,
+            server = &**server,
+            fence,
+            snapshot_age_ms = millis(now.saturating_sub(sent_at)),
+            "a promotion is being ordered"
+        );
         let order = self
             .promoter
             .promote(&group.name, server, &self.node, fence);
@@ -399,6 +410,7 @@
             server = &**server,
             fence,
             outcome = outcome(&ordered.map(|()| 0)),
+            took_ms = millis(uptime().saturating_sub(now)),
             "a promotion was ordered"
         );
         let transition = self.transitions.entry(group.name.clone()).or_default();
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -401,6 +401,9 @@
         let read_at = is_member.then_some(snapshot.sent_at);
         self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
+        if self.snapshots.borrow().is_none() {
+            report_adopted(&snapshot);
+        }
         self.snapshots.send_if_modified(|known| {
             let is_newer = known
                 .as_ref()
@@ -412,3 +415,32 @@
         });
     }
 }
+
+/// Logs what a node that has just started takes over from the store.
+fn report_adopted(snapshot: &Snapshot) {
+    let records = &snapshot.records;
+    let coordinator = records.coordinator.as_ref().map(|(row, _)| &*row.holder);
+    let leaderships: BTreeMap<_, _> = records
+        .leaderships
+        .iter()
+        .map(|(group, (leadership, version))| {
+            let state = if leadership.is_settled {
+                "settled"
+            } else {
+                "unsettled"
+            };
+            let text = format!("{} {state} version {version}", leadership.primary);
+            (group, text)
+        })
+        .collect();
+    tracing::info!(
+        event = "records_adopted",
+        version = records.revision.version,
+        era = records.revision.era,
+        age_ms = millis(snapshot.age()),
+        coordinator,
+        members = records.members.len(),
+        ?leaderships,
+        "the node has started with these rows of the store"
+    );
+}
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -38,6 +38,8 @@
     progress: Progress,
     /// When the last answered read of the record was sent to the store.
     store_read_at: Uptime,
+    /// Whether the servers have extended the lease since that read.
+    is_confirmed: bool,
     /// When a wait for the lease last failed.
     last_failed_wait: Option<Uptime>,
 }
@@ -106,6 +108,7 @@
         inner.leadership = leadership.map(|leadership| (leadership, first_seen));
         if let Some(sent_at) = read_at {
             inner.store_read_at = inner.store_read_at.max(sent_at);
+            inner.is_confirmed = false;
             inner.lease.renew(sent_at);
         }
         let until = inner.lease.expiry();
@@ -116,17 +119,30 @@
     /// Records that all other servers, queried at `sent_at`, were replicas while
     /// `leader` was the primary. This is ignored once the registry may be incomplete
     /// because the store has not answered for too long.
-    pub fn confirm(&self, leader: &ServerId, sent_at: Uptime) {
+    ///
+    /// Returns whether this is the first confirmation that extends the lease since the
+    /// store was last read.
+    pub fn confirm(&self, leader: &ServerId, sent_at: Uptime) -> bool {
         let mut inner = self.lock();
         if inner.leader.as_ref() != Some(leader)
             || sent_at >= inner.store_read_at + REGISTRY_VALIDITY
         {
-            return;
+            return false;
         }
+        let was_confirmed = inner.is_confirmed;
+        inner.is_confirmed |= !inner.lease.covers(sent_at);
+        let is_first = inner.is_confirmed && !was_confirmed;
         inner.lease.confirm(sent_at);
         let until = inner.lease.expiry();
         drop(inner);
         self.expiry.send_replace(until);
+        is_first
+    }
+
+    /// Returns when the last answered read of the record was sent to the store.
+    #[must_use]
+    pub fn store_read_at(&self) -> Uptime {
+        self.lock().store_read_at
     }
 
     /// Selects the leader among `claimants`, the registered servers that report that
