handover: decide and write on the same rows

A coordinator that was killed after its order and started again wrote the former primary into the record of the handover.

The condition at the store thus held for a record that the decision had not seen. Class: a decision and its condition come from different reads.

Measured: platform/tests/handover.rs, a_restarted_coordinator_keeps_the_record_of_a_handover. Before, the coordinator wrote the former primary on every check; after, it orders the recorded one.

--- /dev/null
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -0,0 +1,124 @@
+//! The rows that a step of a handover is decided on.
+
+use super::poller::Snapshot;
+use crate::record::{self, COORDINATOR};
+use crate::source::{Change, Revision, RowVersion};
+use agateport_domain::group::Leadership;
+use agateport_domain::group::handover::Record;
+use agateport_domain::prelude::*;
+
+/// The rows of one read of the store that a step for a group is decided on.
+///
+/// The change that carries the step out is conditional on the versions of these rows, so
+/// it is never applied to rows that the decision did not see.
+#[derive(Clone, Debug)]
+pub struct Basis {
+    /// Name of the group.
+    pub group: GroupId,
+    /// When the read was sent to the store, or a lower bound of it.
+    pub sent_at: Uptime,
+    /// Revision of the rows.
+    pub revision: Revision,
+    leadership: Option<(Leadership, RowVersion)>,
+    /// When this node first read the recorded primary.
+    first_seen: Uptime,
+    coordinator: Option<(NodeId, RowVersion)>,
+    fence: Option<Fence>,
+    is_outdated: bool,
+    is_released: bool,
+}
+
+impl Basis {
+    /// Takes the rows that concern a group out of a snapshot.
+    #[must_use]
+    pub fn new(group: &GroupId, snapshot: &Snapshot) -> Self {
+        let records = &snapshot.records;
+        let leadership = records.leaderships.get(group).cloned();
+        let is_outdated = match &leadership {
+            Some((leadership, _)) => records.is_outdated(leadership),
+            // The record may have been written after the copy that the store was restored
+            // from.
+            None => records.revision.era > 0,
+        };
+        let coordinator = records.coordinator.as_ref();
+        Self {
+            group: group.clone(),
+            sent_at: snapshot.sent_at,
+            revision: records.revision,
+            leadership,
+            first_seen: snapshot.first_seen(group),
+            coordinator: coordinator.map(|(row, version)| (row.holder.clone(), *version)),
+            fence: records.fence(),
+            is_outdated,
+            is_released: records.is_accepted(group),
+        }
+    }
+
+    /// Returns what the rows say about the group's primary.
+    #[must_use]
+    pub fn record(&self) -> Record<'_> {
+        match &self.leadership {
+            _ if self.is_outdated => Record::Outdated,
+            None => Record::Absent,
+            Some((leadership, _)) => Record::Current(leadership, self.first_seen),
+        }
+    }
+
+    /// Returns whether later records of the group may be lost.
+    #[must_use]
+    pub fn is_outdated(&self) -> bool {
+        self.is_outdated
+    }
+
+    /// Returns whether every node has accepted the record and stopped using the former
+    /// primary.
+    #[must_use]
+    pub fn is_released(&self) -> bool {
+        self.is_released
+    }
+
+    /// Returns the recorded primary.
+    #[must_use]
+    pub fn primary(&self) -> Option<&ServerId> {
+        let (leadership, _) = self.leadership.as_ref()?;
+        Some(&leadership.primary)
+    }
+
+    /// Returns the node that may order promotions.
+    #[must_use]
+    pub fn coordinator(&self) -> Option<&NodeId> {
+        let (coordinator, _) = self.coordinator.as_ref()?;
+        Some(coordinator)
+    }
+
+    /// Returns the fencing token of the coordinator; none if there is no coordinator.
+    #[must_use]
+    pub fn fence(&self) -> Option<Fence> {
+        self.fence
+    }
+
+    /// Returns the version of the group's leadership record; zero if there is none.
+    #[must_use]
+    pub fn version(&self) -> RowVersion {
+        let leadership = self.leadership.as_ref();
+        leadership.map_or(0, |(_, version)| *version)
+    }
+
+    /// Returns the change that replaces the leadership record, on the condition that it and
+    /// the coordinator row are still those of this basis.
+    #[must_use]
+    pub fn replace(&self, leadership: &Leadership) -> Change {
+        let key = record::leadership_key(&self.group);
+        let coordinator = self.coordinator.as_ref();
+        let coordinator = coordinator.map_or(0, |(_, version)| *version);
+        let change = Change {
+            expected: BTreeMap::from([
+                (COORDINATOR.to_owned(), coordinator),
+                (key.clone(), self.version()),
+            ]),
+            set: BTreeMap::from([(key, record::encode(leadership))]),
+            ..Change::default()
+        };
+        record::with_change_marker(change)
+    }
+}
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -1,5 +1,6 @@
 //! Executes handovers as the coordinator, and replaces an unresponsive coordinator.
 
+use super::basis::Basis;
 use super::poller::Snapshot;
 use super::suspicion::Suspicions;
 use super::trigger::Trigger;
@@ -8,10 +9,9 @@
 use crate::message::Command;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
-use crate::record::{self, COORDINATOR, Records};
-use crate::source::{self, Change, Promoter, RowVersion, Store};
+use crate::source::{self, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
-use agateport_domain::group::handover::{self, Candidate, Record, State, Step};
+use agateport_domain::group::handover::{self, Candidate, State, Step};
 use agateport_domain::group::{LEASE_DURATION, Leadership};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
@@ -42,6 +42,19 @@
     pub(super) needed_since: Option<Uptime>,
     /// Since when no server reports that it is the primary.
     leaderless_since: Option<Uptime>,
+    /// Revision of this node's last write of the record.
+    written: Revision,
+}
+
+impl Transition {
+    /// Updates the time since when no server reports that it is the primary.
+    fn track_leaderless(&mut self, has_leader: bool) {
+        if has_leader {
+            self.leaderless_since = None;
+        } else {
+            self.leaderless_since.get_or_insert_with(uptime);
+        }
+    }
 }
 
 /// Executes handovers while this node is the coordinator, and takes over when the
@@ -147,84 +160,69 @@
 
     /// Executes the next step for one group, if there is one.
     async fn advance(&mut self, group: &Arc<Group>, snapshot: &Snapshot) {
-        let records = &snapshot.records;
-        let step = self.decide(group, records, false).await;
+        let basis = Basis::new(&group.name, snapshot);
+        let transition = self.transition(&basis);
+        if basis.revision < transition.written {
+            // The rows lack this node's own last step.
+            return;
+        }
+        let step = self.decide(group, &basis, false).await;
         if step == Step::Wait {
-            if let Some(transition) = self.transitions.get_mut(&group.name) {
-                transition.needed_since = None;
-            }
+            self.transition(&basis).needed_since = None;
             return;
         }
-        let coordinator = records.coordinator.as_ref().map(|(row, _)| &row.holder);
-        if coordinator != Some(&self.node) {
-            self.take_over(group, records, &step).await;
+        if basis.coordinator() != Some(&self.node) {
+            self.take_over(&basis, &snapshot.records, &step).await;
             return;
         }
         // Only the coordinator queries the servers for their current watermarks.
-        let is_outdated = is_outdated(group, records);
         let step = match step {
-            Step::Record(_) => self.decide(group, records, true).await,
-            _ if is_outdated => self.decide(group, records, true).await,
+            Step::Record(_) => self.decide(group, &basis, true).await,
+            _ if basis.is_outdated() => self.decide(group, &basis, true).await,
             step => step,
         };
-        self.execute(group, records, step, snapshot.sent_at).await;
+        self.execute(group, &basis, step).await;
     }
 
-    /// Decides the next step for a group. If `is_queried`, the servers are queried for
-    /// their watermarks first.
-    async fn decide(&mut self, group: &Arc<Group>, records: &Records, is_queried: bool) -> Step {
-        let leadership = group.leadership();
-        let recorded = leadership
-            .as_ref()
-            .map(|(leadership, _)| leadership.primary.clone());
-        let transition = self.transitions.entry(group.name.clone()).or_default();
-        if transition.primary != recorded {
+    /// Returns the progress of a group's handover. It starts anew with each recorded
+    /// primary.
+    fn transition(&mut self, basis: &Basis) -> &mut Transition {
+        let transition = self.transitions.entry(basis.group.clone()).or_default();
+        if transition.primary.as_ref() != basis.primary() && basis.revision >= transition.written {
             *transition = Transition {
-                primary: recorded,
+                primary: basis.primary().cloned(),
                 needed_since: transition.needed_since,
                 leaderless_since: transition.leaderless_since,
                 ..Transition::default()
             };
         }
-        let transition = transition.clone();
+        transition
+    }
+
+    /// Decides the next step for a group. If `is_queried`, the servers are queried for
+    /// their watermarks first.
+    async fn decide(&mut self, group: &Arc<Group>, basis: &Basis, is_queried: bool) -> Step {
         let candidates = self.candidates(group, is_queried).await;
         let has_leader = candidates.iter().any(|candidate| candidate.is_primary);
-        let leaderless_since = self.track_leaderless(group, has_leader);
-        let primary = candidates.iter().find(|candidate| candidate.is_primary);
-        let primary = transition
-            .primary
-            .clone()
-            .or_else(|| primary.map(|candidate| candidate.server.clone()));
-        let is_unreachable =
-            primary.is_some_and(|primary| self.suspicions.is_unreachable(&primary));
+        let transition = self.transition(basis);
+        transition.track_leaderless(has_leader);
+        let transition = transition.clone();
+        let reported = candidates.iter().find(|candidate| candidate.is_primary);
+        let reported = reported.map(|candidate| &candidate.server);
+        let primary = basis.primary().or(reported);
+        let is_unreachable = primary.is_some_and(|primary| self.suspicions.is_unreachable(primary));
         let state = State {
-            record: match &leadership {
-                None => Record::Absent,
-                Some((leadership, _)) if records.is_outdated(leadership) => Record::Outdated,
-                Some((leadership, first_seen)) => Record::Current(leadership, *first_seen),
-            },
+            record: basis.record(),
             candidates: &candidates,
-            leaderless_since,
+            leaderless_since: transition.leaderless_since,
             is_unreachable,
             is_demoted: transition.is_demoted,
-            is_released: records.is_accepted(&group.name),
+            is_released: basis.is_released(),
             ordered_at: transition.ordered_at,
         };
         handover::decide(&state, uptime())
     }
 
-    /// Updates and returns the time since when no server reports that it is the
-    /// primary.
-    fn track_leaderless(&mut self, group: &Group, has_leader: bool) -> Option<Uptime> {
-        let transition = self.transitions.entry(group.name.clone()).or_default();
-        if has_leader {
-            transition.leaderless_since = None;
-        } else {
-            transition.leaderless_since.get_or_insert_with(uptime);
-        }
-        transition.leaderless_since
-    }
-
     async fn candidates(&self, group: &Arc<Group>, is_queried: bool) -> Vec<Candidate> {
         let now = uptime();
         let servers = self.upstreams.servers(&group.name);
@@ -266,89 +264,68 @@
         futures::future::join_all(candidates).await
     }
 
-    async fn execute(
-        &mut self,
-        group: &Arc<Group>,
-        records: &Records,
-        step: Step,
-        sent_at: Uptime,
-    ) {
-        let Some(fence) = records.fence() else {
-            return;
-        };
+    async fn execute(&mut self, group: &Arc<Group>, basis: &Basis, step: Step) {
         match step {
             Step::Wait => {}
             Step::Adopt(server) => {
-                self.write(group, records, fence, server, true).await;
+                self.write(basis, server, true).await;
             }
             Step::Settle => {
-                let leadership = records.leaderships.get(&group.name);
-                if let Some((leadership, _)) = leadership {
-                    let primary = leadership.primary.clone();
-                    self.write(group, records, fence, primary, true).await;
+                if let Some(primary) = basis.primary().cloned() {
+                    self.write(basis, primary, true).await;
                 }
             }
             Step::Record(server) => {
-                let former = group.leader().map(|leader| leader.server);
-                let is_written = self
-                    .write(group, records, fence, server.clone(), false)
-                    .await;
-                if is_written {
-                    self.demote(group, former, server).await;
+                let reported = || group.leader().map(|leader| leader.server);
+                let former = basis.primary().cloned().or_else(reported);
+                if self.write(basis, server, false).await {
+                    self.demote(&basis.group, former).await;
                 }
             }
-            Step::Promote(server) => self.promote(group, &server, fence, sent_at).await,
+            Step::Promote(server) => self.promote(basis, &server).await,
         }
     }
 
-    /// Writes a group's leadership record, on the condition that it and the
-    /// coordinator row are unchanged.
-    async fn write(
-        &self,
-        group: &Group,
-        records: &Records,
-        fence: Fence,
-        primary: ServerId,
-        is_settled: bool,
-    ) -> bool {
-        let key = record::leadership_key(&group.name);
-        let version = records
-            .leaderships
-            .get(&group.name)
-            .map_or(0, |(_, version)| *version);
-        let coordinator = records.coordinator.as_ref();
-        let coordinator = coordinator.map_or(0, |(_, version)| *version);
+    /// Replaces a group's leadership record, and returns whether it was replaced.
+    async fn write(&mut self, basis: &Basis, primary: ServerId, is_settled: bool) -> bool {
+        let Some(fence) = basis.fence() else {
+            return false;
+        };
         let leadership = Leadership {
             primary,
             fence,
             is_settled,
         };
-        let change = Change {
-            expected: BTreeMap::from([
-                (COORDINATOR.to_owned(), coordinator),
-                (key.clone(), version),
-            ]),
-            set: BTreeMap::from([(key, record::encode(&leadership))]),
-            ..Change::default()
-        };
-        let written = self.store.change(record::with_change_marker(change)).await;
+        let written = self.store.change(basis.replace(&leadership)).await;
         tracing::info!(
             event = "reign_recorded",
-            group = &*group.name,
+            group = &*basis.group,
             primary = &*leadership.primary,
             is_settled,
             fence,
-            based_on = version,
+            based_on = basis.version(),
             version = written.as_ref().ok(),
             outcome = outcome(&written),
             "a write of a leadership record was attempted"
         );
         self.trigger.reread_store();
-        written.is_ok()
+        let Ok(version) = written else {
+            return false;
+        };
+        let transition = self.transition(basis);
+        if transition.primary.as_ref() != Some(&leadership.primary) {
+            *transition = Transition {
+                primary: Some(leadership.primary),
+                ..Transition::default()
+            };
+        }
+        let era = basis.revision.era;
+        transition.written = Revision { era, version };
+        true
     }
 
     /// Demotes the former primary, so that it accepts no more writes.
-    async fn demote(&mut self, group: &Group, former: Option<ServerId>, primary: ServerId) {
+    async fn demote(&mut self, group: &GroupId, former: Option<ServerId>) {
         let former = former.and_then(|former| self.upstreams.server(&former));
         // A suspected server is not queried, to avoid waiting for it.
         let former = former.filter(|former| !former.detector().is_suspected());
@@ -363,7 +340,7 @@
                 Err(error) => {
                     tracing::info!(
                         event = "primary_silent",
-                        group = &*group.name,
+                        group = &**group,
                         %error,
                         "the former primary did not return its status, so it cannot be demoted"
                     );
@@ -373,57 +350,45 @@
         }
         tracing::info!(
             event = "primary_demoted",
-            group = &*group.name,
+            group = &**group,
             is_demoted,
             "a demotion of the former primary was attempted"
         );
-        let transition = Transition {
-            primary: Some(primary),
-            is_demoted,
-            ..Transition::default()
-        };
-        self.transitions.insert(group.name.clone(), transition);
+        let transition = self.transitions.entry(group.clone()).or_default();
+        transition.is_demoted = is_demoted;
     }
 
-    async fn promote(&mut self, group: &Group, server: &ServerId, fence: Fence, sent_at: Uptime) {
-        let now = uptime();
-        if now < self.promotions_allowed_at || now >= sent_at + LEASE_DURATION {
+    async fn promote(&mut self, basis: &Basis, server: &ServerId) {
+        let Some(fence) = basis.fence() else { return };
+        let (group, now) = (&basis.group, uptime());
+        if now < self.promotions_allowed_at || now >= basis.sent_at + LEASE_DURATION {
             return;
         }
         tracing::info!(
             event = "promotion_started",
-            group = &*group.name,
+            group = &**group,
             server = &**server,
             fence,
-            snapshot_age_ms = millis(now.saturating_sub(sent_at)),
+            snapshot_age_ms = millis(now.saturating_sub(basis.sent_at)),
             "a promotion is being ordered"
         );
-        let order = self
-            .promoter
-            .promote(&group.name, server, &self.node, fence);
+        let order = self.promoter.promote(group, server, &self.node, fence);
         let ordered = tokio::time::timeout(PROMOTION_TIMEOUT, order).await;
         let ordered =
             ordered.unwrap_or_else(|_| Err(source::Error::NoAnswer("timed out".to_owned())));
         tracing::info!(
             event = "promotion_ordered",
-            group = &*group.name,
+            group = &**group,
             server = &**server,
             fence,
             outcome = outcome(&ordered.map(|()| 0)),
             took_ms = millis(uptime().saturating_sub(now)),
             "a promotion was ordered"
         );
-        let transition = self.transitions.entry(group.name.clone()).or_default();
-        transition.ordered_at = Some(now);
+        self.transition(basis).ordered_at = Some(now);
     }
 }
 
-/// Returns whether later records of the group may be lost.
-fn is_outdated(group: &Group, records: &Records) -> bool {
-    let leadership = group.leadership();
-    leadership.is_some_and(|(leadership, _)| records.is_outdated(&leadership))
-}
-
 /// Returns the outcome of a call to the platform, for the log.
 pub(super) fn outcome(result: &Result<RowVersion, source::Error>) -> String {
     match result {
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -1,6 +1,7 @@
 //! Background tasks: polling of the store, membership, failure detection and the
 //! handover of primaries.
 
+pub mod basis;
 pub mod confirmation;
 pub mod follower;
 pub mod handover;
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -70,9 +70,32 @@
     pub records: Arc<Records>,
     /// When the read was sent to the store, or a lower bound of it.
     pub sent_at: Uptime,
+    /// When this node first read the primary of each group's leadership record.
+    first_seen: Arc<BTreeMap<GroupId, Uptime>>,
 }
 
 impl Snapshot {
+    /// Creates the snapshot that follows `former`, of rows whose read was sent at
+    /// `sent_at` and has been answered by now.
+    #[must_use]
+    pub fn new(records: Arc<Records>, sent_at: Uptime, former: Option<&Self>) -> Self {
+        let first_seen = match former {
+            Some(former) if Arc::ptr_eq(&former.records, &records) => former.first_seen.clone(),
+            _ => Arc::new(first_seen(&records, former)),
+        };
+        Self {
+            records,
+            sent_at,
+            first_seen,
+        }
+    }
+
+    /// Returns when this node first read the recorded primary of `group`.
+    #[must_use]
+    pub fn first_seen(&self, group: &GroupId) -> Uptime {
+        self.first_seen.get(group).copied().unwrap_or_default()
+    }
+
     /// Returns the time since the read was sent.
     #[must_use]
     pub fn age(&self) -> Duration {
@@ -184,8 +207,8 @@
         self.metrics.count("store_poll", cause);
         let known = self.records();
         match self.read(&known).await {
-            Ok(snapshot) => {
-                self.apply(snapshot);
+            Ok((records, sent_at)) => {
+                self.apply(records, sent_at);
                 if progress.retry_delay > Duration::ZERO {
                     tracing::info!(event = "store_regained", "the store is available again");
                 }
@@ -332,7 +355,7 @@
             currencies.registry.confirm(read_at, origin);
         }
         let records = update.records.map_or(records, Arc::new);
-        self.apply(Snapshot { records, sent_at });
+        self.apply(records, sent_at);
         let ages = [update.catalog_age, update.registry_age];
         let are_current = ages.iter().all(|age| age.is_some_and(|age| age < VALIDITY));
         if !are_current {
@@ -358,7 +381,7 @@
     }
 
     /// Reads the row that marks changes, and all rows if its version has changed.
-    async fn read(&self, known: &Arc<Records>) -> Result<Snapshot, source::Error> {
+    async fn read(&self, known: &Arc<Records>) -> Result<(Arc<Records>, Uptime), source::Error> {
         if known.revision == Revision::default() {
             return self.read_rows().await;
         }
@@ -373,13 +396,12 @@
             version: row.version,
         });
         if changed_at == Some(known.revision) {
-            let records = known.clone();
-            return Ok(Snapshot { records, sent_at });
+            return Ok((known.clone(), sent_at));
         }
         self.read_rows().await
     }
 
-    async fn read_rows(&self) -> Result<Snapshot, source::Error> {
+    async fn read_rows(&self) -> Result<(Arc<Records>, Uptime), source::Error> {
         let sent_at = uptime();
         let (rows, revision) = self.store.rows().await?;
         self.observe(Head {
@@ -387,21 +409,25 @@
             read_at: sent_at,
         });
         let records = Arc::new(Records::parse(&rows, revision.era));
-        Ok(Snapshot { records, sent_at })
+        Ok((records, sent_at))
     }
 
-    /// Applies and publishes a snapshot unless a newer one is known.
-    fn apply(&self, snapshot: Snapshot) {
-        let records = &snapshot.records;
-        if records.revision < self.records().revision {
+    /// Applies and publishes rows whose read was sent at `sent_at`, unless newer ones are
+    /// known.
+    fn apply(&self, records: Arc<Records>, sent_at: Uptime) {
+        let former = self.snapshots.borrow().clone();
+        let known = former.as_ref().map(|former| former.records.revision);
+        if known.is_some_and(|known| records.revision < known) {
             return;
         }
+        let snapshot = Snapshot::new(records, sent_at, former.as_ref());
+        let records = &snapshot.records;
         // Handovers do not wait for a node that is not a member, so it holds no leases.
         let is_member = records.members.contains_key(&self.node);
         let read_at = is_member.then_some(snapshot.sent_at);
         self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
-        if self.snapshots.borrow().is_none() {
+        if former.is_none() {
             report_adopted(&snapshot);
         }
         self.snapshots.send_if_modified(|known| {
@@ -416,6 +442,24 @@
     }
 }
 
+/// Returns when this node first read the primary of each leadership record, if rows that
+/// follow `former` have just been read.
+fn first_seen(records: &Records, former: Option<&Snapshot>) -> BTreeMap<GroupId, Uptime> {
+    let now = uptime();
+    let known = |group: &GroupId, primary: &ServerId| {
+        let former = former?;
+        let (known, _) = former.records.leaderships.get(group)?;
+        (known.primary == *primary).then(|| former.first_seen(group))
+    };
+    let leaderships = records.leaderships.iter();
+    leaderships
+        .map(|(group, (leadership, _))| {
+            let first_seen = known(group, &leadership.primary).unwrap_or(now);
+            (group.clone(), first_seen)
+        })
+        .collect()
+}
+
 /// Logs what a node that has just started takes over from the store.
 fn report_adopted(snapshot: &Snapshot) {
     let records = &snapshot.records;
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -1,8 +1,8 @@
 //! Succession of the coordinator when it is unresponsive.
 
+use super::basis::Basis;
 use super::handover::{Handover, outcome};
 use crate::clock::uptime;
-use crate::group::Group;
 use crate::protocol::Protocol;
 use crate::record::{self, COORDINATOR, Coordinator, Records};
 use crate::source::{Change, Promoter, Store};
@@ -29,9 +29,9 @@
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
     /// Attempts to make this node the coordinator if a group has been waiting too long
     /// for a step of the current one.
-    pub(super) async fn take_over(&mut self, group: &Group, records: &Records, step: &Step) {
+    pub(super) async fn take_over(&mut self, basis: &Basis, records: &Records, step: &Step) {
         let now = uptime();
-        let coordinator = records.coordinator.as_ref().map(|(row, _)| &row.holder);
+        let coordinator = basis.coordinator();
         if self.coordinator.as_ref() != coordinator {
             // A new coordinator gets the full timeout.
             self.coordinator = coordinator.cloned();
@@ -39,7 +39,7 @@
                 transition.needed_since = None;
             }
         }
-        let transition = self.transitions.entry(group.name.clone()).or_default();
+        let transition = self.transitions.entry(basis.group.clone()).or_default();
         let needed_since = *transition.needed_since.get_or_insert(now);
         let channels = self.upstreams.channels();
         let is_vacant = records
@@ -70,7 +70,7 @@
         let taken = self.store.change(record::with_change_marker(change)).await;
         tracing::info!(
             event = "duty_taken",
-            group = &*group.name,
+            group = &*basis.group,
             former = coordinator.map(|former| &**former),
             outcome = outcome(&taken),
             "this node attempted to become the coordinator"
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -279,8 +279,13 @@
 
     /// Applies the leadership records of the store. If their read was sent at
     /// `read_at`, those that are not outdated also renew the leases.
+    ///
+    /// The records of groups that are not configured or have no servers yet count too, so
+    /// that no primary is used before its group's record.
     pub fn apply_leaderships(&self, records: &Records, read_at: Option<Uptime>) {
-        for group in self.groups() {
+        let mut groups = self.groups();
+        groups.extend(records.leaderships.keys().cloned());
+        for group in groups {
             let leadership = records.leaderships.get(&group);
             let leadership = leadership.map(|(leadership, _)| leadership);
             let is_outdated = leadership.is_some_and(|leadership| records.is_outdated(leadership));
