platform: send each order over a connection that is reset

A partition held an order to promote up; the coordinator gave it up after 0.9 s, and it was carried out after the order of the next coordinator, with the lower fence.

Cause: the order travelled over the HTTP client's pool. Its timeout closes the connection gracefully, so the system goes on delivering what was written. Nor was it checked whether the order was still valid when it was written, after the connection was opened.

Change: an order has a connection of its own, with SO_LINGER 0 and TCP_USER_TIMEOUT, which is reset at the timeout and when the task or the process ends. Promoter::promote gets the time until which the order is valid; it is checked once the connection is open. The timeout counts the time for which the VM is suspended. ORDER_LIFETIME bounds how long an order can still arrive, and TAKEOVER_DELAY follows from it; it stays 1.9 s. An order that was not sent is tried again at the next check instead of after 1.5 s.

--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -9,7 +9,7 @@
 use crate::message::Command;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
-use crate::source::{self, Promoter, Revision, RowVersion, Store};
+use crate::source::{self, ORDER_LIFETIME, Order, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::group::handover::{self, Candidate, State, Step};
 use agateport_domain::group::{LEASE_DURATION, Leadership};
@@ -22,11 +22,8 @@
 
 /// Delay before the first promotion of a new coordinator if a handover of the former
 /// one was in progress: by then the former coordinator's snapshot of the store has
-/// expired and its last order has ended.
-const TAKEOVER_DELAY: Duration = LEASE_DURATION.saturating_add(PROMOTION_TIMEOUT);
-
-/// Timeout for one promotion order; [`TAKEOVER_DELAY`] includes it.
-const PROMOTION_TIMEOUT: Duration = Duration::from_secs(1);
+/// expired, so it sends no more orders, and the last one that it sent has ended.
+const TAKEOVER_DELAY: Duration = LEASE_DURATION.saturating_add(ORDER_LIFETIME);
 
 /// Progress of a group's handover at this node.
 #[derive(Clone, Debug, Default)]
@@ -361,7 +358,8 @@
     async fn promote(&mut self, basis: &Basis, server: &ServerId) {
         let Some(fence) = basis.fence() else { return };
         let (group, now) = (&basis.group, uptime());
-        if now < self.promotions_allowed_at || now >= basis.sent_at + LEASE_DURATION {
+        let valid_until = basis.sent_at + LEASE_DURATION;
+        if now < self.promotions_allowed_at || now >= valid_until {
             return;
         }
         tracing::info!(
@@ -372,10 +370,15 @@
             snapshot_age_ms = millis(now.saturating_sub(basis.sent_at)),
             "a promotion is being ordered"
         );
-        let order = self.promoter.promote(group, server, &self.node, fence);
-        let ordered = tokio::time::timeout(PROMOTION_TIMEOUT, order).await;
-        let ordered =
-            ordered.unwrap_or_else(|_| Err(source::Error::NoAnswer("timed out".to_owned())));
+        let order = Order {
+            group,
+            server,
+            coordinator: &self.node,
+            fence,
+            valid_until,
+        };
+        let ordered = self.promoter.promote(order).await;
+        let is_unsent = matches!(ordered, Err(source::Error::Unsent(_)));
         tracing::info!(
             event = "promotion_ordered",
             group = &**group,
@@ -385,7 +388,9 @@
             took_ms = millis(uptime().saturating_sub(now)),
             "a promotion was ordered"
         );
-        self.transition(basis).ordered_at = Some(now);
+        if !is_unsent {
+            self.transition(basis).ordered_at = Some(now);
+        }
     }
 }
 
--- a/crates/agateport-relay/src/source.rs
+++ b/crates/agateport-relay/src/source.rs
@@ -38,6 +38,10 @@
     }
 }
 
+/// Time after the sending of an order within which it has reached the platform or is lost
+/// for certain. A new coordinator waits for the orders of its predecessor to end.
+pub const ORDER_LIFETIME: Duration = Duration::from_secs(1);
+
 /// A row of the store.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Row {
@@ -79,6 +83,9 @@
     /// The platform refused the call with this HTTP status; nothing was changed.
     #[error("the platform refused the call with status {0}")]
     Refused(u16),
+    /// The call was not sent; nothing was changed.
+    #[error("the call was not sent: {0}")]
+    Unsent(String),
     /// The store was restored from a copy during the call, or since the version that the
     /// call continues from.
     #[error("the store was restored from a copy")]
@@ -130,15 +137,26 @@
     fn revision(&self) -> Revision;
 }
 
+/// An order to promote a server.
+#[derive(Clone, Copy, Debug)]
+pub struct Order<'a> {
+    /// Name of the group.
+    pub group: &'a GroupId,
+    /// Server that is to become the group's primary.
+    pub server: &'a ServerId,
+    /// Node that gives the order.
+    pub coordinator: &'a NodeId,
+    /// Fencing token of that node.
+    pub fence: Fence,
+    /// When another node may have become the coordinator.
+    pub valid_until: Uptime,
+}
+
 /// Executes promotions.
 pub trait Promoter: Send + Sync + 'static {
-    /// Requests that `server` becomes the primary of `group`, in the name of
-    /// `coordinator` and fenced by `fence`.
-    fn promote(
-        &self,
-        group: &GroupId,
-        server: &ServerId,
-        coordinator: &NodeId,
-        fence: Fence,
-    ) -> impl Future<Output = Result<(), Error>> + Send;
+    /// Sends an order, unless it is no longer valid by then.
+    ///
+    /// The order arrives within [`ORDER_LIFETIME`] of its sending or never, also if this
+    /// process is suspended or ends, or drops the future.
+    fn promote(&self, order: Order<'_>) -> impl Future<Output = Result<(), Error>> + Send;
 }
