presence: write a node's rows only while they are those of the process

What callers would see: a stale read, or a write acknowledged at a former primary, from a node that was stopped and started again.

Cause: a stopping process deletes its node's rows without a condition. If the store carries the deletion out after the call was given up, it removes the rows of the process that has started since. That one holds leases, but handovers no longer wait for it. In the same way a late write restored the rows of a node that has left, for which handovers then waited.

Change: a node's row names the process that wrote it. A process writes its own row before it holds leases, and writes and deletes rows on the condition that the row is unchanged. A node that was killed therefore holds its first lease one write and one read later than before.

--- a/crates/agateport-relay/src/control/monitor.rs
+++ b/crates/agateport-relay/src/control/monitor.rs
@@ -83,7 +83,7 @@
         };
         let key = record::node_key(node);
         let change = Change {
-            expected: expected(records, node),
+            expected: records.expected_member(node),
             set: BTreeMap::from([(key, record::encode(&gone))]),
             ..Change::default()
         };
@@ -101,7 +101,7 @@
             }
             let deleted = [record::node_key(node), record::acceptance_key(node)];
             let change = Change {
-                expected: expected(records, node),
+                expected: records.expected_member(node),
                 deleted: deleted.into(),
                 ..Change::default()
             };
@@ -115,10 +115,3 @@
         }
     }
 }
-
-/// Returns the precondition that a node's row is unchanged since it was read.
-fn expected(records: &Records, node: &NodeId) -> BTreeMap<String, u64> {
-    let version = records.member_versions.get(node).copied();
-    let version = version.unwrap_or_default();
-    BTreeMap::from([(record::node_key(node), version)])
-}
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -13,7 +13,7 @@
 use crate::currency::{Origin, VALIDITY};
 use crate::metrics::{Metrics, millis};
 use crate::protocol::Protocol;
-use crate::record::{self, Records};
+use crate::record::{self, ProcessId, Records};
 use crate::source::{self, Head, Reading, Revision, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
@@ -108,6 +108,8 @@
 pub struct Poller<W, S> {
     /// Name of this node.
     pub node: NodeId,
+    /// This process.
+    pub process: ProcessId,
     /// Availability zone that it runs in.
     pub zone: Zone,
     /// Time to wait before the first read of the store, so that nodes that start together
@@ -422,8 +424,9 @@
         }
         let snapshot = Snapshot::new(records, sent_at, former.as_ref());
         let records = &snapshot.records;
-        // Handovers do not wait for a node that is not a member, so it holds no leases.
-        let is_member = records.members.contains_key(&self.node);
+        // Handovers do not wait for a node that is not a member, so it holds no leases. The
+        // row of a former process may still be deleted for that process.
+        let is_member = records.is_member(&self.node, self.process);
         let read_at = is_member.then_some(snapshot.sent_at);
         self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -2,7 +2,7 @@
 
 use super::poller::Snapshot;
 use crate::clock::uptime;
-use crate::record::{self, Acceptance, COORDINATOR, Member, Records};
+use crate::record::{self, Acceptance, COORDINATOR, Member, ProcessId, Records};
 use crate::source::{Change, RowVersion, Store};
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
@@ -29,6 +29,8 @@
     pub address: SocketAddr,
     /// Processing power of its VM.
     pub capacity: Capacity,
+    /// This process.
+    pub process: ProcessId,
     /// The store that the rows are written to.
     pub store: Arc<S>,
 }
@@ -63,18 +65,20 @@
 
     /// Writes the rows of this node that are missing or out of date; returns their new
     /// version. The node that reads the store hands the change on.
+    ///
+    /// The store may carry a write of a process out after the next process of the node has
+    /// started. Each therefore writes a row of its own first, and then changes nothing
+    /// unless that is still the node's row.
     async fn publish(&self, records: &Records) -> Option<RowVersion> {
         let mut change = Change::default();
-        let known = records.members.get(&self.node);
-        if known
-            .is_none_or(|known| known.address != self.address || known.capacity != self.capacity)
-        {
-            let member = Member {
-                zone: self.zone.clone(),
-                address: self.address,
-                capacity: self.capacity,
-                is_gone: false,
-            };
+        let member = Member {
+            zone: self.zone.clone(),
+            address: self.address,
+            capacity: self.capacity,
+            process: self.process,
+            is_gone: false,
+        };
+        if records.members.get(&self.node) != Some(&member) {
             let key = record::node_key(&self.node);
             change.set.insert(key, record::encode(&member));
         }
@@ -85,6 +89,7 @@
         if change == Change::default() {
             return None;
         }
+        change.expected = records.expected_member(&self.node);
         let written = self.store.change(record::with_change_marker(change)).await;
         if let Err(error) = &written {
             tracing::warn!(
@@ -142,9 +147,13 @@
     }
 }
 
-/// Deletes the rows of `node`.
-pub async fn leave<S: Store>(node: &NodeId, store: &S) {
+/// Deletes the rows of `node` unless another process of it has started.
+pub async fn leave<S: Store>(node: &NodeId, process: ProcessId, store: &S, records: &Records) {
+    if !records.is_member(node, process) {
+        return;
+    }
     let change = Change {
+        expected: records.expected_member(node),
         deleted: BTreeSet::from([record::node_key(node), record::acceptance_key(node)]),
         ..Change::default()
     };
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -20,6 +20,7 @@
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::readiness::{DRAIN_DELAY, Readiness, close_idle_sessions};
+use crate::record::{ProcessId, Records};
 use crate::registry;
 use crate::source::{Promoter, Reading, Source, Store};
 use crate::statement::Runner;
@@ -107,6 +108,7 @@
             config.zone.clone(),
         )),
         config,
+        process: rand::random(),
         metrics: metrics.clone(),
         store: Arc::new(platform.store),
         trigger: Arc::default(),
@@ -159,6 +161,7 @@
 /// State shared by the tasks of a node.
 struct Node<W, S> {
     config: Config,
+    process: ProcessId,
     metrics: Arc<Metrics>,
     upstreams: Arc<Upstreams<W>>,
     store: Arc<S>,
@@ -211,6 +214,7 @@
             .spawn("registries", registries.run(self.end.clone()));
         let poller = Poller {
             node: self.config.node.clone(),
+            process: self.process,
             zone: self.config.zone.clone(),
             start_delay: self.config.start_spread.mul_f64(rand::random()),
             store: self.store.clone(),
@@ -245,6 +249,7 @@
             zone: self.config.zone.clone(),
             address: self.config.peers,
             capacity: self.config.capacity,
+            process: self.process,
             store: self.store.clone(),
         };
         let publisher = presence.run(self.snapshots.clone(), self.end.clone());
@@ -299,12 +304,7 @@
             sessions = sessions.len(),
             "a stop of the node is requested"
         );
-        let records = self
-            .snapshots
-            .borrow()
-            .as_ref()
-            .map(|snapshot| snapshot.records.clone());
-        if let Some(records) = records {
+        if let Some(records) = self.records() {
             presence::resign(&config.node, store, &records).await;
         }
         tokio::time::sleep(DRAIN_DELAY.saturating_sub(stop_requested_at.elapsed())).await;
@@ -327,7 +327,15 @@
                 "sessions that outlast the grace period are cut"
             );
         }
-        presence::leave(&config.node, store).await;
+        if let Some(records) = self.records() {
+            presence::leave(&config.node, self.process, store, &records).await;
+        }
+    }
+
+    /// Returns the rows of the latest read of the store.
+    fn records(&self) -> Option<Arc<Records>> {
+        let snapshot = self.snapshots.borrow();
+        snapshot.as_ref().map(|snapshot| snapshot.records.clone())
     }
 }
 
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -26,6 +26,9 @@
     pub holder: NodeId,
 }
 
+/// Random number that tells the processes of a node apart.
+pub type ProcessId = u64;
+
 /// Membership of a node.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Member {
@@ -36,6 +39,9 @@
     /// Processing power of its VM.
     #[serde(default)]
     pub capacity: Capacity,
+    /// Process that wrote the row.
+    #[serde(default)]
+    pub process: ProcessId,
     /// Whether it was marked as gone because it no longer answers.
     #[serde(default)]
     pub is_gone: bool,
@@ -145,6 +151,21 @@
         false
     }
 
+    /// Returns whether a process has written its node's row, and the node is not marked as
+    /// gone.
+    #[must_use]
+    pub fn is_member(&self, node: &NodeId, process: ProcessId) -> bool {
+        let member = self.members.get(node);
+        member.is_some_and(|member| member.process == process)
+    }
+
+    /// Returns the precondition that a node's row is unchanged since it was read.
+    #[must_use]
+    pub fn expected_member(&self, node: &NodeId) -> BTreeMap<String, RowVersion> {
+        let version = self.member_versions.get(node).copied();
+        BTreeMap::from([(node_key(node), version.unwrap_or_default())])
+    }
+
     /// Returns the other nodes in the order of names, starting after `node` and
     /// wrapping around; the nodes after `node` are then returned a second time.
     pub fn nodes_after<'a>(
