handover: wait from the takeover's effect, not from its call

What callers would see: as with an order that arrives late, two primaries.

Cause: a new coordinator that finds a handover in progress waits for the orders of its predecessor. The wait began when the call that changes the coordinator row was given up, but the store may carry that change out seconds later, and until then the predecessor may order.

Change: the wait begins when the call was answered with the version that the row has, or else when the node first reads that it is the coordinator. It is needed only for records of another coordinator, so one that starts again does not wait for its own.

--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -9,7 +9,7 @@
 use crate::message::Command;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
-use crate::source::{self, ORDER_LIFETIME, Order, Promoter, Revision, RowVersion, Store};
+use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
 use agateport_domain::group::handover::{self, Candidate, State, Step};
 use agateport_domain::group::{LEASE_DURATION, Leadership};
@@ -20,11 +20,6 @@
 /// Interval between two checks of all groups.
 const INTERVAL: Duration = Duration::from_millis(100);
 
-/// Delay before the first promotion of a new coordinator if a handover of the former
-/// one was in progress: by then the former coordinator's snapshot of the store has
-/// expired, so it sends no more orders, and the last one that it sent has ended.
-const TAKEOVER_DELAY: Duration = LEASE_DURATION.saturating_add(ORDER_LIFETIME);
-
 /// Progress of a group's handover at this node.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Transition {
@@ -70,11 +65,13 @@
     /// When each server was first seen in the registry; none if it was in the first
     /// registry.
     first_seen: BTreeMap<ServerId, Option<Uptime>>,
-    /// When this node last attempted to become the coordinator, until it is known
-    /// whether a handover was in progress then.
-    pub(super) taken_over_at: Option<Uptime>,
+    /// When this node last attempted to become the coordinator, and the version that the
+    /// row then got if it succeeded.
+    pub(super) taken_over: Option<(Uptime, Option<RowVersion>)>,
+    /// Fencing token under which this node is the coordinator, if it is.
+    pub(super) held_fence: Option<Fence>,
     /// Earliest time at which this node may order a promotion.
-    promotions_allowed_at: Uptime,
+    pub(super) promotions_allowed_at: Uptime,
 }
 
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
@@ -98,7 +95,8 @@
             coordinator: None,
             transitions: BTreeMap::new(),
             first_seen: BTreeMap::new(),
-            taken_over_at: None,
+            taken_over: None,
+            held_fence: None,
             promotions_allowed_at: Uptime::ZERO,
         }
     }
@@ -129,20 +127,11 @@
         self.suspicions
             .query_quorums(&self.upstreams, &snapshot.records)
             .await;
-        if let Some(taken_over_at) = self.taken_over_at {
-            if snapshot.sent_at < taken_over_at {
-                // The last actions of the former coordinator are not known yet.
-                return;
-            }
-            let mut leaderships = snapshot.records.leaderships.values();
-            let is_in_progress = leaderships.any(|(leadership, _)| !leadership.is_settled);
-            self.promotions_allowed_at = if is_in_progress {
-                taken_over_at + TAKEOVER_DELAY
-            } else {
-                Uptime::ZERO
-            };
-            self.taken_over_at = None;
+        if self.taken_over.is_some_and(|(at, _)| snapshot.sent_at < at) {
+            // The last actions of the former coordinator are not known yet.
+            return;
         }
+        self.track_coordinator(&snapshot.records);
         let registry = self.upstreams.registry();
         let is_first = self.first_seen.is_empty();
         for server in registry.keys() {
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -5,7 +5,8 @@
 use crate::clock::uptime;
 use crate::protocol::Protocol;
 use crate::record::{self, COORDINATOR, Coordinator, Records};
-use crate::source::{Change, Promoter, Store};
+use crate::source::{Change, ORDER_LIFETIME, Promoter, Store};
+use agateport_domain::group::LEASE_DURATION;
 use agateport_domain::group::handover::Step;
 use agateport_domain::prelude::*;
 
@@ -26,7 +27,38 @@
 /// Additional delay per rank in the succession order.
 const RANK_DELAY: Duration = Duration::from_millis(100);
 
+/// Delay before the first promotion of a new coordinator if a handover of the former
+/// one was in progress: by then the former coordinator's snapshot of the store has
+/// expired, so it sends no more orders, and the last one that it sent has ended.
+const TAKEOVER_DELAY: Duration = LEASE_DURATION.saturating_add(ORDER_LIFETIME);
+
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
+    /// Delays promotions if this node has become the coordinator while a handover of the
+    /// former one was in progress.
+    pub(super) fn track_coordinator(&mut self, records: &Records) {
+        let coordinator = records.coordinator.as_ref();
+        let held = coordinator.filter(|(row, _)| row.holder == self.node);
+        let fence = held.and_then(|_| records.fence());
+        if fence == self.held_fence {
+            return;
+        }
+        self.held_fence = fence;
+        let Some((_, version)) = held else { return };
+        // The store may have carried the change out long after the call was given up.
+        let known = self
+            .taken_over
+            .filter(|(_, taken)| *taken == Some(*version));
+        let held_since = known.map_or_else(uptime, |(at, _)| at);
+        let mut leaderships = records.leaderships.values();
+        let is_in_progress = leaderships
+            .any(|(leadership, _)| !leadership.is_settled && Some(leadership.fence) != fence);
+        self.promotions_allowed_at = if is_in_progress {
+            held_since + TAKEOVER_DELAY
+        } else {
+            Uptime::ZERO
+        };
+    }
+
     /// Attempts to make this node the coordinator if a group has been waiting too long
     /// for a step of the current one.
     pub(super) async fn take_over(&mut self, basis: &Basis, records: &Records, step: &Step) {
@@ -75,7 +107,7 @@
             outcome = outcome(&taken),
             "this node attempted to become the coordinator"
         );
-        self.taken_over_at = Some(uptime());
+        self.taken_over = Some((uptime(), taken.ok()));
         self.trigger.reread_store();
     }
 }
