node: log what each cut session was doing

At the end of the grace period one line gave the number of sessions that were cut. It did not tell idle sessions from those whose statement had been passed on to a server and was never answered, so a record of a lost answer said nothing about its cause.

Each cut session now logs `session_cut` with its activity and, for a statement in progress, its id and how long it has been running, within the rate limit of log lines. What callers see is unchanged.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -1,5 +1,7 @@
 //! A caller's session, from opening to closing.
 
+mod ending;
+
 use crate::catalog::Route;
 use crate::clock::uptime;
 use crate::connection::Connection;
@@ -14,6 +16,7 @@
 use bytes::Bytes;
 use std::io;
 use tokio::sync::watch;
+use tokio_util::sync::CancellationToken;
 
 /// Maximum time that opening a session waits for the first configuration after the
 /// node's start; callers give up after two seconds.
@@ -55,6 +58,8 @@
     /// The caller closed the connection or sent a malformed message, or the node shuts
     /// down.
     End,
+    /// The session outlasts the grace period.
+    Cut,
 }
 
 /// A caller's session.
@@ -69,6 +74,8 @@
     last_write: Option<Watermark>,
     transaction: Transaction<W>,
     shutdown: watch::Receiver<bool>,
+    /// Cancelled when the sessions that outlast the grace period end.
+    cut: CancellationToken,
 }
 
 impl<W: Protocol> Session<W> {
@@ -78,6 +85,7 @@
         connection: Connection<W>,
         runner: Runner<W>,
         shutdown: watch::Receiver<bool>,
+        cut: CancellationToken,
     ) -> Self {
         Self {
             connection,
@@ -88,6 +96,7 @@
             last_write: None,
             transaction: Transaction::None,
             shutdown,
+            cut,
         }
     }
 
@@ -145,10 +154,17 @@
                     self.transaction = Transaction::Failed;
                     continue;
                 }
+                Event::Cut => {
+                    self.report_cut(None);
+                    return Ok(());
+                }
                 Event::Message(_) | Event::End => return Ok(()),
             };
             let started = Instant::now();
-            let mut answer = self.handle(&request).await;
+            let Some(mut answer) = self.handle_until_cut(&request).await else {
+                self.report_cut(Some((&request, started)));
+                return Ok(());
+            };
             answer.state = self.state();
             self.runner
                 .report(&self.database, &request, &answer, started);
@@ -392,12 +408,14 @@
         };
         let is_idle = matches!(self.transaction, Transaction::None);
         let mut shutdown = self.shutdown.clone();
+        let cut = self.cut.clone();
         tokio::select! {
             biased;
             message = self.connection.message() => {
                 Ok(message?.map_or(Event::End, Event::Message))
             }
             _ = shutdown.wait_for(|is_shutdown| *is_shutdown), if is_idle => Ok(Event::End),
+            () = cut.cancelled() => Ok(Event::Cut),
             () = sleep(idle_timeout) => Ok(Event::IdleTimeout),
         }
     }
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -37,6 +37,9 @@
 /// Share of the grace period in which sessions may end by themselves.
 const GRACE_SHARE: f64 = 0.85;
 
+/// Maximum time in which cut sessions end.
+const CUT_TIMEOUT: Duration = Duration::from_millis(50);
+
 /// Interval between two checks for new groups and idle connections.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -116,6 +119,7 @@
         snapshots,
         tasks: Tasks::new(stop.clone()),
         stop,
+        cut: CancellationToken::new(),
         end: CancellationToken::new(),
     };
     node.follow_store(platform.catalogs, platform.registries, publisher);
@@ -142,7 +146,13 @@
     );
     let runner = Runner::new(node.upstreams.clone(), metrics);
     let sessions = TaskTracker::new();
-    let accepting = accept(callers, &sessions, runner, shutdown_receiver);
+    let accepting = accept(
+        callers,
+        &sessions,
+        runner,
+        shutdown_receiver,
+        node.cut.clone(),
+    );
     tokio::select! {
         () = accepting => {}
         () = node.drain(&shutdown, [&sessions, &lent]) => {}
@@ -170,6 +180,8 @@
     snapshots: watch::Receiver<Option<Snapshot>>,
     /// Cancelled when a stop of the node is requested.
     stop: CancellationToken,
+    /// Cancelled when the sessions that outlast the grace period end.
+    cut: CancellationToken,
     /// Cancelled when the sessions have ended or are cut.
     end: CancellationToken,
     tasks: Tasks,
@@ -326,6 +338,8 @@
                 lent = lent.len(),
                 "sessions that outlast the grace period are cut"
             );
+            self.cut.cancel();
+            let _ = tokio::time::timeout(CUT_TIMEOUT, sessions.wait()).await;
         }
         if let Some(records) = self.records() {
             presence::leave(&config.node, self.process, store, &records).await;
@@ -345,6 +359,7 @@
     sessions: &TaskTracker,
     runner: Runner<W>,
     shutdown: watch::Receiver<bool>,
+    cut: CancellationToken,
 ) {
     loop {
         let stream = match listener.accept().await {
@@ -356,13 +371,19 @@
                 continue;
             }
         };
-        sessions.spawn(serve(stream, runner.clone(), shutdown.clone()));
+        let (runner, shutdown, cut) = (runner.clone(), shutdown.clone(), cut.clone());
+        sessions.spawn(serve(stream, runner, shutdown, cut));
     }
 }
 
-async fn serve<W: Protocol>(stream: TcpStream, runner: Runner<W>, shutdown: watch::Receiver<bool>) {
+async fn serve<W: Protocol>(
+    stream: TcpStream,
+    runner: Runner<W>,
+    shutdown: watch::Receiver<bool>,
+    cut: CancellationToken,
+) {
     let served = match Connection::<W>::new(stream) {
-        Ok(connection) => Session::new(connection, runner, shutdown).run().await,
+        Ok(connection) => Session::new(connection, runner, shutdown, cut).run().await,
         Err(error) => Err(error),
     };
     if let Err(error) = served {
