node: end what is open at a stop with an answer

Callers lost answers around a planned stop: until 0.85 of the grace period a node passed on statements of open transactions, then it ended with whatever was in progress. A statement that had been read and passed on just before got no answer, and the caller of a commit did not know whether it took effect.

Cause: a session took notice of a stop only outside of a transaction, and nothing was between serving as usual and the end of the process.

`drain::Schedule` divides the grace period. After half of it only that is passed on which leaves nothing open and is over, with its timeout, at 0.85: single statements, commits, and statements over lent connections. The next statement of an open transaction is answered ABORTED and the server rolls back. At 0.85 no more callers are accepted, and the node itself answers what is in progress: UNKNOWN for a write or a commit, ABORTED for the rest. A silent transaction is closed without a message. A connection is closed only after its last answer was read, and the process ends after its connections, at 0.95 at the latest.

- callers that were accepted after the last session had ended were dropped with the process,
- a caller that connected during a stop was closed before its first statement was read,
- a coordinator whose row the store was slow to delete delayed all later stages.

--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -7,6 +7,7 @@
 
 pub mod admission;
 pub mod bundle;
+pub mod drain;
 pub mod group;
 pub mod id;
 pub mod membership;
--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -5,6 +5,7 @@
 use crate::catalog::Route;
 use crate::clock::uptime;
 use crate::connection::Connection;
+use crate::drain::Drain;
 use crate::link::{self, Context};
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
 use crate::protocol::Protocol;
@@ -16,7 +17,6 @@
 use bytes::Bytes;
 use std::io;
 use tokio::sync::watch;
-use tokio_util::sync::CancellationToken;
 
 /// Maximum time that opening a session waits for the first configuration after the
 /// node's start; callers give up after two seconds.
@@ -55,11 +55,10 @@
     Message(Message),
     /// The transaction exceeded the idle timeout.
     IdleTimeout,
-    /// The caller closed the connection or sent a malformed message, or the node shuts
-    /// down.
+    /// The caller closed the connection or sent a malformed message.
     End,
-    /// The session outlasts the grace period.
-    Cut,
+    /// The node closes the session, which waits for no answer.
+    Close,
 }
 
 /// A caller's session.
@@ -74,8 +73,9 @@
     last_write: Option<Watermark>,
     transaction: Transaction<W>,
     shutdown: watch::Receiver<bool>,
-    /// Cancelled when the sessions that outlast the grace period end.
-    cut: CancellationToken,
+    drain: Drain,
+    /// Whether the caller has yet to send its first statement.
+    is_new: bool,
 }
 
 impl<W: Protocol> Session<W> {
@@ -85,7 +85,7 @@
         connection: Connection<W>,
         runner: Runner<W>,
         shutdown: watch::Receiver<bool>,
-        cut: CancellationToken,
+        drain: Drain,
     ) -> Self {
         Self {
             connection,
@@ -96,7 +96,8 @@
             last_write: None,
             transaction: Transaction::None,
             shutdown,
-            cut,
+            drain,
+            is_new: true,
         }
     }
 
@@ -106,7 +107,13 @@
     ///
     /// [`io::Error`] if the connection breaks.
     pub async fn run(mut self) -> io::Result<()> {
-        let Some(Message::Open { database, caller }) = self.connection.message().await? else {
+        let cut = self.drain.cut.clone();
+        let message = tokio::select! {
+            biased;
+            message = self.connection.message() => message?,
+            () = cut.cancelled() => return Ok(()),
+        };
+        let Some(Message::Open { database, caller }) = message else {
             return Ok(());
         };
         self.database = database.into();
@@ -122,11 +129,17 @@
     /// Accepts the session if its database has a route, and returns whether it has one.
     async fn accept(&mut self) -> io::Result<bool> {
         let upstreams = self.runner.upstreams().clone();
-        upstreams.wait_configured(CONFIGURATION_TIMEOUT).await;
+        let cut = self.drain.cut.clone();
+        tokio::select! {
+            biased;
+            () = upstreams.wait_configured(CONFIGURATION_TIMEOUT) => {}
+            () = cut.cancelled() => {}
+        }
         if let Err(refusal) = self.route() {
             self.runner.report_refusal(&self.database, &refusal);
             W::encode_outcome(&refusal.outcome, &mut self.connection.output);
             self.connection.flush().await?;
+            self.connection.close().await?;
             return Ok(false);
         }
         self.runner.metrics().count("session", "opened");
@@ -154,17 +167,12 @@
                     self.transaction = Transaction::Failed;
                     continue;
                 }
-                Event::Cut => {
-                    self.report_cut(None);
-                    return Ok(());
-                }
+                Event::Close => return self.close().await,
                 Event::Message(_) | Event::End => return Ok(()),
             };
+            self.is_new = false;
             let started = Instant::now();
-            let Some(mut answer) = self.handle_until_cut(&request).await else {
-                self.report_cut(Some((&request, started)));
-                return Ok(());
-            };
+            let mut answer = self.answer(&request).await;
             answer.state = self.state();
             self.runner
                 .report(&self.database, &request, &answer, started);
@@ -398,35 +406,6 @@
     fn done(&self) -> Answer {
         Answer::local(Outcome::Done(None), self.state())
     }
-
-    /// Waits for the next event. A message that has been received takes precedence over a
-    /// shutdown and the idle timeout.
-    async fn next_event(&mut self) -> io::Result<Event> {
-        let idle_timeout = match self.transaction {
-            Transaction::Open { .. } => self.runner.upstreams().catalog().idle_transaction_timeout,
-            _ => None,
-        };
-        let is_idle = matches!(self.transaction, Transaction::None);
-        let mut shutdown = self.shutdown.clone();
-        let cut = self.cut.clone();
-        tokio::select! {
-            biased;
-            message = self.connection.message() => {
-                Ok(message?.map_or(Event::End, Event::Message))
-            }
-            _ = shutdown.wait_for(|is_shutdown| *is_shutdown), if is_idle => Ok(Event::End),
-            () = cut.cancelled() => Ok(Event::Cut),
-            () = sleep(idle_timeout) => Ok(Event::IdleTimeout),
-        }
-    }
-}
-
-/// Sleeps for `duration`, or forever if there is none.
-async fn sleep(duration: Option<Duration>) {
-    match duration {
-        Some(duration) => tokio::time::sleep(duration).await,
-        None => std::future::pending().await,
-    }
 }
 
 fn malformed(text: &str, state: State) -> Answer {
--- a/crates/agateport-relay/src/connection.rs
+++ b/crates/agateport-relay/src/connection.rs
@@ -2,15 +2,21 @@
 
 use crate::message::Message;
 use crate::protocol::Protocol;
+use agateport_domain::prelude::*;
 use bytes::BytesMut;
 use std::io;
 use std::marker::PhantomData;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
+use tokio::time::timeout;
 
 /// Initial capacity of a connection's buffers in bytes; most messages fit.
 const INITIAL_CAPACITY: usize = 1_024;
 
+/// Maximum time for which a connection that the node closes stays half open, until the
+/// caller has read the last answer.
+const CLOSE_TIMEOUT: Duration = Duration::from_millis(250);
+
 /// A caller's TCP connection and its buffers.
 #[derive(Debug)]
 pub struct Connection<W> {
@@ -37,6 +43,21 @@
         })
     }
 
+    /// Closes the connection once the caller has read what was sent.
+    ///
+    /// If data of the caller is unread when a connection is closed, the system resets it,
+    /// and an answer on its way may be lost. Whatever the caller sends or closes after the
+    /// last answer shows that it has read that.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the connection breaks.
+    pub async fn close(&mut self) -> io::Result<()> {
+        self.stream.shutdown().await?;
+        let _ = timeout(CLOSE_TIMEOUT, self.stream.peek(&mut [0])).await;
+        Ok(())
+    }
+
     /// Reads the next message; none if the caller closed the connection or sent a
     /// malformed message.
     ///
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -3,18 +3,19 @@
 use crate::channel::{self, Reply, Transport, send};
 use crate::control::peer::Call;
 use crate::control::suspicion::Suspicions;
-use crate::exchange::Exchange;
+use crate::drain::Drain;
+use crate::exchange::{self, Exchange};
 use crate::link::Setup;
 use crate::permit::{self, Cause, Claim, Denial, Permit};
 use crate::probe;
 use crate::protocol::Protocol;
 use crate::server::Role;
 use crate::upstreams::Upstreams;
+use agateport_domain::drain::Step;
 use agateport_domain::prelude::*;
 use futures::StreamExt;
 use std::pin::pin;
 use tokio::time::timeout;
-use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
 /// Time without a call after which a channel without a permit is closed.
@@ -28,8 +29,8 @@
 pub struct Lender<W> {
     /// Groups and servers known to this node.
     pub upstreams: Arc<Upstreams<W>>,
-    /// Cancelled when a stop of the node is requested.
-    pub stop: CancellationToken,
+    /// Stages in which the node ends.
+    pub drain: Drain,
     /// Servers that other nodes suspect to be down.
     pub suspicions: Arc<Suspicions>,
     /// Lent permits; the node waits for their return before it stops.
@@ -40,7 +41,7 @@
     fn clone(&self) -> Self {
         Self {
             upstreams: self.upstreams.clone(),
-            stop: self.stop.clone(),
+            drain: self.drain.clone(),
             suspicions: self.suspicions.clone(),
             lent: self.lent.clone(),
         }
@@ -100,7 +101,7 @@
         transport: &mut Transport,
         claim: &Claim,
     ) -> Result<Result<Permit<W>, Denial>, channel::Error> {
-        if self.stop.is_cancelled() {
+        if self.drain.stop.is_cancelled() {
             return Ok(Err(Denial::Unavailable(Cause::Leaving)));
         }
         let server = self.upstreams.server(&claim.server);
@@ -146,7 +147,8 @@
         };
         let load = server.load();
         send(transport, &Reply::Granted { load }).await?;
-        while let Some(frame) = transport.next().await {
+        let cut = self.drain.cut.clone();
+        while let Some(Some(frame)) = cut.run_until_cancelled(transport.next()).await {
             let Call::Execute(request) = postcard::from_bytes(&frame?)? else {
                 return Ok(());
             };
@@ -156,6 +158,9 @@
                 command,
                 time_left,
             } = request;
+            if !self.drain.allows(Step::Lent, time_left) {
+                return send(transport, &Reply::Failed(exchange::Failure::Unsent)).await;
+            }
             let setup = Setup {
                 values: values.as_ref(),
                 prepared,
@@ -166,7 +171,11 @@
                 permit: &mut permit,
                 deadline,
             };
-            let exchanged = exchange.run(&setup, command).await;
+            let exchanging = cut.run_until_cancelled(exchange.run(&setup, command));
+            // To the borrower it is as if this node had already ended.
+            let exchanged = exchanging
+                .await
+                .unwrap_or(Err(exchange::Failure::ChannelClosed));
             let state = exchanged.as_ref().ok().map(|answer| answer.state);
             let reply = Reply::from(exchanged);
             let is_open = state.is_some_and(|state| !state.is_idle());
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -4,6 +4,7 @@
 //! encodes messages, and the traits of [`source`] abstract the platform's services.
 //! Decisions are made in `agateport-domain`.
 
+pub mod accept;
 pub mod budget;
 pub mod caller;
 pub mod catalog;
@@ -12,6 +13,7 @@
 pub mod connection;
 pub mod control;
 pub mod currency;
+pub mod drain;
 pub mod error;
 pub mod exchange;
 pub mod group;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -1,9 +1,8 @@
 //! Entry point of a node: starts its listeners and background tasks, and drains
 //! them on a stop.
 
-use crate::caller::Session;
+use crate::accept::accept;
 use crate::catalog::Catalog;
-use crate::connection::Connection;
 use crate::control::confirmation;
 use crate::control::follower::Follower;
 use crate::control::handover::Handover;
@@ -14,6 +13,7 @@
 use crate::control::suspicion::{self, Suspicions};
 use crate::control::trigger::Trigger;
 use crate::currency::Origin;
+use crate::drain::Drain;
 use crate::error::Error;
 use crate::http;
 use crate::lend::Lender;
@@ -29,17 +29,12 @@
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
-use tokio::net::{TcpListener, TcpStream};
+use tokio::net::TcpListener;
 use tokio::sync::watch;
+use tokio::time::{Instant as Deadline, timeout_at};
 use tokio_util::sync::CancellationToken;
 use tokio_util::task::TaskTracker;
 
-/// Share of the grace period in which sessions may end by themselves.
-const GRACE_SHARE: f64 = 0.85;
-
-/// Maximum time in which cut sessions end.
-const CUT_TIMEOUT: Duration = Duration::from_millis(50);
-
 /// Interval between two checks for new groups and idle connections.
 const UPKEEP_INTERVAL: Duration = Duration::from_millis(100);
 
@@ -118,8 +113,7 @@
         suspicions: Arc::default(),
         snapshots,
         tasks: Tasks::new(stop.clone()),
-        stop,
-        cut: CancellationToken::new(),
+        drain: Drain::new(stop),
         end: CancellationToken::new(),
     };
     node.follow_store(platform.catalogs, platform.registries, publisher);
@@ -151,12 +145,9 @@
         &sessions,
         runner,
         shutdown_receiver,
-        node.cut.clone(),
+        node.drain.clone(),
     );
-    tokio::select! {
-        () = accepting => {}
-        () = node.drain(&shutdown, [&sessions, &lent]) => {}
-    }
+    tokio::join!(accepting, node.drain(&shutdown, [&sessions, &lent]));
     node.end.cancel();
     tracing::info!(
         event = "node_stopped",
@@ -178,10 +169,7 @@
     trigger: Arc<Trigger>,
     suspicions: Arc<Suspicions>,
     snapshots: watch::Receiver<Option<Snapshot>>,
-    /// Cancelled when a stop of the node is requested.
-    stop: CancellationToken,
-    /// Cancelled when the sessions that outlast the grace period end.
-    cut: CancellationToken,
+    drain: Drain,
     /// Cancelled when the sessions have ended or are cut.
     end: CancellationToken,
     tasks: Tasks,
@@ -245,7 +233,7 @@
         let lent = TaskTracker::new();
         let lender = Lender {
             upstreams: self.upstreams.clone(),
-            stop: self.stop.clone(),
+            drain: self.drain.clone(),
             suspicions: self.suspicions.clone(),
             lent: lent.clone(),
         };
@@ -301,48 +289,53 @@
         Readiness {
             upstreams: self.upstreams.clone(),
             snapshots: self.snapshots.clone(),
-            stop: self.stop.clone(),
+            stop: self.drain.stop.clone(),
         }
     }
 
     /// Waits for the request to stop, then for the sessions and lent permits to end,
     /// within the grace period.
-    async fn drain(&self, shutdown: &watch::Sender<bool>, [sessions, lent]: [&TaskTracker; 2]) {
-        let (config, store) = (&self.config, self.store.as_ref());
-        self.stop.cancelled().await;
-        let stop_requested_at = Instant::now();
+    async fn drain(&self, shutdown: &watch::Sender<bool>, served: [&TaskTracker; 2]) {
+        self.drain.stop.cancelled().await;
+        let schedule = self.drain.begin(self.config.grace);
+        let cut = Deadline::from_std(schedule.cut);
+        let drained_at = cut.min(Deadline::now() + DRAIN_DELAY);
+        let [sessions, lent] = served;
         tracing::info!(
             event = "node_leaving",
             sessions = sessions.len(),
             "a stop of the node is requested"
         );
-        if let Some(records) = self.records() {
-            presence::resign(&config.node, store, &records).await;
-        }
-        tokio::time::sleep(DRAIN_DELAY.saturating_sub(stop_requested_at.elapsed())).await;
+        let _ = timeout_at(drained_at, self.resign()).await;
+        tokio::time::sleep_until(drained_at).await;
         shutdown.send_replace(true);
-        sessions.close();
-        lent.close();
-        let remaining = config
-            .grace
-            .mul_f64(GRACE_SHARE)
-            .saturating_sub(stop_requested_at.elapsed());
-        let ending = async {
-            sessions.wait().await;
-            lent.wait().await;
-        };
-        if tokio::time::timeout(remaining, ending).await.is_err() {
+        if timeout_at(cut, wait(served)).await.is_err() {
             tracing::warn!(
                 event = "sessions_cut",
                 sessions = sessions.len(),
                 lent = lent.len(),
                 "sessions that outlast the grace period are cut"
             );
-            self.cut.cancel();
-            let _ = tokio::time::timeout(CUT_TIMEOUT, sessions.wait()).await;
         }
+        // Callers may have been accepted since the last session ended.
+        self.drain.cut.cancel();
+        let end = Deadline::from_std(schedule.end);
+        let _ = timeout_at(end, wait(served)).await;
+        let _ = timeout_at(end, self.leave()).await;
+    }
+
+    /// Gives up the coordinator's row if this node holds it.
+    async fn resign(&self) {
         if let Some(records) = self.records() {
-            presence::leave(&config.node, self.process, store, &records).await;
+            presence::resign(&self.config.node, self.store.as_ref(), &records).await;
+        }
+    }
+
+    /// Deletes the rows of this node.
+    async fn leave(&self) {
+        if let Some(records) = self.records() {
+            let (node, store) = (&self.config.node, self.store.as_ref());
+            presence::leave(node, self.process, store, &records).await;
         }
     }
 
@@ -353,42 +346,12 @@
     }
 }
 
-/// Accepts callers and starts a session for each.
-async fn accept<W: Protocol>(
-    listener: TcpListener,
-    sessions: &TaskTracker,
-    runner: Runner<W>,
-    shutdown: watch::Receiver<bool>,
-    cut: CancellationToken,
-) {
-    loop {
-        let stream = match listener.accept().await {
-            Ok((stream, _)) => stream,
-            Err(error) => {
-                tracing::warn!(event = "accept_failed", %error, "the connection of a caller could not be accepted");
-                // Accepting may keep failing for some time; the pause avoids a busy loop.
-                tokio::time::sleep(Duration::from_millis(10)).await;
-                continue;
-            }
-        };
-        let (runner, shutdown, cut) = (runner.clone(), shutdown.clone(), cut.clone());
-        sessions.spawn(serve(stream, runner, shutdown, cut));
-    }
-}
-
-async fn serve<W: Protocol>(
-    stream: TcpStream,
-    runner: Runner<W>,
-    shutdown: watch::Receiver<bool>,
-    cut: CancellationToken,
-) {
-    let served = match Connection::<W>::new(stream) {
-        Ok(connection) => Session::new(connection, runner, shutdown, cut).run().await,
-        Err(error) => Err(error),
-    };
-    if let Err(error) = served {
-        tracing::debug!(%error, "a caller's connection broke");
-    }
+/// Waits until nothing is served any more.
+async fn wait([sessions, lent]: [&TaskTracker; 2]) {
+    sessions.close();
+    lent.close();
+    sessions.wait().await;
+    lent.wait().await;
 }
 
 /// Starts the confirmation tasks of new groups, and closes idle connections.
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -64,6 +64,12 @@
     Answer::local(Outcome::error(Code::Busy, text), State::Idle)
 }
 
+/// Returns the answer to a statement that was not passed on any more.
+#[must_use]
+pub fn stopping(reason: &str) -> Answer {
+    busy(&format!("not run: {reason}"), DEFAULT_RETRY_DELAY)
+}
+
 /// Returns the answer to a statement that may have been run.
 #[must_use]
 pub fn unknown(reason: &str) -> Answer {
