connection: ask the system for a last statement before closing a session

A caller whose statement had arrived at an idle session just before it was closed at a stop got no answer, only the end of its connection.

Cause: the session looks at its connection through the runtime, which learns of received data only when it has no task to run. The shutdown can run the session's task earlier, and then the data looks as if it were not there. A statement of which a part had been received was dropped as well.

Before a session is closed, its connection now reads what the system holds. A session that is receiving a statement is closed after the answer, or at the cut.

--- a/crates/agateport-relay/src/caller/ending.rs
+++ b/crates/agateport-relay/src/caller/ending.rs
@@ -28,15 +28,24 @@
         };
         let is_idle = matches!(self.transaction, Transaction::None);
         let cut = self.drain.cut.clone();
-        let shutdown = wait_for_shutdown(self.shutdown.clone(), self.is_new);
-        tokio::select! {
-            biased;
-            message = self.connection.message() => {
-                Ok(message?.map_or(Event::End, Event::Message))
+        loop {
+            let is_closable = is_idle && !self.connection.is_receiving();
+            let shutdown = wait_for_shutdown(self.shutdown.clone(), self.is_new);
+            tokio::select! {
+                biased;
+                message = self.connection.message() => {
+                    return Ok(message?.map_or(Event::End, Event::Message));
+                }
+                () = shutdown, if is_closable => {}
+                () = cut.cancelled() => {}
+                () = sleep(idle_timeout) => return Ok(Event::IdleTimeout),
+            }
+            if let Some(message) = self.connection.received()? {
+                return Ok(Event::Message(message));
+            }
+            if cut.is_cancelled() || !self.connection.is_receiving() {
+                return Ok(Event::Close);
             }
-            () = shutdown, if is_idle => Ok(Event::Close),
-            () = cut.cancelled() => Ok(Event::Close),
-            () = sleep(idle_timeout) => Ok(Event::IdleTimeout),
         }
     }
 
--- a/crates/agateport-relay/src/connection.rs
+++ b/crates/agateport-relay/src/connection.rs
@@ -4,7 +4,8 @@
 use crate::protocol::Protocol;
 use agateport_domain::prelude::*;
 use bytes::BytesMut;
-use std::io;
+use socket2::SockRef;
+use std::io::{self, Read};
 use std::marker::PhantomData;
 use tokio::io::{AsyncReadExt, AsyncWriteExt};
 use tokio::net::TcpStream;
@@ -43,6 +44,34 @@
         })
     }
 
+    /// Returns whether part of a message has been received.
+    #[must_use]
+    pub fn is_receiving(&self) -> bool {
+        !self.input.is_empty()
+    }
+
+    /// Returns the next message if the system has received it completely.
+    ///
+    /// The runtime learns of received data with a delay. A session that is about to be
+    /// closed must not miss a message meanwhile, so this method asks the system.
+    ///
+    /// # Errors
+    ///
+    /// [`io::Error`] if the connection breaks.
+    pub fn received(&mut self) -> io::Result<Option<Message>> {
+        let mut chunk = [0; INITIAL_CAPACITY];
+        loop {
+            let read = (&*SockRef::from(&self.stream)).read(&mut chunk);
+            match read {
+                Ok(0) => break,
+                Ok(length) => self.input.extend_from_slice(&chunk[..length]),
+                Err(error) if error.kind() == io::ErrorKind::WouldBlock => break,
+                Err(error) => return Err(error),
+            }
+        }
+        Ok(W::decode_message(&mut self.input).unwrap_or_default())
+    }
+
     /// Closes the connection once the caller has read what was sent.
     ///
     /// If data of the caller is unread when a connection is closed, the system resets it,
