confirmation: know every server that may have been promoted

Cause: the coordinator waited for 8 s after a server's registration, counted by its own process, so that nodes without the store would know the server. A server whose entry had expired and was back did not wait, and neither did any server for a process that had just started. Nodes that did not know the promoted server confirmed the former primary. Class: what a node knows was inferred from a delay, and not from what the node has read.

Change: - The leadership record has a roster of the servers that may be promoted. An eligible one was listed for 8 s, as seen by one coordinator; a missing one stays listed for 8 s. - A primary is confirmed under a record that was read less than 8 s ago, by its own answer and those of all listed and registered servers. A listed server that the node does not know, or that has received a later term, prevents it. The terms are needed because a server that was promoted and demoted again answers that it is a replica; this second way was found by the new property. - The demotion of a recorded server that does not lead yet no longer counts as that of the former primary, which may still accept writes. - A node that has not read the store confirms nothing.

The property no_node_confirms_a_former_primary fails if an ineligible server is promoted after the leases, if servers are eligible at once or without being listed, and if terms are not compared.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -5,6 +5,7 @@
 //! stops half way, its successor continues from the record.
 
 use super::LEASE_DURATION;
+use super::roster::Roster;
 use crate::id::{Fence, ServerId, Term, Uptime};
 use crate::session::Watermark;
 use serde::{Deserialize, Serialize};
@@ -33,6 +34,9 @@
     pub fence: Fence,
     /// Whether all leases of the former primary have expired or been released.
     pub is_settled: bool,
+    /// Servers that may be promoted.
+    #[serde(default)]
+    pub roster: Roster,
 }
 
 /// A server that may become its group's primary, with its state as known to one
@@ -49,6 +53,8 @@
     pub led_term: Option<Term>,
     /// Whether it is about to leave the group.
     pub is_leaving: bool,
+    /// Whether every node that may confirm another primary queries it.
+    pub is_eligible: bool,
 }
 
 /// What the store says about a group's primary.
@@ -63,6 +69,18 @@
     Outdated,
 }
 
+/// What the coordinator knows of the former primary in a handover.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Former {
+    /// It is not known which server may still accept writes.
+    #[default]
+    Unknown,
+    /// The server is known, but has not confirmed its demotion.
+    Known,
+    /// The server has confirmed that it accepts no more writes.
+    Demoted,
+}
+
 /// State of a group as known to the coordinator.
 #[derive(Clone, Debug)]
 pub struct State<'a> {
@@ -74,8 +92,8 @@
     pub leaderless_since: Option<Uptime>,
     /// Whether a quorum of nodes cannot reach the primary.
     pub is_unreachable: bool,
-    /// Whether the former primary has confirmed that it accepts no more writes.
-    pub is_demoted: bool,
+    /// What is known of the former primary.
+    pub former: Former,
     /// Whether every node has accepted the record and stopped using the former
     /// primary.
     pub is_released: bool,
@@ -92,6 +110,8 @@
     Adopt(ServerId),
     /// Record this server as the new primary.
     Record(ServerId),
+    /// Demote the former primary once more.
+    Demote,
     /// Order the platform to promote the recorded server.
     Promote(ServerId),
     /// Record that the former primary's leases have expired or been released.
@@ -115,7 +135,10 @@
     };
     let is_former_released = state.is_released || now >= first_seen + LEASE_DURATION;
     if recorded.is_primary {
-        if recorded.is_leaving || state.is_unreachable {
+        if state.is_unreachable {
+            return replace(state, &leadership.primary);
+        }
+        if recorded.is_leaving {
             return replace(state, &leadership.primary);
         }
         if is_former_released && !leadership.is_settled {
@@ -132,16 +155,37 @@
     if recorded.is_leaving || (state.is_unreachable && is_stuck) {
         return replace(state, &leadership.primary);
     }
-    let may_promote = is_former_released || state.is_demoted;
+    // A node without the store may confirm the former primary without querying a server
+    // that it does not know, unless that primary answers that it is a replica.
+    let may_promote = state.former == Former::Demoted
+        || state.is_released
+        || (is_former_released && recorded.is_eligible);
+    if !may_promote {
+        return wait_for_demotion(state, recorded, is_stuck);
+    }
     let is_due = state
         .ordered_at
         .is_none_or(|ordered| now >= ordered + ORDER_RETRY);
-    if may_promote && is_due {
+    if is_due {
         return Step::Promote(leadership.primary.clone());
     }
     Step::Wait
 }
 
+/// Decides for a recorded server that must not be promoted yet. One that not every node
+/// knows needs the former primary's demotion, or is replaced by an eligible one.
+fn wait_for_demotion(state: &State<'_>, recorded: &Candidate, is_stuck: bool) -> Step {
+    let other = replace(state, &recorded.server);
+    if is_stuck && other != Step::Wait {
+        return other;
+    }
+    if state.former == Former::Known && !recorded.is_eligible {
+        Step::Demote
+    } else {
+        Step::Wait
+    }
+}
+
 /// Decides for a group whose later records may be lost. The answers of a majority of its
 /// servers show which one is the primary: the one that leads the highest term. If none
 /// of them leads, an unreachable primary is replaced.
@@ -205,7 +249,7 @@
         .filter(|candidate| {
             Some(&candidate.server) != former && !candidate.is_leaving && !candidate.is_primary
         })
-        .filter(|candidate| candidate.last.is_some());
+        .filter(|candidate| candidate.last.is_some() && candidate.is_eligible);
     let chosen = eligible.max_by_key(|candidate| candidate.last);
     chosen.map_or(Step::Wait, |candidate| {
         Step::Record(candidate.server.clone())
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -11,6 +11,7 @@
 pub mod promotion;
 mod quorum;
 mod read_index;
+pub mod roster;
 
 pub use ballot::{Ballot, PromoterId};
 pub use cooldown::Cooldown;
@@ -23,6 +24,7 @@
 pub use promotion::Promotion;
 pub use quorum::{Quorum, Vote};
 pub use read_index::ReadIndex;
+pub use roster::Roster;
 
 use crate::id::{ServerId, Term};
 use crate::session::Watermark;
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -1,7 +1,7 @@
 //! Selection of a group's primary, and its leases.
 
-use agateport_domain::group::handover::{Candidate, Record, State, Step, decide};
-use agateport_domain::group::{Detector, LEASE_DURATION, Leadership, Lease, Progress};
+use agateport_domain::group::handover::{Candidate, Former, Record, State, Step, decide};
+use agateport_domain::group::{Detector, LEASE_DURATION, Leadership, Lease, Progress, Roster};
 use agateport_domain::prelude::*;
 use proptest::prelude::*;
 use std::fmt::Write;
@@ -25,6 +25,7 @@
             .find(['p', 'q'])
             .map(|mark| if marks[mark..].starts_with('p') { 1 } else { 2 }),
         is_leaving: marks.contains('l'),
+        is_eligible: !marks.contains('w'),
     }
 }
 
@@ -33,14 +34,15 @@
         primary: primary.into(),
         fence: 1,
         is_settled,
+        roster: Roster::default(),
     }
 }
 
 /// Returns one line of the table: the record (`?` if it is unsettled), the servers
-/// (`p` primary, `q` primary in the next term, `l` leaving, a digit for the log
+/// (`p` primary, `q` primary in the next term, `l` leaving, `w` new, a digit for the log
 /// position), the flags of the state
-/// (`n` no primary, `x` unreachable, `d` demoted, `r` released, `o` ordered, `u` record
-/// outdated), the
+/// (`n` no primary, `x` unreachable, `d` demoted, `f` former primary known, `r` released,
+/// `o` ordered, `u` record outdated), the
 /// time since the record was read, and the step.
 fn row(record: Option<Leadership>, servers: &str, marks: &str, milliseconds: u64) -> String {
     let candidates: Vec<_> = servers.split(' ').map(candidate).collect();
@@ -53,7 +55,13 @@
         candidates: &candidates,
         leaderless_since: marks.contains('n').then(|| at(0)),
         is_unreachable: marks.contains('x'),
-        is_demoted: marks.contains('d'),
+        former: if marks.contains('d') {
+            Former::Demoted
+        } else if marks.contains('f') {
+            Former::Known
+        } else {
+            Former::Unknown
+        },
         is_released: marks.contains('r'),
         ordered_at: marks.contains('o').then(|| at(0)),
     };
@@ -179,7 +187,7 @@
                 candidates: &candidates,
                 leaderless_since: None,
                 is_unreachable: true,
-                is_demoted: false,
+                former: Former::Unknown,
                 is_released: false,
                 ordered_at: None,
             };
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -3,8 +3,8 @@
 use super::poller::Snapshot;
 use crate::record::{self, COORDINATOR};
 use crate::source::{Change, Revision, RowVersion};
-use agateport_domain::group::Leadership;
 use agateport_domain::group::handover::Record;
+use agateport_domain::group::{Leadership, Roster};
 use agateport_domain::prelude::*;
 
 /// The rows of one read of the store that a step for a group is decided on.
@@ -84,6 +84,21 @@
         Some(&leadership.primary)
     }
 
+    /// Returns the servers that may be promoted; none if there is no record.
+    #[must_use]
+    pub fn roster(&self) -> Option<&Roster> {
+        let (leadership, _) = self.leadership.as_ref()?;
+        Some(&leadership.roster)
+    }
+
+    /// Returns whether the former primary's leases have expired or been released, so that
+    /// no server but the recorded one may accept writes.
+    #[must_use]
+    pub fn is_settled(&self) -> bool {
+        let leadership = self.leadership.as_ref().filter(|_| !self.is_outdated);
+        leadership.is_some_and(|(leadership, _)| leadership.is_settled)
+    }
+
     /// Returns the node that may order promotions.
     #[must_use]
     pub fn coordinator(&self) -> Option<&NodeId> {
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -1,17 +1,18 @@
 //! Executes handovers as the coordinator, and replaces an unresponsive coordinator.
 
 use super::basis::Basis;
+use super::demotion;
 use super::poller::Snapshot;
 use super::suspicion::Suspicions;
 use super::trigger::Trigger;
 use crate::clock::uptime;
-use crate::group::{Group, REGISTRY_VALIDITY};
-use crate::message::Command;
+use crate::group::Group;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
-use agateport_domain::group::handover::{self, Candidate, State, Step};
+use agateport_domain::group::handover::{self, Former, State, Step};
+use agateport_domain::group::roster::Tenure;
 use agateport_domain::group::{LEASE_DURATION, Leadership};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
@@ -25,8 +26,10 @@
 pub(super) struct Transition {
     /// Primary in the leadership record.
     primary: Option<ServerId>,
+    /// The former primary, if no other server may accept writes once it is demoted.
+    pub(super) former: Option<ServerId>,
     /// Whether the former primary has confirmed its demotion to this node.
-    is_demoted: bool,
+    pub(super) is_demoted: bool,
     /// When this node last ordered the promotion of the recorded primary.
     ordered_at: Option<Uptime>,
     /// Since when the group has been waiting for a step of another node, the
@@ -39,6 +42,14 @@
 }
 
 impl Transition {
+    fn former_state(&self) -> Former {
+        match self.former {
+            Some(_) if self.is_demoted => Former::Demoted,
+            Some(_) => Former::Known,
+            None => Former::Unknown,
+        }
+    }
+
     /// Updates the time since when no server reports that it is the primary.
     fn track_leaderless(&mut self, has_leader: bool) {
         if has_leader {
@@ -62,9 +73,8 @@
     /// The coordinator that groups have been waiting for since `needed_since`.
     pub(super) coordinator: Option<NodeId>,
     pub(super) transitions: BTreeMap<GroupId, Transition>,
-    /// When each server was first seen in the registry; none if it was in the first
-    /// registry.
-    first_seen: BTreeMap<ServerId, Option<Uptime>>,
+    /// How long the servers of each group have been listed in its record.
+    pub(super) tenures: BTreeMap<GroupId, Tenure>,
     /// When this node last attempted to become the coordinator, and the version that the
     /// row then got if it succeeded.
     pub(super) taken_over: Option<(Uptime, Option<RowVersion>)>,
@@ -94,7 +104,7 @@
             suspicions,
             coordinator: None,
             transitions: BTreeMap::new(),
-            first_seen: BTreeMap::new(),
+            tenures: BTreeMap::new(),
             taken_over: None,
             held_fence: None,
             promotions_allowed_at: Uptime::ZERO,
@@ -132,12 +142,6 @@
             return;
         }
         self.track_coordinator(&snapshot.records);
-        let registry = self.upstreams.registry();
-        let is_first = self.first_seen.is_empty();
-        for server in registry.keys() {
-            let first = if is_first { None } else { Some(uptime()) };
-            self.first_seen.entry(server.clone()).or_insert(first);
-        }
         for group in self.upstreams.groups() {
             let group = self.upstreams.group(&group);
             self.advance(&group, snapshot).await;
@@ -147,14 +151,16 @@
     /// Executes the next step for one group, if there is one.
     async fn advance(&mut self, group: &Arc<Group>, snapshot: &Snapshot) {
         let basis = Basis::new(&group.name, snapshot);
+        self.observe(&basis);
         let transition = self.transition(&basis);
         if basis.revision < transition.written {
             // The rows lack this node's own last step.
             return;
         }
-        let step = self.decide(group, &basis, false).await;
+        let step = self.decide(&basis, false).await;
         if step == Step::Wait {
             self.transition(&basis).needed_since = None;
+            self.enroll(&basis).await;
             return;
         }
         if basis.coordinator() != Some(&self.node) {
@@ -163,8 +169,8 @@
         }
         // Only the coordinator queries the servers for their current watermarks.
         let step = match step {
-            Step::Record(_) => self.decide(group, &basis, true).await,
-            _ if basis.is_outdated() => self.decide(group, &basis, true).await,
+            Step::Record(_) => self.decide(&basis, true).await,
+            _ if basis.is_outdated() => self.decide(&basis, true).await,
             step => step,
         };
         self.execute(group, &basis, step).await;
@@ -172,7 +178,7 @@
 
     /// Returns the progress of a group's handover. It starts anew with each recorded
     /// primary.
-    fn transition(&mut self, basis: &Basis) -> &mut Transition {
+    pub(super) fn transition(&mut self, basis: &Basis) -> &mut Transition {
         let transition = self.transitions.entry(basis.group.clone()).or_default();
         if transition.primary.as_ref() != basis.primary() && basis.revision >= transition.written {
             *transition = Transition {
@@ -187,8 +193,8 @@
 
     /// Decides the next step for a group. If `is_queried`, the servers are queried for
     /// their watermarks first.
-    async fn decide(&mut self, group: &Arc<Group>, basis: &Basis, is_queried: bool) -> Step {
-        let candidates = self.candidates(group, is_queried).await;
+    async fn decide(&mut self, basis: &Basis, is_queried: bool) -> Step {
+        let candidates = self.candidates(basis, is_queried).await;
         let has_leader = candidates.iter().any(|candidate| candidate.is_primary);
         let transition = self.transition(basis);
         transition.track_leaderless(has_leader);
@@ -202,54 +208,13 @@
             candidates: &candidates,
             leaderless_since: transition.leaderless_since,
             is_unreachable,
-            is_demoted: transition.is_demoted,
+            former: transition.former_state(),
             is_released: basis.is_released(),
             ordered_at: transition.ordered_at,
         };
         handover::decide(&state, uptime())
     }
 
-    async fn candidates(&self, group: &Arc<Group>, is_queried: bool) -> Vec<Candidate> {
-        let now = uptime();
-        let servers = self.upstreams.servers(&group.name);
-        let candidates = servers.iter().map(|server| async move {
-            let entry = server.entry();
-            // Without a query, a server with an unknown watermark counts as a candidate
-            // with an empty log.
-            let known = server.watermark().map(|(watermark, _)| watermark);
-            let mut last = (!is_queried).then(|| known.unwrap_or_default());
-            let mut led_term = entry
-                .is_primary
-                .then_some(Term::MIN)
-                .filter(|_| !is_queried);
-            // A server that could not be promoted anyway is not queried.
-            if is_queried && !entry.is_leaving && !server.is_unreachable() {
-                let status = server.request_status(Command::Status).await;
-                if let Ok(status) = status {
-                    last = Some(status.last);
-                    led_term = status.is_primary.then_some(status.term);
-                }
-            }
-            let is_new = self
-                .first_seen
-                .get(&entry.server)
-                .copied()
-                .flatten()
-                .is_some_and(|first_seen| now < first_seen + REGISTRY_VALIDITY);
-            Candidate {
-                server: entry.server.clone(),
-                // A node without access to the store may not know a new server, and
-                // would confirm another primary without querying it. Without a
-                // watermark, the server is not chosen as the primary.
-                last: last.filter(|_| !is_new),
-                is_primary: entry.is_primary,
-                led_term,
-                is_leaving: entry.is_leaving,
-            }
-        });
-        futures::future::join_all(candidates).await
-    }
-
     async fn execute(&mut self, group: &Arc<Group>, basis: &Basis, step: Step) {
         match step {
             Step::Wait => {}
@@ -262,25 +227,35 @@
                 }
             }
             Step::Record(server) => {
-                let reported = || group.leader().map(|leader| leader.server);
-                let former = basis.primary().cloned().or_else(reported);
+                let former = demotion::former(group, basis);
                 if self.write(basis, server, false).await {
                     self.demote(&basis.group, former).await;
                 }
             }
+            Step::Demote => {
+                let former = self.transition(basis).former.clone();
+                self.demote(&basis.group, former).await;
+            }
             Step::Promote(server) => self.promote(basis, &server).await,
         }
     }
 
     /// Replaces a group's leadership record, and returns whether it was replaced.
-    async fn write(&mut self, basis: &Basis, primary: ServerId, is_settled: bool) -> bool {
+    pub(super) async fn write(
+        &mut self,
+        basis: &Basis,
+        primary: ServerId,
+        is_settled: bool,
+    ) -> bool {
         let Some(fence) = basis.fence() else {
             return false;
         };
+        let roster = self.next_roster(basis, &primary);
         let leadership = Leadership {
             primary,
             fence,
             is_settled,
+            roster,
         };
         let written = self.store.change(basis.replace(&leadership)).await;
         tracing::info!(
@@ -310,40 +285,6 @@
         true
     }
 
-    /// Demotes the former primary, so that it accepts no more writes.
-    async fn demote(&mut self, group: &GroupId, former: Option<ServerId>) {
-        let former = former.and_then(|former| self.upstreams.server(&former));
-        // A suspected server is not queried, to avoid waiting for it.
-        let former = former.filter(|former| !former.detector().is_suspected());
-        let mut is_demoted = false;
-        if let Some(former) = former {
-            is_demoted = match former.request_status(Command::Status).await {
-                Ok(status) => {
-                    let command = Command::Demote(status.term.saturating_add(1));
-                    let status = former.request_status(command).await;
-                    status.is_ok_and(|status| !status.is_primary)
-                }
-                Err(error) => {
-                    tracing::info!(
-                        event = "primary_silent",
-                        group = &**group,
-                        %error,
-                        "the former primary did not return its status, so it cannot be demoted"
-                    );
-                    false
-                }
-            };
-        }
-        tracing::info!(
-            event = "primary_demoted",
-            group = &**group,
-            is_demoted,
-            "a demotion of the former primary was attempted"
-        );
-        let transition = self.transitions.entry(group.clone()).or_default();
-        transition.is_demoted = is_demoted;
-    }
-
     async fn promote(&mut self, basis: &Basis, server: &ServerId) {
         let Some(fence) = basis.fence() else { return };
         let (group, now) = (&basis.group, uptime());
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -3,6 +3,8 @@
 
 pub mod basis;
 pub mod confirmation;
+mod demotion;
+mod enrollment;
 pub mod follower;
 pub mod handover;
 pub mod monitor;
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -1,6 +1,7 @@
 //! State of a database group at one node: its primary, the lease and its progress.
 
 use crate::clock::uptime;
+use agateport_domain::group::roster::VALIDITY;
 use agateport_domain::group::{LEASE_DURATION, Leadership, Lease, Progress};
 use agateport_domain::prelude::*;
 use std::sync::{Mutex, MutexGuard, PoisonError};
@@ -13,10 +14,6 @@
 /// Time after a failed wait for the lease during which other statements do not wait.
 const FAILED_WAIT_PAUSE: Duration = Duration::from_millis(300);
 
-/// Time after the last answered read of the store for which the registry is considered
-/// complete. A server is not promoted until it has been registered for this long.
-pub const REGISTRY_VALIDITY: Duration = Duration::from_secs(8);
-
 /// The server that this node uses as the group's primary. It reports that it is the
 /// primary, and the leadership record names it; without a record, no other server of the
 /// group reports the same.
@@ -37,7 +34,7 @@
     lease: Lease,
     progress: Progress,
     /// When the last answered read of the record was sent to the store.
-    store_read_at: Uptime,
+    store_read_at: Option<Uptime>,
     /// Whether the servers have extended the lease since that read.
     is_confirmed: bool,
     /// When a wait for the lease last failed.
@@ -107,7 +104,7 @@
         };
         inner.leadership = leadership.map(|leadership| (leadership, first_seen));
         if let Some(sent_at) = read_at {
-            inner.store_read_at = inner.store_read_at.max(sent_at);
+            inner.store_read_at = inner.store_read_at.max(Some(sent_at));
             inner.is_confirmed = false;
             inner.lease.renew(sent_at);
         }
@@ -116,17 +113,29 @@
         self.expiry.send_replace(until);
     }
 
-    /// Records that all other servers, queried at `sent_at`, were replicas while
-    /// `leader` was the primary. This is ignored once the registry may be incomplete
-    /// because the store has not answered for too long.
+    /// Returns the recorded primary, and the servers that must be queried at `now` to
+    /// confirm that it is the only one. Returns none without a record, and once the record
+    /// that was read may lack a server that has been promoted.
+    #[must_use]
+    pub fn confirmable(&self, now: Uptime) -> Option<(ServerId, BTreeSet<ServerId>)> {
+        let inner = self.lock();
+        let (leadership, _) = inner.leadership.as_ref()?;
+        let read_at = inner.store_read_at?;
+        if now >= read_at + VALIDITY || inner.leader.as_ref() != Some(&leadership.primary) {
+            return None;
+        }
+        let servers = leadership.roster.servers().cloned().collect();
+        Some((leadership.primary.clone(), servers))
+    }
+
+    /// Records that the servers that [`Self::confirmable`] named, queried at `sent_at`,
+    /// confirmed that `leader` was the only primary.
     ///
     /// Returns whether this is the first confirmation that extends the lease since the
     /// store was last read.
     pub fn confirm(&self, leader: &ServerId, sent_at: Uptime) -> bool {
         let mut inner = self.lock();
-        if inner.leader.as_ref() != Some(leader)
-            || sent_at >= inner.store_read_at + REGISTRY_VALIDITY
-        {
+        if inner.leader.as_ref() != Some(leader) {
             return false;
         }
         let was_confirmed = inner.is_confirmed;
@@ -141,7 +150,7 @@
 
     /// Returns when the last answered read of the record was sent to the store.
     #[must_use]
-    pub fn store_read_at(&self) -> Uptime {
+    pub fn store_read_at(&self) -> Option<Uptime> {
         self.lock().store_read_at
     }
 
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -1,6 +1,6 @@
 //! The leader of a group, and the moments that its lease covers.
 
-use agateport_domain::group::Leadership;
+use agateport_domain::group::{Leadership, Roster};
 use agateport_domain::prelude::*;
 use agateport_relay::clock::uptime;
 use agateport_relay::group::Group;
@@ -10,6 +10,7 @@
         primary: primary.into(),
         fence: 1,
         is_settled: true,
+        roster: Roster::default(),
     }
 }
 
