handover: replace a leaving primary by a new server

Cause: a new server was not eligible for 8 s, for the sake of nodes without the store, and a leaving primary was used without any limit in time while there was no other.

Change: - If no server is eligible, a new one is recorded in place of a leaving primary that is reachable. It is promoted once the former primary has confirmed its demotion: a node without the store then does not confirm it, whatever it knows. A demotion that failed is tried again; after 4 s an eligible server is recorded instead. - A node sends no new statements and transactions to a primary that has been leaving for 0.8 of that time, or since before the node knew it.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -139,7 +139,7 @@
             return replace(state, &leadership.primary);
         }
         if recorded.is_leaving {
-            return replace(state, &leadership.primary);
+            return replace_leaving(state, &leadership.primary);
         }
         if is_former_released && !leadership.is_settled {
             return Step::Settle;
@@ -241,16 +241,33 @@
     most_advanced(state, Some(former))
 }
 
+/// Chooses a new primary in place of `former`, which is leaving and can be demoted. It is
+/// a new server only if no candidate is eligible.
+fn replace_leaving(state: &State<'_>, former: &ServerId) -> Step {
+    match replace(state, former) {
+        Step::Wait => most_advanced_of(state, Some(former), |_| true),
+        step => step,
+    }
+}
+
 /// Chooses the eligible candidate with the most advanced log.
 fn most_advanced(state: &State<'_>, former: Option<&ServerId>) -> Step {
-    let eligible = state
+    most_advanced_of(state, former, |candidate| candidate.is_eligible)
+}
+
+fn most_advanced_of(
+    state: &State<'_>,
+    former: Option<&ServerId>,
+    is_allowed: impl Fn(&Candidate) -> bool,
+) -> Step {
+    let allowed = state
         .candidates
         .iter()
         .filter(|candidate| {
             Some(&candidate.server) != former && !candidate.is_leaving && !candidate.is_primary
         })
-        .filter(|candidate| candidate.last.is_some() && candidate.is_eligible);
-    let chosen = eligible.max_by_key(|candidate| candidate.last);
+        .filter(|candidate| candidate.last.is_some() && is_allowed(candidate));
+    let chosen = allowed.max_by_key(|candidate| candidate.last);
     chosen.map_or(Step::Wait, |candidate| {
         Step::Record(candidate.server.clone())
     })
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -113,6 +113,33 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+/// Nodes without the store may not know a new server. It is promoted in place of a primary
+/// that leaves, once that one has been demoted.
+#[test]
+fn a_new_server_is_promoted_after_a_demotion() {
+    let settled = || Some(leadership("a", true));
+    let under_way = || Some(leadership("b", false));
+    let rows = [
+        row(None, "a:pl5 b:w5", "", 0),
+        row(settled(), "a:pl5 b:w5", "", 0),
+        row(settled(), "a:pl5 b:w5 c:4", "", 0),
+        row(settled(), "a:p5 b:w5", "x", 0),
+        row(settled(), "a:pl5 b:w5", "x", 0),
+        row(settled(), "b:w5", "", 0),
+        row(Some(leadership("a", false)), "a:pl5 b:w5", "", 0),
+        row(under_way(), "a:pl5 b:w5", "", 1_200),
+        row(under_way(), "a:pl5 b:w5", "f", 100),
+        row(under_way(), "a:l5 b:w5", "fd", 100),
+        row(under_way(), "a:pl5 b:w5", "fr", 100),
+        row(under_way(), "a:pl5 b:5", "f", 100),
+        row(under_way(), "a:pl5 b:5", "f", 1_200),
+        row(under_way(), "a:pl5 b:w5 c:4", "f", 1_200),
+        row(under_way(), "a:pl5 b:w5 c:4", "f", 6_000),
+        row(under_way(), "a:pl5 b:wl5", "f", 6_000),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 /// After the store was restored, a record may name a primary that was replaced since.
 #[test]
 fn a_lost_record_brings_no_former_primary_back() {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -62,6 +62,8 @@
     pub peers: SocketAddr,
     /// Grace period: time from the request to stop until the process is killed.
     pub grace: Duration,
+    /// Time for which a server that announced that it leaves keeps serving.
+    pub drain: Duration,
 }
 
 /// Services of the platform that a node runs on.
@@ -101,10 +103,9 @@
     let peers = TcpListener::bind(config.peers).await?;
     let (publisher, snapshots) = watch::channel(None);
     let node = Node {
-        upstreams: Arc::new(Upstreams::<W>::new(
-            config.node.clone(),
-            config.zone.clone(),
-        )),
+        upstreams: Arc::new(
+            Upstreams::<W>::new(config.node.clone(), config.zone.clone()).with_drain(config.drain),
+        ),
         config,
         process: rand::random(),
         metrics: metrics.clone(),
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -134,9 +134,11 @@
             access == Access::Write || work.route.consistency == Consistency::Primary;
         if needs_leader {
             let leader = leader.filter(|leader| !excluded.contains(leader))?;
-            // No statement waits for an unreachable server.
-            let server = self.upstreams().server(&leader);
-            return server.filter(|server| !server.is_unreachable());
+            let server = self.upstreams().server(&leader)?;
+            // No statement waits for an unreachable server, and a leaving one ends soon.
+            let is_ending = server.has_been_leaving_for(self.upstreams().leaving_limit());
+            let is_usable = !server.is_unreachable() && !is_ending;
+            return is_usable.then_some(server);
         }
         let floor = group.floor(work.freshness_bound(), work.last_write);
         let servers = self.upstreams().servers(&work.route.group);
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -67,10 +67,19 @@
     idle_timeout: Duration,
 }
 
+/// The registry entry of a server.
+#[derive(Debug)]
+struct Registration {
+    entry: Arc<Entry>,
+    /// When this node first saw that the server is leaving; none if it was leaving when
+    /// the node first saw it.
+    leaving_since: Option<Uptime>,
+}
+
 /// State of an upstream server at one node.
 #[derive(Debug)]
 pub struct Server<W> {
-    entry: RwLock<Arc<Entry>>,
+    registration: RwLock<Registration>,
     role: RwLock<Arc<Role>>,
     /// The outcome of the last probe, and when it was sent.
     last_probe: tokio::sync::Mutex<Option<(Uptime, probe::Outcome)>>,
@@ -119,7 +128,10 @@
             idle_timeout: IDLE_TIMEOUT,
         };
         Ok(Self {
-            entry: RwLock::new(Arc::new(entry)),
+            registration: RwLock::new(Registration {
+                entry: Arc::new(entry),
+                leaving_since: None,
+            }),
             role: RwLock::default(),
             last_probe: tokio::sync::Mutex::default(),
             inner: Mutex::new(inner),
@@ -129,14 +141,29 @@
     /// Returns the registry entry of the server.
     #[must_use]
     pub fn entry(&self) -> Arc<Entry> {
-        let entry = self.entry.read();
-        entry.unwrap_or_else(PoisonError::into_inner).clone()
+        let registration = self.registration.read();
+        let registration = registration.unwrap_or_else(PoisonError::into_inner);
+        registration.entry.clone()
     }
 
     /// Replaces the registry entry with a changed one of the same process.
     pub fn update_entry(&self, entry: Entry) {
-        let mut current = self.entry.write().unwrap_or_else(PoisonError::into_inner);
-        *current = Arc::new(entry);
+        let registration = self.registration.write();
+        let mut registration = registration.unwrap_or_else(PoisonError::into_inner);
+        if entry.is_leaving && !registration.entry.is_leaving {
+            registration.leaving_since = Some(uptime());
+        }
+        registration.entry = Arc::new(entry);
+    }
+
+    /// Returns whether the server may have been leaving for at least `limit`.
+    #[must_use]
+    pub fn has_been_leaving_for(&self, limit: Duration) -> bool {
+        let registration = self.registration.read();
+        let registration = registration.unwrap_or_else(PoisonError::into_inner);
+        let since = registration.leaving_since;
+        registration.entry.is_leaving
+            && since.is_none_or(|since| uptime().saturating_sub(since) >= limit)
     }
 
     /// Waits until `latest` for a slot at the server, for a request whose answer is due at
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -22,10 +22,16 @@
 /// specify them.
 const DEFAULT_CONNECTIONS: usize = 16;
 
+/// Share of the time for which a leaving server keeps serving in which new work is sent to
+/// it. The rest is for the time until a node knows that it is leaving, and for that work.
+const LEAVING_SHARE: f64 = 0.8;
+
 /// Groups and servers known to a node.
 #[derive(Debug)]
 pub struct Upstreams<W> {
     zone: Zone,
+    /// Time for which new work is sent to a leaving server.
+    leaving_limit: Duration,
     groups: Sharded<GroupId, Arc<Group>>,
     servers: Sharded<ServerId, Arc<Server<W>>>,
     registry: RwLock<Arc<Registry>>,
@@ -52,6 +58,7 @@
         Self {
             ownership: Ownership::new(node, zone.clone()),
             zone,
+            leaving_limit: Duration::MAX,
             groups: Sharded::new(),
             servers: Sharded::new(),
             registry: RwLock::default(),
@@ -65,6 +72,22 @@
         }
     }
 
+    /// Sets the time for which a leaving server keeps serving.
+    #[must_use]
+    pub fn with_drain(self, drain: Duration) -> Self {
+        Self {
+            leaving_limit: drain.mul_f64(LEAVING_SHARE),
+            ..self
+        }
+    }
+
+    /// Returns the time for which new work is sent to a leaving server if no other can run
+    /// it.
+    #[must_use]
+    pub fn leaving_limit(&self) -> Duration {
+        self.leaving_limit
+    }
+
     /// Returns the configuration in force.
     #[must_use]
     pub fn catalog(&self) -> Arc<Catalog> {
