handover: choose no log that left the primary's branch

Cause: the candidate with the highest watermark was chosen, and a former primary that comes back may have one: it went on in its own term behind a partition. When its successor failed before the former primary followed it, the dropped entries were promoted again, either over a replica that had none of the new term yet, or because the replica that had them was too new to be promoted. Class: watermarks of different branches of a log were compared as if they were of one.

Change: the leadership record has the watermark with which its primary was chosen, its base. A log that ends in a later term, or in the same term no further than the base, holds nothing that was dropped; the server of any other one is chosen only after 8 s without a primary. Before the record is settled this is only a preference, since its server may never have been promoted.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -25,6 +25,10 @@
 /// former one have expired. After it, an unreachable candidate is replaced.
 const CANDIDATE_TIMEOUT: Duration = Duration::from_secs(4);
 
+/// Time for which a group must have no primary before a server is chosen whose log may hold
+/// entries that an earlier handover dropped.
+const BRANCH_TIMEOUT: Duration = Duration::from_secs(8);
+
 /// The stored record of a group's primary.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Leadership {
@@ -37,6 +41,10 @@
     /// Servers that may be promoted.
     #[serde(default)]
     pub roster: Roster,
+    /// Watermark of the primary's log before its promotion, if it was promoted by this
+    /// record or its predecessors. Its term begins after that entry or a later one.
+    #[serde(default)]
+    pub base: Option<Watermark>,
 }
 
 /// A server that may become its group's primary, with its state as known to one
@@ -88,6 +96,9 @@
     pub record: Record<'a>,
     /// Registered servers of the group.
     pub candidates: &'a [Candidate],
+    /// Base of the recorded primary, if it is known and the candidates' watermarks were
+    /// queried for this decision.
+    pub base: Option<Watermark>,
     /// Since when no server reports that it is the primary, if none does.
     pub leaderless_since: Option<Uptime>,
     /// Whether a quorum of nodes cannot reach the primary.
@@ -101,6 +112,27 @@
     pub ordered_at: Option<Uptime>,
 }
 
+impl State<'_> {
+    /// Returns whether the log of a candidate holds only entries that the recorded primary's
+    /// log holds, as far as the base shows it.
+    fn is_on_branch(&self, candidate: &Candidate) -> bool {
+        let (Some(base), Some(last)) = (self.base, candidate.last) else {
+            return true;
+        };
+        last.term > base.term || (last.term == base.term && last <= base)
+    }
+
+    /// Returns whether the recorded server is known to have been the primary.
+    fn has_led(&self) -> bool {
+        matches!(self.record, Record::Current(leadership, _) if leadership.is_settled)
+    }
+
+    fn is_leaderless_for(&self, duration: Duration, now: Uptime) -> bool {
+        self.leaderless_since
+            .is_some_and(|since| now >= since + duration)
+    }
+}
+
 /// The next step of the coordinator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -131,15 +163,15 @@
         .iter()
         .find(|candidate| candidate.server == leadership.primary);
     let Some(recorded) = recorded else {
-        return replace(state, &leadership.primary);
+        return replace(state, &leadership.primary, now);
     };
     let is_former_released = state.is_released || now >= first_seen + LEASE_DURATION;
     if recorded.is_primary {
         if state.is_unreachable {
-            return replace(state, &leadership.primary);
+            return replace(state, &leadership.primary, now);
         }
         if recorded.is_leaving {
-            return replace_leaving(state, &leadership.primary);
+            return replace_leaving(state, &leadership.primary, now);
         }
         if is_former_released && !leadership.is_settled {
             return Step::Settle;
@@ -149,11 +181,11 @@
     if leadership.is_settled {
         // Orders are sent only under unsettled records, so the record shows a new
         // coordinator whether an order of its predecessor may still be in progress.
-        return replace(state, &leadership.primary);
+        return replace(state, &leadership.primary, now);
     }
     let is_stuck = now >= first_seen + LEASE_DURATION + CANDIDATE_TIMEOUT;
     if recorded.is_leaving || (state.is_unreachable && is_stuck) {
-        return replace(state, &leadership.primary);
+        return replace(state, &leadership.primary, now);
     }
     // A node without the store may confirm the former primary without querying a server
     // that it does not know, unless that primary answers that it is a replica.
@@ -161,7 +193,7 @@
         || state.is_released
         || (is_former_released && recorded.is_eligible);
     if !may_promote {
-        return wait_for_demotion(state, recorded, is_stuck);
+        return wait_for_demotion(state, recorded, is_stuck, now);
     }
     let is_due = state
         .ordered_at
@@ -174,8 +206,8 @@
 
 /// Decides for a recorded server that must not be promoted yet. One that not every node
 /// knows needs the former primary's demotion, or is replaced by an eligible one.
-fn wait_for_demotion(state: &State<'_>, recorded: &Candidate, is_stuck: bool) -> Step {
-    let other = replace(state, &recorded.server);
+fn wait_for_demotion(state: &State<'_>, recorded: &Candidate, is_stuck: bool, now: Uptime) -> Step {
+    let other = replace(state, &recorded.server, now);
     if is_stuck && other != Step::Wait {
         return other;
     }
@@ -197,9 +229,9 @@
     }
     let leading = answers.filter(|candidate| candidate.led_term.is_some());
     match leading.max_by_key(|candidate| candidate.led_term) {
-        Some(primary) if primary.is_leaving => replace(state, &primary.server),
+        Some(primary) if primary.is_leaving => replace(state, &primary.server, now),
         Some(primary) => Step::Adopt(primary.server.clone()),
-        None if state.is_unreachable => most_advanced(state, None),
+        None if state.is_unreachable => most_advanced(state, None, now),
         None => choose_if_leaderless(state, now),
     }
 }
@@ -216,17 +248,14 @@
         return choose_if_leaderless(state, now);
     };
     if primary.is_leaving || state.is_unreachable {
-        return replace(state, &primary.server);
+        return replace(state, &primary.server, now);
     }
     Step::Adopt(primary.server.clone())
 }
 
 fn choose_if_leaderless(state: &State<'_>, now: Uptime) -> Step {
-    let is_due = state
-        .leaderless_since
-        .is_some_and(|since| now >= since + LEADERLESS_TIMEOUT);
-    if is_due {
-        most_advanced(state, None)
+    if state.is_leaderless_for(LEADERLESS_TIMEOUT, now) {
+        most_advanced(state, None, now)
     } else {
         Step::Wait
     }
@@ -237,37 +266,43 @@
 /// A candidate that reports that it is the primary while another server is
 /// recorded was replaced earlier. It is not eligible: it accepts writes in its
 /// own term and would be used without being promoted.
-fn replace(state: &State<'_>, former: &ServerId) -> Step {
-    most_advanced(state, Some(former))
+fn replace(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
+    most_advanced(state, Some(former), now)
 }
 
 /// Chooses a new primary in place of `former`, which is leaving and can be demoted. It is
 /// a new server only if no candidate is eligible.
-fn replace_leaving(state: &State<'_>, former: &ServerId) -> Step {
-    match replace(state, former) {
-        Step::Wait => most_advanced_of(state, Some(former), |_| true),
+fn replace_leaving(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
+    match replace(state, former, now) {
+        Step::Wait => most_advanced_of(state, Some(former), now, |_| true),
         step => step,
     }
 }
 
 /// Chooses the eligible candidate with the most advanced log.
-fn most_advanced(state: &State<'_>, former: Option<&ServerId>) -> Step {
-    most_advanced_of(state, former, |candidate| candidate.is_eligible)
+///
+/// A log that left the primary's branch looks advanced, but to promote its server would
+/// bring back entries that a handover dropped, after reads that did not see them.
+fn most_advanced(state: &State<'_>, former: Option<&ServerId>, now: Uptime) -> Step {
+    most_advanced_of(state, former, now, |candidate| candidate.is_eligible)
 }
 
 fn most_advanced_of(
     state: &State<'_>,
     former: Option<&ServerId>,
+    now: Uptime,
     is_allowed: impl Fn(&Candidate) -> bool,
 ) -> Step {
+    let is_any_branch_allowed = !state.has_led() || state.is_leaderless_for(BRANCH_TIMEOUT, now);
     let allowed = state
         .candidates
         .iter()
         .filter(|candidate| {
             Some(&candidate.server) != former && !candidate.is_leaving && !candidate.is_primary
         })
-        .filter(|candidate| candidate.last.is_some() && is_allowed(candidate));
-    let chosen = allowed.max_by_key(|candidate| candidate.last);
+        .filter(|candidate| candidate.last.is_some() && is_allowed(candidate))
+        .filter(|candidate| is_any_branch_allowed || state.is_on_branch(candidate));
+    let chosen = allowed.max_by_key(|candidate| (state.is_on_branch(candidate), candidate.last));
     chosen.map_or(Step::Wait, |candidate| {
         Step::Record(candidate.server.clone())
     })
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -35,6 +35,7 @@
         fence: 1,
         is_settled,
         roster: Roster::default(),
+        base: None,
     }
 }
 
@@ -53,6 +54,7 @@
             Some(leadership) => Record::Current(leadership, at(0)),
         },
         candidates: &candidates,
+        base: None,
         leaderless_since: marks.contains('n').then(|| at(0)),
         is_unreachable: marks.contains('x'),
         former: if marks.contains('d') {
@@ -160,6 +162,72 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+/// Returns one line of the table: the base of the settled record of `a` (`?` if it is not
+/// settled), the ends of the other servers' logs, the time without a primary, and the step.
+fn branch_row(
+    base: Option<Watermark>,
+    mark: &str,
+    logs: &[(&str, Watermark)],
+    leaderless: u64,
+) -> String {
+    let record = Leadership {
+        base,
+        ..leadership("a", mark.is_empty())
+    };
+    let candidates: Vec<_> = logs
+        .iter()
+        .map(|(server, last)| Candidate {
+            last: Some(*last),
+            ..candidate(server)
+        })
+        .collect();
+    let state = State {
+        record: Record::Current(&record, at(0)),
+        candidates: &candidates,
+        base,
+        leaderless_since: Some(at(0)),
+        is_unreachable: true,
+        former: Former::Unknown,
+        is_released: false,
+        ordered_at: None,
+    };
+    let step = decide(&state, at(leaderless));
+    let base = base.map_or_else(|| "-".to_owned(), |base| base.to_string());
+    let logs: Vec<_> = logs
+        .iter()
+        .map(|(server, last)| format!("{server}:{last}"))
+        .collect();
+    format!(
+        "{base:5}{mark:1} {:16} {leaderless:5} ms  {step:?}",
+        logs.join(" ")
+    )
+}
+
+/// A former primary may return with entries that the handover dropped. Reads at its
+/// successor did not see them, so they must not come back.
+#[test]
+fn entries_that_a_handover_dropped_do_not_come_back() {
+    let base = Some(watermark(1, 40));
+    let replica = ("b", watermark(1, 40));
+    let former = ("c", watermark(1, 42));
+    let rows = [
+        branch_row(base, "", &[replica, former], 0),
+        branch_row(base, "", &[("b", watermark(2, 41)), former], 0),
+        branch_row(base, "", &[("b", watermark(1, 38)), former], 0),
+        branch_row(base, "", &[former], 0),
+        branch_row(base, "", &[former], 7_900),
+        branch_row(base, "", &[former], 8_000),
+        branch_row(base, "", &[replica, former], 8_000),
+        // An earlier handover dropped the entries.
+        branch_row(Some(watermark(2, 50)), "", &[former], 0),
+        // The recorded server may never have been promoted.
+        branch_row(base, "?", &[former], 0),
+        // The base is not known.
+        branch_row(None, "", &[replica, former], 0),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 #[test]
 fn a_server_is_unreachable_after_lasting_failures() {
     let mut transcript = String::new();
@@ -212,6 +280,7 @@
             let state = State {
                 record: Record::Current(&record, seen),
                 candidates: &candidates,
+            base: None,
                 leaderless_since: None,
                 is_unreachable: true,
                 former: Former::Unknown,
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -146,6 +146,7 @@
             fence: 1,
             is_settled: true,
             roster: Roster::first(names("a b")),
+            base: None,
         };
         Self {
             now: at(0),
@@ -218,6 +219,7 @@
         let state = State {
             record: Record::Current(&self.record, self.first_seen),
             candidates: &candidates,
+            base: None,
             leaderless_since: None,
             is_unreachable: !self.is_reached,
             former: self.demotion,
@@ -272,6 +274,7 @@
             fence: self.fence,
             is_settled,
             roster,
+            base: None,
         };
         self.is_released = false;
     }
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -99,6 +99,13 @@
         leadership.is_some_and(|(leadership, _)| leadership.is_settled)
     }
 
+    /// Returns the base of the recorded primary, if it is known.
+    #[must_use]
+    pub fn base(&self) -> Option<Watermark> {
+        let leadership = self.leadership.as_ref().filter(|_| !self.is_outdated);
+        leadership.and_then(|(leadership, _)| leadership.base)
+    }
+
     /// Returns the node that may order promotions.
     #[must_use]
     pub fn coordinator(&self) -> Option<&NodeId> {
@@ -119,6 +126,32 @@
         leadership.map_or(0, |(_, version)| *version)
     }
 
+    /// Returns the next record, which names `primary`; none if there is no coordinator.
+    ///
+    /// Its base is the watermark `last` of a server that does not lead yet. It is unknown
+    /// for one that is recorded because it leads.
+    #[must_use]
+    pub fn next(
+        &self,
+        primary: ServerId,
+        is_settled: bool,
+        last: Option<Watermark>,
+        roster: Roster,
+    ) -> Option<Leadership> {
+        let recorded = self.leadership.as_ref().map(|(leadership, _)| leadership);
+        let base = match recorded.filter(|recorded| recorded.primary == primary) {
+            Some(recorded) => recorded.base,
+            None => last.filter(|_| !is_settled),
+        };
+        Some(Leadership {
+            primary,
+            fence: self.fence?,
+            is_settled,
+            roster,
+            base,
+        })
+    }
+
     /// Returns the change that replaces the leadership record, on the condition that it and
     /// the coordinator row are still those of this basis.
     #[must_use]
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -11,9 +11,9 @@
 use crate::protocol::Protocol;
 use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
+use agateport_domain::group::LEASE_DURATION;
 use agateport_domain::group::handover::{self, Former, State, Step};
 use agateport_domain::group::roster::Tenure;
-use agateport_domain::group::{LEASE_DURATION, Leadership};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -206,6 +206,7 @@
         let state = State {
             record: basis.record(),
             candidates: &candidates,
+            base: basis.base().filter(|_| is_queried),
             leaderless_since: transition.leaderless_since,
             is_unreachable,
             former: transition.former_state(),
@@ -247,15 +248,12 @@
         primary: ServerId,
         is_settled: bool,
     ) -> bool {
-        let Some(fence) = basis.fence() else {
-            return false;
-        };
+        let server = self.upstreams.server(&primary);
+        let last = server.and_then(|server| server.watermark());
+        let last = last.map(|(watermark, _)| watermark);
         let roster = self.next_roster(basis, &primary);
-        let leadership = Leadership {
-            primary,
-            fence,
-            is_settled,
-            roster,
+        let Some(leadership) = basis.next(primary, is_settled, last, roster) else {
+            return false;
         };
         let written = self.store.change(basis.replace(&leadership)).await;
         tracing::info!(
@@ -263,7 +261,8 @@
             group = &*basis.group,
             primary = &*leadership.primary,
             is_settled,
-            fence,
+            fence = leadership.fence,
+            base = leadership.base.map(tracing::field::display),
             based_on = basis.version(),
             version = written.as_ref().ok(),
             outcome = outcome(&written),
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -11,6 +11,7 @@
         fence: 1,
         is_settled: true,
         roster: Roster::default(),
+        base: None,
     }
 }
 
