handover: list a group's servers although there is no coordinator

What callers would see: no writes for good after the loss of a primary.

Cause: servers that the record does not list may not be promoted, and only the coordinator lists them. A coordinator that leaves is replaced when a step is due, and listing was not a step. In a restored store a group without a record had no list at all.

Change: the domain decides on Step::Enroll like on any other step, so it leads to a takeover. An outdated record counts as if it listed all other servers as new. Before a takeover for the choice of a server, the servers are queried, since the coordinator may be waiting for a log on the primary's branch. A record without a list confirms no primary.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -110,6 +110,8 @@
     pub is_released: bool,
     /// When the last order to promote was sent under this record.
     pub ordered_at: Option<Uptime>,
+    /// Whether the settled record lists other servers than it should.
+    pub is_roster_due: bool,
 }
 
 impl State<'_> {
@@ -148,11 +150,21 @@
     Promote(ServerId),
     /// Record that the former primary's leases have expired or been released.
     Settle,
+    /// Record the servers that may be promoted, which have changed.
+    Enroll,
 }
 
 /// Decides the next step for a group at `now`.
 #[must_use]
 pub fn decide(state: &State<'_>, now: Uptime) -> Step {
+    match hand_over(state, now) {
+        Step::Wait if state.is_roster_due => Step::Enroll,
+        step => step,
+    }
+}
+
+/// Decides the next step of a group's handover.
+fn hand_over(state: &State<'_>, now: Uptime) -> Step {
     let (leadership, first_seen) = match state.record {
         Record::Absent => return adopt(state, now),
         Record::Outdated => return verify(state, now),
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -66,6 +66,7 @@
         },
         is_released: marks.contains('r'),
         ordered_at: marks.contains('o').then(|| at(0)),
+        is_roster_due: false,
     };
     let step = decide(&state, at(milliseconds));
     let record = record.map_or_else(
@@ -190,6 +191,7 @@
         former: Former::Unknown,
         is_released: false,
         ordered_at: None,
+        is_roster_due: false,
     };
     let step = decide(&state, at(leaderless));
     let base = base.map_or_else(|| "-".to_owned(), |base| base.to_string());
@@ -286,6 +288,7 @@
                 former: Former::Unknown,
                 is_released: false,
                 ordered_at: None,
+                is_roster_due: false,
             };
             if let Step::Promote(_) = decide(&state, now) {
                 for node in &nodes {
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -204,6 +204,12 @@
         &self.registered - &self.leaving
     }
 
+    fn next_roster(&self) -> Roster {
+        let (roster, usable) = (&self.record.roster, self.usable());
+        self.tenure
+            .next(roster, &usable, &self.record.primary, self.now)
+    }
+
     fn decide(&self) -> Step {
         let candidates = self.registered.iter().map(|server| Candidate {
             server: server.clone(),
@@ -225,6 +231,7 @@
             former: self.demotion,
             is_released: self.is_released,
             ordered_at: None,
+            is_roster_due: self.record.is_settled && self.next_roster() != self.record.roster,
         };
         decide(&state, self.now)
     }
@@ -234,15 +241,9 @@
         let (fence, roster) = (Some(self.fence), &self.record.roster);
         self.tenure.observe(fence, roster, &usable, self.now);
         match self.decide() {
-            Step::Wait => {
-                let primary = self.record.primary.clone();
-                let next = self.tenure.next(roster, &usable, &primary, self.now);
-                if self.record.is_settled && next != self.record.roster {
-                    self.write(primary, true);
-                }
-            }
+            Step::Wait => {}
             Step::Adopt(server) => self.write(server, true),
-            Step::Settle => self.write(self.record.primary.clone(), true),
+            Step::Settle | Step::Enroll => self.write(self.record.primary.clone(), true),
             Step::Record(server) => {
                 let primary = self.record.primary.clone();
                 let is_former = self.record.is_settled || self.primaries.contains(&primary);
--- a/crates/agateport-relay/src/control/enrollment.rs
+++ b/crates/agateport-relay/src/control/enrollment.rs
@@ -9,27 +9,40 @@
 use crate::source::{Promoter, Store};
 use agateport_domain::group::Roster;
 use agateport_domain::group::handover::{Candidate, Record};
+use agateport_domain::group::roster::Standing;
 use agateport_domain::prelude::*;
 
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
     /// Notes which servers the record of a group lists.
     pub(super) fn observe(&mut self, basis: &Basis) {
-        let usable = self.usable(&basis.group);
+        let (roster, usable) = (self.listed(basis), self.usable(&basis.group));
         let tenure = self.tenures.entry(basis.group.clone()).or_default();
-        let roster = basis.roster().cloned().unwrap_or_default();
         tenure.observe(basis.fence(), &roster, &usable, uptime());
     }
 
-    /// Writes the roster of a group as the coordinator, if it has changed. A handover that
-    /// is in progress does not wait for it.
-    pub(super) async fn enroll(&mut self, basis: &Basis) {
-        let Some(primary) = basis.primary().cloned().filter(|_| basis.is_settled()) else {
-            return;
-        };
-        let is_coordinator = basis.coordinator() == Some(&self.node);
-        if is_coordinator && basis.roster() != Some(&self.next_roster(basis, &primary)) {
-            self.write(basis, primary, true).await;
+    /// Returns whether the settled record of a group lists other servers than it should.
+    pub(super) fn is_roster_due(&self, basis: &Basis) -> bool {
+        let primary = basis.primary().filter(|_| basis.is_settled());
+        primary.is_some_and(|primary| self.next_roster(basis, primary) != self.listed(basis))
+    }
+
+    /// Returns the roster of a group's record. Records written after the copy that the store
+    /// was restored from may be lost, so an outdated one counts as if it also listed every
+    /// other server as new.
+    fn listed(&self, basis: &Basis) -> Roster {
+        let roster = basis.roster().cloned().unwrap_or_default();
+        if !basis.is_outdated() {
+            return roster;
         }
+        let usable = self.usable(&basis.group).into_iter();
+        let listed = roster.servers().cloned();
+        listed
+            .chain(usable)
+            .map(|server| {
+                let standing = roster.standing(&server).unwrap_or(Standing::New);
+                (server, standing)
+            })
+            .collect()
     }
 
     /// Returns the roster of the record that follows `basis` and names `primary`.
@@ -42,8 +55,7 @@
                     .map(|server| server.entry().server.clone()),
             );
         }
-        let roster = basis.roster().cloned().unwrap_or_default();
-        let usable = self.usable(&basis.group);
+        let (roster, usable) = (self.listed(basis), self.usable(&basis.group));
         let tenure = self.tenures.get(&basis.group).cloned().unwrap_or_default();
         tenure.next(&roster, &usable, primary, uptime())
     }
@@ -68,8 +80,7 @@
             return true;
         }
         let tenure = self.tenures.get(&basis.group);
-        let listed = tenure.zip(basis.roster());
-        listed.is_some_and(|(tenure, roster)| tenure.is_eligible(roster, server, uptime()))
+        tenure.is_some_and(|tenure| tenure.is_eligible(&self.listed(basis), server, uptime()))
     }
 
     /// Returns the registered servers of a group that are not leaving.
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -160,7 +160,6 @@
         let step = self.decide(&basis, false).await;
         if step == Step::Wait {
             self.transition(&basis).needed_since = None;
-            self.enroll(&basis).await;
             return;
         }
         if basis.coordinator() != Some(&self.node) {
@@ -193,7 +192,7 @@
 
     /// Decides the next step for a group. If `is_queried`, the servers are queried for
     /// their watermarks first.
-    async fn decide(&mut self, basis: &Basis, is_queried: bool) -> Step {
+    pub(super) async fn decide(&mut self, basis: &Basis, is_queried: bool) -> Step {
         let candidates = self.candidates(basis, is_queried).await;
         let has_leader = candidates.iter().any(|candidate| candidate.is_primary);
         let transition = self.transition(basis);
@@ -203,6 +202,7 @@
         let reported = reported.map(|candidate| &candidate.server);
         let primary = basis.primary().or(reported);
         let is_unreachable = primary.is_some_and(|primary| self.suspicions.is_unreachable(primary));
+        let is_roster_due = self.is_roster_due(basis);
         let state = State {
             record: basis.record(),
             candidates: &candidates,
@@ -212,6 +212,7 @@
             former: transition.former_state(),
             is_released: basis.is_released(),
             ordered_at: transition.ordered_at,
+            is_roster_due,
         };
         handover::decide(&state, uptime())
     }
@@ -222,7 +223,7 @@
             Step::Adopt(server) => {
                 self.write(basis, server, true).await;
             }
-            Step::Settle => {
+            Step::Settle | Step::Enroll => {
                 if let Some(primary) = basis.primary().cloned() {
                     self.write(basis, primary, true).await;
                 }
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -87,6 +87,12 @@
             return;
         }
         transition.needed_since = None;
+        // Without a query it is not known which logs are on the primary's branch; the
+        // coordinator may be waiting for one.
+        let is_uncertain = matches!(step, Step::Record(_)) && basis.base().is_some();
+        if is_uncertain && !matches!(self.decide(basis, true).await, Step::Record(_)) {
+            return;
+        }
         let version = records
             .coordinator
             .as_ref()
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -124,6 +124,8 @@
         if now >= read_at + VALIDITY || inner.leader.as_ref() != Some(&leadership.primary) {
             return None;
         }
+        // A record of an older version lists no servers.
+        leadership.roster.standing(&leadership.primary)?;
         let servers = leadership.roster.servers().cloned().collect();
         Some((leadership.primary.clone(), servers))
     }
