handover: read the acceptances as soon as they are written

Cause: a coordinator that decided on outdated rows tried to write the record twice, and the refused second write made it read the store again just when the acceptances had arrived. It does not write twice any more, so the acceptances waited for the next regular read.

Change: while acceptances may release the former primary before its leases expire, the coordinator reads the store at each check.

--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -4,7 +4,7 @@
 use crate::record::{self, COORDINATOR};
 use crate::source::{Change, Revision, RowVersion};
 use agateport_domain::group::handover::Record;
-use agateport_domain::group::{Leadership, Roster};
+use agateport_domain::group::{LEASE_DURATION, Leadership, Roster};
 use agateport_domain::prelude::*;
 
 /// The rows of one read of the store that a step for a group is decided on.
@@ -26,6 +26,7 @@
     fence: Option<Fence>,
     is_outdated: bool,
     is_released: bool,
+    has_acceptances: bool,
 }
 
 impl Basis {
@@ -51,6 +52,7 @@
             fence: records.fence(),
             is_outdated,
             is_released: records.is_accepted(group),
+            has_acceptances: records.has_acceptances(),
         }
     }
 
@@ -77,6 +79,16 @@
         self.is_released
     }
 
+    /// Returns whether acceptances of the record may release the former primary before its
+    /// leases expire.
+    #[must_use]
+    pub fn awaits_acceptances(&self, now: Uptime) -> bool {
+        let leadership = self.leadership.as_ref();
+        let is_settled = leadership.is_none_or(|(leadership, _)| leadership.is_settled);
+        let has_leases = now < self.first_seen + LEASE_DURATION;
+        self.has_acceptances && !is_settled && !self.is_released && has_leases
+    }
+
     /// Returns the recorded primary.
     #[must_use]
     pub fn primary(&self) -> Option<&ServerId> {
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -157,12 +157,16 @@
             // The rows lack this node's own last step.
             return;
         }
+        let is_coordinator = basis.coordinator() == Some(&self.node);
+        if is_coordinator && basis.awaits_acceptances(uptime()) {
+            self.trigger.reread_store();
+        }
         let step = self.decide(&basis, false).await;
         if step == Step::Wait {
             self.transition(&basis).needed_since = None;
             return;
         }
-        if basis.coordinator() != Some(&self.node) {
+        if !is_coordinator {
             self.take_over(&basis, &snapshot.records, &step).await;
             return;
         }
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -10,11 +10,6 @@
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
 
-/// Largest number of nodes with which each node publishes the leadership records
-/// that it has applied. With more nodes, the acceptances are not complete before
-/// the lease has expired anyway, and each costs a write and a read.
-const MAX_ACCEPTING_NODES: usize = 16;
-
 /// Time after a write in which the records that this node knows may still lack it.
 const WRITE_VISIBILITY: Duration = Duration::from_secs(1);
 
@@ -102,13 +97,12 @@
     }
 
     /// Returns the acceptance of the records that are not settled yet, or `None`
-    /// if it is already published or there are more than [`MAX_ACCEPTING_NODES`]
-    /// nodes.
+    /// if it is already published or there are too many nodes.
     ///
     /// The records are applied before the snapshot is published to this task, so
     /// this node no longer uses the former primaries.
     fn acceptance(&self, records: &Records) -> Option<Acceptance> {
-        if records.members.len() > MAX_ACCEPTING_NODES {
+        if !records.has_acceptances() {
             return None;
         }
         let unsettled = records
--- a/crates/agateport-relay/src/record.rs
+++ b/crates/agateport-relay/src/record.rs
@@ -19,6 +19,11 @@
 const LEADERSHIP: &str = "reign/";
 const NODE: &str = "node/";
 
+/// Largest number of nodes with which each node publishes the leadership records
+/// that it has applied. With more nodes, the acceptances are not complete before
+/// the lease has expired anyway, and each costs a write and a read.
+const MAX_ACCEPTING_NODES: usize = 16;
+
 /// The coordinator: the only node that may order promotions.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Coordinator {
@@ -203,6 +208,12 @@
         Revision::era_of(leadership.fence) != self.revision.era
     }
 
+    /// Returns whether nodes publish which leadership records they have applied.
+    #[must_use]
+    pub fn has_acceptances(&self) -> bool {
+        self.members.len() <= MAX_ACCEPTING_NODES
+    }
+
     /// Returns whether every node has applied a group's leadership record, including
     /// those marked as gone, whose leases may not have expired yet.
     #[must_use]
