feed: keep servers whose rows are overwritten on nodes that begin to read

Callers saw: after another writer had overwritten the row of the living primary, requests were answered "BUSY not run: no server may run it" until its server wrote the row again.

Cause: a row that was overwritten by an unusable one kept its former value for 2.5 s, but only in the copy of the node that had read the former value. A node that began to read the store in this time read the table anew, removed the server at once, and handed this newer registry on to the others.

Change: a feed names the rows that are to be removed later, including those of which it never had a value. The node keeps what it knows of these servers, from whichever source, until the feed removes them.

--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -95,7 +95,7 @@
     W: Protocol,
     S: Store,
     C: Source<Item = Catalog>,
-    R: Source<Item = registry::Snapshot>,
+    R: Source<Item = registry::Observation>,
     P: Promoter,
 {
     let metrics = platform.metrics;
@@ -185,7 +185,7 @@
         publisher: watch::Sender<Option<Snapshot>>,
     ) where
         C: Source<Item = Catalog>,
-        R: Source<Item = registry::Snapshot>,
+        R: Source<Item = registry::Observation>,
     {
         let (reading, is_reading) = watch::channel(false);
         let (heads, head_receiver) = watch::channel(None);
@@ -201,8 +201,9 @@
         let upstreams = self.upstreams.clone();
         let registries = Follower {
             source: registries,
-            apply: move |reading: Reading<registry::Snapshot>| {
-                if let Some(registry) = reading.change {
+            apply: move |reading: Reading<registry::Observation>| {
+                if let Some(observation) = reading.change {
+                    let registry = observation.over(&upstreams.registry());
                     upstreams.apply_registry(registry);
                 }
                 let currency = &upstreams.currencies().registry;
--- a/crates/agateport-relay/src/registry.rs
+++ b/crates/agateport-relay/src/registry.rs
@@ -88,3 +88,25 @@
     /// to a lower one.
     pub revision: Revision,
 }
+
+/// The registry as read from the store.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Observation {
+    /// The servers whose rows describe them.
+    pub snapshot: Snapshot,
+    /// Servers whose rows are missing or describe no server, but may be written again
+    /// shortly. What is known of them remains valid.
+    pub held: BTreeSet<ServerId>,
+}
+
+impl Observation {
+    /// Returns the registry that follows `known`.
+    #[must_use]
+    pub fn over(mut self, known: &Registry) -> Snapshot {
+        let held = self.held.into_iter();
+        let entries = held.filter_map(|server| known.get_key_value(&server));
+        let entries = entries.map(|(server, entry)| (server.clone(), entry.clone()));
+        self.snapshot.registry.extend(entries);
+        self.snapshot
+    }
+}
