--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -1,6 +1,6 @@
 //! The rows that a step of a handover is decided on.
 
-use super::poller::Snapshot;
+use super::snapshot::Snapshot;
 use crate::record::{self, COORDINATOR};
 use crate::source::{Change, Revision, RowVersion};
 use agateport_domain::group::handover::Record;
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -2,7 +2,7 @@
 
 use super::basis::Basis;
 use super::demotion;
-use super::poller::Snapshot;
+use super::snapshot::Snapshot;
 use super::suspicion::Suspicions;
 use super::trigger::Trigger;
 use crate::clock::uptime;
--- a/crates/agateport-relay/src/control/mod.rs
+++ b/crates/agateport-relay/src/control/mod.rs
@@ -11,6 +11,7 @@
 pub mod peer;
 pub mod poller;
 pub mod presence;
+pub mod snapshot;
 pub mod sources;
 mod succession;
 pub mod suspicion;
--- a/crates/agateport-relay/src/control/monitor.rs
+++ b/crates/agateport-relay/src/control/monitor.rs
@@ -7,7 +7,7 @@
 //! row again.
 
 use super::peer::Peers;
-use super::poller::Snapshot;
+use super::snapshot::Snapshot;
 use crate::clock::uptime;
 use crate::protocol::Protocol;
 use crate::record::{self, Member, Records};
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -7,7 +7,7 @@
 use crate::catalog::Catalog;
 use crate::channel;
 use crate::clock::uptime;
-use crate::control::poller::Snapshot;
+use crate::control::snapshot::Snapshot;
 use crate::currency::VALIDITY;
 use crate::lend::Lender;
 use crate::link::configure_socket;
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -6,6 +6,7 @@
 //! as soon as they have news. A node that finds none of them reads the store itself.
 
 use super::peer::{self, Peers};
+use super::snapshot::Snapshot;
 use super::sources::{Fault, Sources};
 use super::trigger::Trigger;
 use super::watermark::refresh_watermarks;
@@ -63,46 +64,6 @@
 /// Maximum time between retries while the store fails.
 const MAX_RETRY_DELAY: Duration = Duration::from_millis(600);
 
-/// The rows of the store at one read.
-#[derive(Clone, Debug, Default)]
-pub struct Snapshot {
-    /// The rows.
-    pub records: Arc<Records>,
-    /// When the read was sent to the store, or a lower bound of it.
-    pub sent_at: Uptime,
-    /// When this node first read the primary of each group's leadership record.
-    first_seen: Arc<BTreeMap<GroupId, Uptime>>,
-}
-
-impl Snapshot {
-    /// Creates the snapshot that follows `former`, of rows whose read was sent at
-    /// `sent_at` and has been answered by now.
-    #[must_use]
-    pub fn new(records: Arc<Records>, sent_at: Uptime, former: Option<&Self>) -> Self {
-        let first_seen = match former {
-            Some(former) if Arc::ptr_eq(&former.records, &records) => former.first_seen.clone(),
-            _ => Arc::new(first_seen(&records, former)),
-        };
-        Self {
-            records,
-            sent_at,
-            first_seen,
-        }
-    }
-
-    /// Returns when this node first read the recorded primary of `group`.
-    #[must_use]
-    pub fn first_seen(&self, group: &GroupId) -> Uptime {
-        self.first_seen.get(group).copied().unwrap_or_default()
-    }
-
-    /// Returns the time since the read was sent.
-    #[must_use]
-    pub fn age(&self) -> Duration {
-        uptime().saturating_sub(self.sent_at)
-    }
-}
-
 /// Keeps up with the store.
 #[derive(Debug)]
 pub struct Poller<W, S> {
@@ -431,7 +392,7 @@
         self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
         if former.is_none() {
-            report_adopted(&snapshot);
+            snapshot.report_adopted();
         }
         self.snapshots.send_if_modified(|known| {
             let is_newer = known
@@ -444,50 +405,3 @@
         });
     }
 }
-
-/// Returns when this node first read the primary of each leadership record, if rows that
-/// follow `former` have just been read.
-fn first_seen(records: &Records, former: Option<&Snapshot>) -> BTreeMap<GroupId, Uptime> {
-    let now = uptime();
-    let known = |group: &GroupId, primary: &ServerId| {
-        let former = former?;
-        let (known, _) = former.records.leaderships.get(group)?;
-        (known.primary == *primary).then(|| former.first_seen(group))
-    };
-    let leaderships = records.leaderships.iter();
-    leaderships
-        .map(|(group, (leadership, _))| {
-            let first_seen = known(group, &leadership.primary).unwrap_or(now);
-            (group.clone(), first_seen)
-        })
-        .collect()
-}
-
-/// Logs what a node that has just started takes over from the store.
-fn report_adopted(snapshot: &Snapshot) {
-    let records = &snapshot.records;
-    let coordinator = records.coordinator.as_ref().map(|(row, _)| &*row.holder);
-    let leaderships: BTreeMap<_, _> = records
-        .leaderships
-        .iter()
-        .map(|(group, (leadership, version))| {
-            let state = if leadership.is_settled {
-                "settled"
-            } else {
-                "unsettled"
-            };
-            let text = format!("{} {state} version {version}", leadership.primary);
-            (group, text)
-        })
-        .collect();
-    tracing::info!(
-        event = "records_adopted",
-        version = records.revision.version,
-        era = records.revision.era,
-        age_ms = millis(snapshot.age()),
-        coordinator,
-        members = records.members.len(),
-        ?leaderships,
-        "the node has started with these rows of the store"
-    );
-}
--- a/crates/agateport-relay/src/control/presence.rs
+++ b/crates/agateport-relay/src/control/presence.rs
@@ -1,6 +1,6 @@
 //! Publishes a node's membership, and which leadership records it has applied.
 
-use super::poller::Snapshot;
+use super::snapshot::Snapshot;
 use crate::clock::uptime;
 use crate::record::{self, Acceptance, COORDINATOR, Member, ProcessId, Records};
 use crate::source::{Change, RowVersion, Store};
--- a/crates/agateport-relay/src/control/suspicion.rs
+++ b/crates/agateport-relay/src/control/suspicion.rs
@@ -7,7 +7,7 @@
 //! can declare it down.
 
 use super::peer::Peers;
-use super::poller::Snapshot;
+use super::snapshot::Snapshot;
 use crate::clock::uptime;
 use crate::message::Command;
 use crate::probe;
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -1,7 +1,7 @@
 //! The HTTP endpoints of a node: its readiness and its metrics.
 
 use crate::clock::uptime;
-use crate::control::poller::Snapshot;
+use crate::control::snapshot::Snapshot;
 use crate::error::Error;
 use crate::metrics::{Metrics, millis};
 use crate::protocol::Protocol;
--- a/crates/agateport-relay/src/readiness.rs
+++ b/crates/agateport-relay/src/readiness.rs
@@ -1,7 +1,7 @@
 //! Readiness of a node, and the closing of idle sessions while it is not ready.
 
 use crate::clock::uptime;
-use crate::control::poller::Snapshot;
+use crate::control::snapshot::Snapshot;
 use crate::protocol::Protocol;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
