handover: demote the primary that the decision saw

Read in the code, not seen at a caller.

Cause: the step was decided on the candidates of one moment, but the server whose demotion releases the group was taken from the group's live state when the record had been written. If another server reported in between that it is the primary, that one was demoted, which proves nothing of the primary that was replaced, and the order was sent without the wait for the leases.

Change: the step names the former primary (Choice), so there is no second look.

Result: the_primary_that_the_decision_saw_is_demoted failed with the former primary taken from the live state (the old primary still led when the order was sent), and holds now.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -124,6 +124,25 @@
         last.term > base.term || (last.term == base.term && last <= base)
     }
 
+    /// Returns the server whose demotion shows that no server accepts writes any more; none
+    /// if it is not known which one may.
+    fn former_primary(&self) -> Option<&ServerId> {
+        let candidates = self.candidates.iter();
+        let mut reported = candidates
+            .filter(|candidate| candidate.is_primary)
+            .map(|candidate| &candidate.server);
+        match self.record {
+            Record::Absent => reported.next().filter(|_| reported.next().is_none()),
+            // While a promotion is in progress, the primary before it may still lead.
+            Record::Current(leadership, _) => {
+                let primary = &leadership.primary;
+                let has_led = leadership.is_settled || reported.any(|server| server == primary);
+                has_led.then_some(primary)
+            }
+            Record::Outdated => None,
+        }
+    }
+
     /// Returns whether the recorded server is known to have been the primary.
     fn has_led(&self) -> bool {
         matches!(self.record, Record::Current(leadership, _) if leadership.is_settled)
@@ -135,6 +154,16 @@
     }
 }
 
+/// The server that a handover makes the primary.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Choice {
+    /// Name of the server.
+    pub server: ServerId,
+    /// Server whose demotion shows that no server accepts writes any more; none if it is
+    /// not known which one may.
+    pub former: Option<ServerId>,
+}
+
 /// The next step of the coordinator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
@@ -143,7 +172,7 @@
     /// Record the server that is already the primary.
     Adopt(ServerId),
     /// Record this server as the new primary.
-    Record(ServerId),
+    Record(Choice),
     /// Demote the former primary once more.
     Demote,
     /// Order the platform to promote the recorded server.
@@ -316,6 +345,9 @@
         .filter(|candidate| is_any_branch_allowed || state.is_on_branch(candidate));
     let chosen = allowed.max_by_key(|candidate| (state.is_on_branch(candidate), candidate.last));
     chosen.map_or(Step::Wait, |candidate| {
-        Step::Record(candidate.server.clone())
+        Step::Record(Choice {
+            server: candidate.server.clone(),
+            former: state.former_primary().cloned(),
+        })
     })
 }
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -244,11 +244,9 @@
             Step::Wait => {}
             Step::Adopt(server) => self.write(server, true),
             Step::Settle | Step::Enroll => self.write(self.record.primary.clone(), true),
-            Step::Record(server) => {
-                let primary = self.record.primary.clone();
-                let is_former = self.record.is_settled || self.primaries.contains(&primary);
-                self.write(server, false);
-                self.former = Some(primary).filter(|_| is_former);
+            Step::Record(choice) => {
+                self.write(choice.server, false);
+                self.former = choice.former;
                 self.demote();
             }
             Step::Demote => self.demote(),
--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -1,30 +1,11 @@
 //! Demotion of the former primary in a handover.
 
-use super::basis::Basis;
 use super::handover::Handover;
-use crate::group::Group;
 use crate::message::Command;
 use crate::protocol::Protocol;
 use crate::source::{Promoter, Store};
-use agateport_domain::group::handover::Record;
 use agateport_domain::prelude::*;
 
-/// Returns the server whose demotion shows that no server accepts writes any more;
-/// none if it is not known which one may.
-pub(super) fn former(group: &Group, basis: &Basis) -> Option<ServerId> {
-    let leader = group.leader().map(|leader| leader.server);
-    match basis.record() {
-        Record::Absent => leader,
-        // While a promotion is in progress, the primary before it may still lead.
-        Record::Current(leadership, _)
-            if leadership.is_settled || leader.as_ref() == Some(&leadership.primary) =>
-        {
-            Some(leadership.primary.clone())
-        }
-        Record::Current(..) | Record::Outdated => None,
-    }
-}
-
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
     /// Demotes the former primary, so that it accepts no more writes.
     pub(super) async fn demote(&mut self, group: &GroupId, former: Option<ServerId>) {
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -1,12 +1,10 @@
 //! Executes handovers as the coordinator, and replaces an unresponsive coordinator.
 
 use super::basis::Basis;
-use super::demotion;
 use super::snapshot::Snapshot;
 use super::suspicion::Suspicions;
 use super::trigger::Trigger;
 use crate::clock::uptime;
-use crate::group::Group;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
@@ -143,14 +141,13 @@
         }
         self.track_coordinator(&snapshot.records);
         for group in self.upstreams.groups() {
-            let group = self.upstreams.group(&group);
             self.advance(&group, snapshot).await;
         }
     }
 
     /// Executes the next step for one group, if there is one.
-    async fn advance(&mut self, group: &Arc<Group>, snapshot: &Snapshot) {
-        let basis = Basis::new(&group.name, snapshot);
+    async fn advance(&mut self, group: &GroupId, snapshot: &Snapshot) {
+        let basis = Basis::new(group, snapshot);
         self.observe(&basis);
         let transition = self.transition(&basis);
         if basis.revision < transition.written {
@@ -176,7 +173,7 @@
             _ if basis.is_outdated() => self.decide(&basis, true).await,
             step => step,
         };
-        self.execute(group, &basis, step).await;
+        self.execute(&basis, step).await;
     }
 
     /// Returns the progress of a group's handover. It starts anew with each recorded
@@ -221,7 +218,7 @@
         handover::decide(&state, uptime())
     }
 
-    async fn execute(&mut self, group: &Arc<Group>, basis: &Basis, step: Step) {
+    async fn execute(&mut self, basis: &Basis, step: Step) {
         match step {
             Step::Wait => {}
             Step::Adopt(server) => {
@@ -232,10 +229,9 @@
                     self.write(basis, primary, true).await;
                 }
             }
-            Step::Record(server) => {
-                let former = demotion::former(group, basis);
-                if self.write(basis, server, false).await {
-                    self.demote(&basis.group, former).await;
+            Step::Record(choice) => {
+                if self.write(basis, choice.server, false).await {
+                    self.demote(&basis.group, choice.former).await;
                 }
             }
             Step::Demote => {
