handover: take the base from the decision

What callers could see: after a handover that follows, entries that an earlier one dropped come back (STALE), or a group waits for 8 s although a server could be promoted. Read in the code, not seen at a caller.

Cause: the base of a record was the chosen server's watermark when the record was written. The decision had queried all servers at once and compared older answers; if the server had answered again since (or had led for a moment), the base lay beyond what was compared, and if its registry entry had lapsed, there was no base.

Change: the step carries the watermark that was compared. The records of a handover and of a server that leads already are made by two methods of the Basis, so no flag decides which base applies.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -159,6 +159,8 @@
 pub struct Choice {
     /// Name of the server.
     pub server: ServerId,
+    /// Watermark of its log.
+    pub last: Option<Watermark>,
     /// Server whose demotion shows that no server accepts writes any more; none if it is
     /// not known which one may.
     pub former: Option<ServerId>,
@@ -347,6 +349,7 @@
     chosen.map_or(Step::Wait, |candidate| {
         Step::Record(Choice {
             server: candidate.server.clone(),
+            last: candidate.last,
             former: state.former_primary().cloned(),
         })
     })
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -39,6 +39,16 @@
     }
 }
 
+/// Returns a step, with what a chosen server was chosen by.
+fn describe(step: &Step) -> String {
+    let Step::Record(choice) = step else {
+        return format!("{step:?}");
+    };
+    let last = choice.last.map_or("-".to_owned(), |last| last.to_string());
+    let former = choice.former.as_deref().unwrap_or("-");
+    format!("Record({}, log {last}, former {former})", choice.server)
+}
+
 /// Returns one line of the table: the record (`?` if it is unsettled), the servers
 /// (`p` primary, `q` primary in the next term, `l` leaving, `w` new, a digit for the log
 /// position), the flags of the state
@@ -79,7 +89,10 @@
             )
         },
     );
-    format!("{record:4} {servers:24} {marks:3} {milliseconds:5} ms  {step:?}")
+    format!(
+        "{record:4} {servers:24} {marks:3} {milliseconds:5} ms  {}",
+        describe(&step)
+    )
 }
 
 #[test]
@@ -200,8 +213,9 @@
         .map(|(server, last)| format!("{server}:{last}"))
         .collect();
     format!(
-        "{base:5}{mark:1} {:16} {leaderless:5} ms  {step:?}",
-        logs.join(" ")
+        "{base:5}{mark:1} {:16} {leaderless:5} ms  {}",
+        logs.join(" "),
+        describe(&step)
     )
 }
 
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -3,7 +3,7 @@
 use super::snapshot::Snapshot;
 use crate::record::{self, COORDINATOR};
 use crate::source::{Change, Revision, RowVersion};
-use agateport_domain::group::handover::Record;
+use agateport_domain::group::handover::{Choice, Record};
 use agateport_domain::group::{LEASE_DURATION, Leadership, Roster};
 use agateport_domain::prelude::*;
 
@@ -138,29 +138,32 @@
         leadership.map_or(0, |(_, version)| *version)
     }
 
-    /// Returns the next record, which names `primary`; none if there is no coordinator.
+    /// Returns the record of a handover to the chosen server; none if there is no
+    /// coordinator.
+    #[must_use]
+    pub fn hand_over(&self, choice: &Choice, roster: Roster) -> Option<Leadership> {
+        Some(Leadership {
+            primary: choice.server.clone(),
+            fence: self.fence?,
+            is_settled: false,
+            roster,
+            base: choice.last,
+        })
+    }
+
+    /// Returns the record of a server that leads already; none if there is no coordinator.
     ///
-    /// Its base is the watermark `last` of a server that does not lead yet. It is unknown
-    /// for one that is recorded because it leads.
+    /// Its base is unknown unless this coordinator or another one has chosen the server.
     #[must_use]
-    pub fn next(
-        &self,
-        primary: ServerId,
-        is_settled: bool,
-        last: Option<Watermark>,
-        roster: Roster,
-    ) -> Option<Leadership> {
+    pub fn settle(&self, primary: ServerId, roster: Roster) -> Option<Leadership> {
         let recorded = self.leadership.as_ref().map(|(leadership, _)| leadership);
-        let base = match recorded.filter(|recorded| recorded.primary == primary) {
-            Some(recorded) => recorded.base,
-            None => last.filter(|_| !is_settled),
-        };
+        let recorded = recorded.filter(|recorded| recorded.primary == primary);
         Some(Leadership {
             primary,
             fence: self.fence?,
-            is_settled,
+            is_settled: true,
             roster,
-            base,
+            base: recorded.and_then(|recorded| recorded.base),
         })
     }
 
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -9,9 +9,9 @@
 use crate::protocol::Protocol;
 use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
 use crate::upstreams::Upstreams;
-use agateport_domain::group::LEASE_DURATION;
 use agateport_domain::group::handover::{self, Former, State, Step};
 use agateport_domain::group::roster::Tenure;
+use agateport_domain::group::{LEASE_DURATION, Leadership};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -222,15 +222,17 @@
         match step {
             Step::Wait => {}
             Step::Adopt(server) => {
-                self.write(basis, server, true).await;
+                self.settle(basis, server).await;
             }
             Step::Settle | Step::Enroll => {
                 if let Some(primary) = basis.primary().cloned() {
-                    self.write(basis, primary, true).await;
+                    self.settle(basis, primary).await;
                 }
             }
             Step::Record(choice) => {
-                if self.write(basis, choice.server, false).await {
+                let roster = self.next_roster(basis, &choice.server);
+                let leadership = basis.hand_over(&choice, roster);
+                if self.write(basis, leadership).await {
                     self.demote(&basis.group, choice.former).await;
                 }
             }
@@ -242,18 +244,15 @@
         }
     }
 
-    /// Replaces a group's leadership record, and returns whether it was replaced.
-    pub(super) async fn write(
-        &mut self,
-        basis: &Basis,
-        primary: ServerId,
-        is_settled: bool,
-    ) -> bool {
-        let server = self.upstreams.server(&primary);
-        let last = server.and_then(|server| server.watermark());
-        let last = last.map(|(watermark, _)| watermark);
+    /// Records that `primary` is the only server that may accept writes.
+    async fn settle(&mut self, basis: &Basis, primary: ServerId) {
         let roster = self.next_roster(basis, &primary);
-        let Some(leadership) = basis.next(primary, is_settled, last, roster) else {
+        self.write(basis, basis.settle(primary, roster)).await;
+    }
+
+    /// Replaces a group's leadership record, and returns whether it was replaced.
+    async fn write(&mut self, basis: &Basis, leadership: Option<Leadership>) -> bool {
+        let Some(leadership) = leadership else {
             return false;
         };
         let written = self.store.change(basis.replace(&leadership)).await;
@@ -261,7 +260,7 @@
             event = "reign_recorded",
             group = &*basis.group,
             primary = &*leadership.primary,
-            is_settled,
+            is_settled = leadership.is_settled,
             fence = leadership.fence,
             base = leadership.base.map(tracing::field::display),
             based_on = basis.version(),
