handover: name the former primary in the record

What callers saw: nothing yet; read in the code. Writes of a group are refused for up to 8 s.

Cause: a server that not every node knows may only be promoted once the former primary has confirmed its demotion. Which server that is was known to the coordinator's process alone. If it was lost between the record and the order, its successor waited for the acceptance of every node, or until the server had been listed for 8 s.

Change: the record names the former primary until it is settled. Every coordinator takes it from there, so the process keeps only whether it has been demoted.

Result: a_successor_of_the_coordinator_demotes_the_former_primary failed without the name (no order within 3 s), and holds now. The property no_node_confirms_a_former_primary lets a new coordinator demote the recorded former primary as well.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -45,6 +45,10 @@
     /// record or its predecessors. Its term begins after that entry or a later one.
     #[serde(default)]
     pub base: Option<Watermark>,
+    /// Server whose demotion shows that no server accepts writes any more, while the record
+    /// is not settled and if it is known.
+    #[serde(default)]
+    pub former: Option<ServerId>,
 }
 
 /// A server that may become its group's primary, with its state as known to one
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -36,6 +36,7 @@
         is_settled,
         roster: Roster::default(),
         base: None,
+        former: None,
     }
 }
 
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -118,6 +118,14 @@
         leadership.and_then(|(leadership, _)| leadership.base)
     }
 
+    /// Returns the server whose demotion releases the recorded primary; none if it is not
+    /// known.
+    #[must_use]
+    pub fn former(&self) -> Option<&ServerId> {
+        let leadership = self.leadership.as_ref().filter(|_| !self.is_outdated);
+        leadership.and_then(|(leadership, _)| leadership.former.as_ref())
+    }
+
     /// Returns the node that may order promotions.
     #[must_use]
     pub fn coordinator(&self) -> Option<&NodeId> {
@@ -148,6 +156,7 @@
             is_settled: false,
             roster,
             base: choice.last,
+            former: choice.former.clone(),
         })
     }
 
@@ -164,6 +173,7 @@
             is_settled: true,
             roster,
             base: recorded.and_then(|recorded| recorded.base),
+            former: None,
         })
     }
 
--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -21,7 +21,6 @@
             "a demotion of the former primary was attempted"
         );
         let transition = self.transitions.entry(group.clone()).or_default();
-        transition.former = former;
         transition.is_demoted = is_demoted;
     }
 
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -24,8 +24,6 @@
 pub(super) struct Transition {
     /// Primary in the leadership record.
     primary: Option<ServerId>,
-    /// The former primary, if no other server may accept writes once it is demoted.
-    pub(super) former: Option<ServerId>,
     /// Whether the former primary has confirmed its demotion to this node.
     pub(super) is_demoted: bool,
     /// When this node last ordered the promotion of the recorded primary.
@@ -40,8 +38,8 @@
 }
 
 impl Transition {
-    fn former_state(&self) -> Former {
-        match self.former {
+    fn former_state(&self, former: Option<&ServerId>) -> Former {
+        match former {
             Some(_) if self.is_demoted => Former::Demoted,
             Some(_) => Former::Known,
             None => Former::Unknown,
@@ -210,7 +208,7 @@
             base: basis.base().filter(|_| is_queried),
             leaderless_since: transition.leaderless_since,
             is_unreachable,
-            former: transition.former_state(),
+            former: transition.former_state(basis.former()),
             is_released: basis.is_released(),
             ordered_at: transition.ordered_at,
             is_roster_due,
@@ -237,7 +235,7 @@
                 }
             }
             Step::Demote => {
-                let former = self.transition(basis).former.clone();
+                let former = basis.former().cloned();
                 self.demote(&basis.group, former).await;
             }
             Step::Promote(server) => self.promote(basis, &server).await,
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -12,6 +12,7 @@
         is_settled: true,
         roster: Roster::default(),
         base: None,
+        former: None,
     }
 }
 
