handover: demote a former primary that leads again

Read in the code, not seen at a caller.

Cause: a demotion was confirmed once, and the order was sent under it at any later time: 0.1 s later at least, seconds later after a takeover or a refused order. A server keeps its role over a restart only once another one has been promoted, so a former primary that restarted in between led again, and nodes without the store could confirm it.

Change: if the order rests on the demotion, the former primary's status is queried directly before. If it leads again, it is demoted again first. A restart between the order and its effect remains.

--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -1,5 +1,6 @@
 //! Demotion of the former primary in a handover.
 
+use super::basis::Basis;
 use super::handover::Handover;
 use crate::message::Command;
 use crate::protocol::Protocol;
@@ -10,7 +11,7 @@
     /// Demotes the former primary, so that it accepts no more writes.
     pub(super) async fn demote(&mut self, group: &GroupId, former: Option<ServerId>) {
         let is_demoted = match &former {
-            Some(former) => self.is_demoted(group, former).await,
+            Some(former) => self.request_demotion(group, former).await == Some(true),
             None => false,
         };
         tracing::info!(
@@ -24,15 +25,30 @@
         transition.is_demoted = is_demoted;
     }
 
-    /// Returns whether `former` has confirmed that it is a replica.
-    async fn is_demoted(&self, group: &GroupId, former: &ServerId) -> bool {
+    /// Returns whether the former primary has not become the primary again since its
+    /// demotion; if it has, it is demoted once more.
+    ///
+    /// A server keeps its role over a restart only once another one has been promoted.
+    pub(super) async fn is_still_demoted(&mut self, basis: &Basis) -> bool {
+        let is_needed = self.transition(basis).is_demoted && !basis.is_released();
+        let Some(former) = basis.former().filter(|_| is_needed) else {
+            return true;
+        };
+        let is_demoted = self.request_demotion(&basis.group, former).await;
+        if is_demoted == Some(false) {
+            self.transition(basis).is_demoted = false;
+        }
+        is_demoted != Some(false)
+    }
+
+    /// Returns whether `former` has confirmed that it is a replica; none if it does not
+    /// answer.
+    async fn request_demotion(&self, group: &GroupId, former: &ServerId) -> Option<bool> {
         let server = self.upstreams.server(former);
         // A suspected server is not queried, to avoid waiting for it.
-        let Some(server) = server.filter(|server| !server.detector().is_suspected()) else {
-            return false;
-        };
+        let server = server.filter(|server| !server.detector().is_suspected())?;
         let status = match server.request_status(Command::Status).await {
-            Ok(status) if !status.is_primary => return true,
+            Ok(status) if !status.is_primary => return Some(true),
             Ok(status) => status,
             Err(error) => {
                 tracing::info!(
@@ -41,11 +57,11 @@
                     %error,
                     "the former primary did not return its status, so it cannot be demoted"
                 );
-                return false;
+                return None;
             }
         };
         let command = Command::Demote(status.term.saturating_add(1));
         let status = server.request_status(command).await;
-        status.is_ok_and(|status| !status.is_primary)
+        Some(status.is_ok_and(|status| !status.is_primary))
     }
 }
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -238,7 +238,11 @@
                 let former = basis.former().cloned();
                 self.demote(&basis.group, former).await;
             }
-            Step::Promote(server) => self.promote(basis, &server).await,
+            Step::Promote(server) => {
+                if self.is_still_demoted(basis).await {
+                    self.promote(basis, &server).await;
+                }
+            }
         }
     }
 
