handover: tell the reigns of a primary apart

Cause: a node compared the names of primaries. If a primary was replaced and recorded again between two of its reads (it was frozen, or cut off from the store), it kept the time since when it knew the record, what it knew of a demotion, and its leader. A write that the server had run in between, after the promotion of the other one, waited for the lease and got it from the second reign.

Change: a record counts the handovers up to it. A write is acknowledged only in the reign that it was sent in. After a restoration of the store the reign is a new one, since a handover may be lost.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -29,6 +29,19 @@
 /// entries that an earlier handover dropped.
 const BRANCH_TIMEOUT: Duration = Duration::from_secs(8);
 
+/// Number of handovers of a group.
+pub type Succession = u64;
+
+/// The time of one server as the recorded primary. A server that is recorded again after
+/// another one begins a new reign.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Reign {
+    /// Name of the server.
+    pub primary: ServerId,
+    /// Number of handovers before it.
+    pub succession: Succession,
+}
+
 /// The stored record of a group's primary.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Leadership {
@@ -49,6 +62,20 @@
     /// is not settled and if it is known.
     #[serde(default)]
     pub former: Option<ServerId>,
+    /// Number of handovers up to this record.
+    #[serde(default)]
+    pub succession: Succession,
+}
+
+impl Leadership {
+    /// Returns the reign that the record belongs to.
+    #[must_use]
+    pub fn reign(&self) -> Reign {
+        Reign {
+            primary: self.primary.clone(),
+            succession: self.succession,
+        }
+    }
 }
 
 /// A server that may become its group's primary, with its state as known to one
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -17,7 +17,7 @@
 pub use cooldown::Cooldown;
 pub use detector::Detector;
 pub use error::Error;
-pub use handover::Leadership;
+pub use handover::{Leadership, Reign, Succession};
 pub use health::Cause;
 pub use lease::{DURATION as LEASE_DURATION, Lease};
 pub use progress::Progress;
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -37,6 +37,7 @@
         roster: Roster::default(),
         base: None,
         former: None,
+        succession: 0,
     }
 }
 
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -148,6 +148,7 @@
             roster: Roster::first(names("a b")),
             base: None,
             former: None,
+            succession: 0,
         };
         Self {
             now: at(0),
@@ -279,6 +280,7 @@
             roster,
             base: None,
             former: None,
+            succession: 0,
         };
         self.is_released = false;
     }
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -4,7 +4,7 @@
 use crate::record::{self, COORDINATOR};
 use crate::source::{Change, Revision, RowVersion};
 use agateport_domain::group::handover::{Choice, Record};
-use agateport_domain::group::{LEASE_DURATION, Leadership, Roster};
+use agateport_domain::group::{LEASE_DURATION, Leadership, Reign, Roster, Succession};
 use agateport_domain::prelude::*;
 
 /// The rows of one read of the store that a step for a group is decided on.
@@ -96,6 +96,13 @@
         Some(&leadership.primary)
     }
 
+    /// Returns the recorded reign; none if there is no record.
+    #[must_use]
+    pub fn reign(&self) -> Option<Reign> {
+        let (leadership, _) = self.leadership.as_ref()?;
+        Some(leadership.reign())
+    }
+
     /// Returns the servers that may be promoted; none if there is no record.
     #[must_use]
     pub fn roster(&self) -> Option<&Roster> {
@@ -157,6 +164,7 @@
             roster,
             base: choice.last,
             former: choice.former.clone(),
+            succession: self.next_succession(),
         })
     }
 
@@ -165,7 +173,8 @@
     /// Its base is unknown unless this coordinator or another one has chosen the server.
     #[must_use]
     pub fn settle(&self, primary: ServerId, roster: Roster) -> Option<Leadership> {
-        let recorded = self.leadership.as_ref().map(|(leadership, _)| leadership);
+        let recorded = self.leadership.as_ref().filter(|_| !self.is_outdated);
+        let recorded = recorded.map(|(leadership, _)| leadership);
         let recorded = recorded.filter(|recorded| recorded.primary == primary);
         Some(Leadership {
             primary,
@@ -174,9 +183,16 @@
             roster,
             base: recorded.and_then(|recorded| recorded.base),
             former: None,
+            succession: recorded
+                .map_or_else(|| self.next_succession(), |recorded| recorded.succession),
         })
     }
 
+    fn next_succession(&self) -> Succession {
+        let leadership = self.leadership.as_ref();
+        leadership.map_or(0, |(leadership, _)| leadership.succession + 1)
+    }
+
     /// Returns the change that replaces the leadership record, on the condition that it and
     /// the coordinator row are still those of this basis.
     #[must_use]
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -11,7 +11,7 @@
 use crate::upstreams::Upstreams;
 use agateport_domain::group::handover::{self, Former, State, Step};
 use agateport_domain::group::roster::Tenure;
-use agateport_domain::group::{LEASE_DURATION, Leadership};
+use agateport_domain::group::{LEASE_DURATION, Leadership, Reign};
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
 use tokio_util::sync::CancellationToken;
@@ -22,8 +22,8 @@
 /// Progress of a group's handover at this node.
 #[derive(Clone, Debug, Default)]
 pub(super) struct Transition {
-    /// Primary in the leadership record.
-    primary: Option<ServerId>,
+    /// Reign of the leadership record.
+    reign: Option<Reign>,
     /// Whether the former primary has confirmed its demotion to this node.
     pub(super) is_demoted: bool,
     /// When this node last ordered the promotion of the recorded primary.
@@ -174,13 +174,13 @@
         self.execute(&basis, step).await;
     }
 
-    /// Returns the progress of a group's handover. It starts anew with each recorded
-    /// primary.
+    /// Returns the progress of a group's handover. It starts anew with each reign.
     pub(super) fn transition(&mut self, basis: &Basis) -> &mut Transition {
         let transition = self.transitions.entry(basis.group.clone()).or_default();
-        if transition.primary.as_ref() != basis.primary() && basis.revision >= transition.written {
+        let reign = basis.reign();
+        if transition.reign != reign && basis.revision >= transition.written {
             *transition = Transition {
-                primary: basis.primary().cloned(),
+                reign,
                 needed_since: transition.needed_since,
                 leaderless_since: transition.leaderless_since,
                 ..Transition::default()
@@ -275,9 +275,10 @@
             return false;
         };
         let transition = self.transition(basis);
-        if transition.primary.as_ref() != Some(&leadership.primary) {
+        let reign = Some(leadership.reign());
+        if transition.reign != reign {
             *transition = Transition {
-                primary: Some(leadership.primary),
+                reign,
                 ..Transition::default()
             };
         }
--- a/crates/agateport-relay/src/control/snapshot.rs
+++ b/crates/agateport-relay/src/control/snapshot.rs
@@ -3,6 +3,7 @@
 use crate::clock::uptime;
 use crate::metrics::millis;
 use crate::record::Records;
+use agateport_domain::group::Leadership;
 use agateport_domain::prelude::*;
 
 /// The rows of the store at one read.
@@ -12,7 +13,7 @@
     pub records: Arc<Records>,
     /// When the read was sent to the store, or a lower bound of it.
     pub sent_at: Uptime,
-    /// When this node first read the primary of each group's leadership record.
+    /// When this node first read the reign of each group's leadership record.
     first_seen: Arc<BTreeMap<GroupId, Uptime>>,
 }
 
@@ -32,7 +33,7 @@
         }
     }
 
-    /// Returns when this node first read the recorded primary of `group`.
+    /// Returns when this node first read the recorded reign of `group`.
     #[must_use]
     pub fn first_seen(&self, group: &GroupId) -> Uptime {
         self.first_seen.get(group).copied().unwrap_or_default()
@@ -74,19 +75,19 @@
     }
 }
 
-/// Returns when this node first read the primary of each leadership record, if rows that
+/// Returns when this node first read the reign of each leadership record, if rows that
 /// follow `former` have just been read.
 fn first_seen(records: &Records, former: Option<&Snapshot>) -> BTreeMap<GroupId, Uptime> {
     let now = uptime();
-    let known = |group: &GroupId, primary: &ServerId| {
+    let known = |group: &GroupId, leadership: &Leadership| {
         let former = former?;
         let (known, _) = former.records.leaderships.get(group)?;
-        (known.primary == *primary).then(|| former.first_seen(group))
+        (known.reign() == leadership.reign()).then(|| former.first_seen(group))
     };
     let leaderships = records.leaderships.iter();
     leaderships
         .map(|(group, (leadership, _))| {
-            let first_seen = known(group, &leadership.primary).unwrap_or(now);
+            let first_seen = known(group, leadership).unwrap_or(now);
             (group.clone(), first_seen)
         })
         .collect()
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -24,13 +24,18 @@
     /// Earliest time at which its writes may be acknowledged. Until then, other nodes
     /// may still read from the former primary.
     pub settled_at: Uptime,
+    /// When this node first read the record of its reign. What was sent to the server
+    /// earlier may have run while another one was the primary.
+    pub since: Uptime,
 }
 
 #[derive(Debug, Default)]
 struct Inner {
-    /// The leadership record, and when this node first saw its primary recorded.
+    /// The leadership record, and when this node first saw its reign recorded.
     leadership: Option<(Leadership, Uptime)>,
     leader: Option<ServerId>,
+    /// When this node last began to use another primary, or another reign of the same one.
+    leader_since: Uptime,
     lease: Lease,
     progress: Progress,
     /// When the last answered read of the record was sent to the store.
@@ -78,14 +83,14 @@
             // A restored store lacks the known record.
             return;
         }
-        let recorded = inner
-            .leadership
-            .as_ref()
-            .map(|(leadership, _)| &leadership.primary);
-        let is_new = recorded != leadership.as_ref().map(|leadership| &leadership.primary);
-        if is_new
-            && inner.leader.as_ref() != leadership.as_ref().map(|leadership| &leadership.primary)
-        {
+        let recorded = inner.leadership.as_ref();
+        let recorded = recorded.map(|(leadership, _)| leadership.reign());
+        let reign = leadership.as_ref().map(Leadership::reign);
+        let is_new = recorded != reign;
+        // Without a record the node has used the server that the first one names.
+        let is_first = recorded.is_none()
+            && inner.leader.as_ref() == reign.as_ref().map(|reign| &reign.primary);
+        if is_new && !is_first {
             tracing::info!(
                 event = "reign_changed",
                 group = &*self.name,
@@ -97,6 +102,7 @@
             inner.progress.truncate(until);
             inner.lease = Lease::default();
             inner.leader = None;
+            inner.leader_since = uptime();
         }
         let first_seen = match &inner.leadership {
             Some((_, first_seen)) if !is_new => *first_seen,
@@ -202,10 +208,14 @@
             }
             _ => Uptime::ZERO,
         };
-        Some(Leader { server, settled_at })
+        Some(Leader {
+            server,
+            settled_at,
+            since: inner.leader_since,
+        })
     }
 
-    /// Returns the leadership record, and when this node first saw its primary recorded.
+    /// Returns the leadership record, and when this node first saw its reign recorded.
     #[must_use]
     pub fn leadership(&self) -> Option<(Leadership, Uptime)> {
         self.lock().leadership.clone()
--- a/crates/agateport-relay/src/lease.rs
+++ b/crates/agateport-relay/src/lease.rs
@@ -47,11 +47,13 @@
         .await
 }
 
-/// Waits until a completed write may be acknowledged, and returns whether it may:
-/// its server was the only primary, and no node reads from the former one any more.
+/// Waits until a completed write, sent at `sent_at`, may be acknowledged, and returns
+/// whether it may: its server has been the only primary since, and no node reads from the
+/// former one any more.
 pub async fn wait_before_acknowledge<W: Protocol>(
     group: &Group,
     server: &Server<W>,
+    sent_at: Uptime,
     deadline: Instant,
 ) -> bool {
     let completed_at = uptime();
@@ -59,7 +61,8 @@
     if !group.wait_for_lease(name, completed_at, deadline).await {
         return false;
     }
-    let leader = group.leader().filter(|leader| leader.server == *name);
+    let leader = group.leader();
+    let leader = leader.filter(|leader| leader.server == *name && leader.since <= sent_at);
     let Some(leader) = leader else {
         return false;
     };
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -125,6 +125,7 @@
             return Attempt::Finished(unprepared(State::Idle));
         };
         let setup = Setup::new(work.context, Some(request));
+        let sent_at = uptime();
         let exchange = Exchange {
             server,
             permit: &mut permit,
@@ -148,7 +149,7 @@
         let is_done = matches!(answer.outcome, Outcome::Done(_));
         if access == Access::Write
             && is_done
-            && !wait_before_acknowledge(group, server, work.deadline()).await
+            && !wait_before_acknowledge(group, server, sent_at, work.deadline()).await
         {
             return Attempt::Finished(unknown("the primary may have been replaced"));
         }
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -1,5 +1,6 @@
 //! Runs transactions, each on a single connection to one server.
 
+use crate::clock::uptime;
 use crate::exchange::{self, Exchange};
 use crate::group::Group;
 use crate::lease::wait_before_acknowledge;
@@ -138,7 +139,7 @@
         };
         let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
-        let deadline = exchange.deadline;
+        let (sent_at, deadline) = (uptime(), exchange.deadline);
         let answer = match self
             .exchange(&group, exchange, work, &Setup::any(), command)
             .await
@@ -158,7 +159,10 @@
         } = pinned;
         permit.release(answer.state);
         let is_done = matches!(answer.outcome, Outcome::Done(_));
-        if has_written && is_done && !wait_before_acknowledge(&group, &server, deadline).await {
+        if has_written
+            && is_done
+            && !wait_before_acknowledge(&group, &server, sent_at, deadline).await
+        {
             return unknown("the primary may have been replaced");
         }
         answer
