succession: don't make a stopping node the coordinator

What callers could see: a handover that takes seconds longer during a planned stop. Read in the code, not seen at a caller.

Cause: a node gives up the coordinator's row when its stop is requested, but went on checking the groups until it ended. If a step was due and no other node had taken it yet, it took the row again and ended in the midst of the handover.

Change: after the request to stop, a node does not become the coordinator. One whose row could not be deleted still coordinates until it ends.

--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -78,10 +78,13 @@
     pub(super) held_fence: Option<Fence>,
     /// Earliest time at which this node may order a promotion.
     pub(super) promotions_allowed_at: Uptime,
+    /// Cancelled when a stop of the node is requested.
+    stop: CancellationToken,
 }
 
 impl<W: Protocol, S: Store, P: Promoter> Handover<W, S, P> {
-    /// Creates the task of `node`; `trigger` triggers a read of the store.
+    /// Creates the task of `node`; `trigger` triggers a read of the store, and after `stop`
+    /// the node does not become the coordinator any more.
     #[must_use]
     pub fn new(
         node: NodeId,
@@ -90,6 +93,7 @@
         promoter: P,
         trigger: Arc<Trigger>,
         suspicions: Arc<Suspicions>,
+        stop: CancellationToken,
     ) -> Self {
         Self {
             node,
@@ -104,6 +108,7 @@
             taken_over: None,
             held_fence: None,
             promotions_allowed_at: Uptime::ZERO,
+            stop,
         }
     }
 
@@ -162,7 +167,10 @@
             return;
         }
         if !is_coordinator {
-            self.take_over(&basis, &snapshot.records, &step).await;
+            // A node that stops would end in the midst of the handover.
+            if !self.stop.is_cancelled() {
+                self.take_over(&basis, &snapshot.records, &step).await;
+            }
             return;
         }
         // Only the coordinator queries the servers for their current watermarks.
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -283,6 +283,7 @@
             promoter,
             self.trigger.clone(),
             self.suspicions.clone(),
+            self.drain.stop.clone(),
         );
         let handing_over = handover.run(self.snapshots.clone(), self.end.clone());
         self.tasks.spawn("handover", handing_over);
