handover: know logs of a term between two handovers

What callers could see: entries that a handover dropped come back, after reads that did not see them (STALE). Read in the code, not seen at a caller.

Cause: a log counted as on the primary's branch if its last entry was of a later term than the base. After two handovers, the second of which promoted a server that had received nothing of the term in between, a log of that term counted as well, and as the furthest one it was chosen.

Change: the record keeps the term in which its primary leads, queried when it is settled. Entries of a term above the base's and below that one were dropped. A primary that does not answer then leaves the term unknown, and the comparison as it was.

Result: in entries_of_a_term_between_two_handovers_do_not_come_back, the last row, without a term, is the former decision: the dropped log is chosen.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -9,6 +9,7 @@
 use crate::id::{Fence, ServerId, Term, Uptime};
 use crate::session::Watermark;
 use serde::{Deserialize, Serialize};
+use std::cmp::Ordering;
 use std::time::Duration;
 
 /// Time after which an order to promote that had no effect is sent again.
@@ -58,6 +59,10 @@
     /// record or its predecessors. Its term begins after that entry or a later one.
     #[serde(default)]
     pub base: Option<Watermark>,
+    /// Term in which the primary leads, if it is known. Entries of a term between that of the
+    /// base and this one were dropped by a handover.
+    #[serde(default)]
+    pub term: Option<Term>,
     /// Server whose demotion shows that no server accepts writes any more, while the record
     /// is not settled and if it is known.
     #[serde(default)]
@@ -130,6 +135,8 @@
     /// Base of the recorded primary, if it is known and the candidates' watermarks were
     /// queried for this decision.
     pub base: Option<Watermark>,
+    /// Term of the recorded primary, if it is known.
+    pub term: Option<Term>,
     /// Since when no server reports that it is the primary, if none does.
     pub leaderless_since: Option<Uptime>,
     /// Whether a quorum of nodes cannot reach the primary.
@@ -152,7 +159,11 @@
         let (Some(base), Some(last)) = (self.base, candidate.last) else {
             return true;
         };
-        last.term > base.term || (last.term == base.term && last <= base)
+        match last.term.cmp(&base.term) {
+            Ordering::Less => false,
+            Ordering::Equal => last <= base,
+            Ordering::Greater => self.term.is_none_or(|term| last.term >= term),
+        }
     }
 
     /// Returns the server whose demotion shows that no server accepts writes any more; none
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -36,6 +36,7 @@
         is_settled,
         roster: Roster::default(),
         base: None,
+        term: None,
         former: None,
         succession: 0,
     }
@@ -67,6 +68,7 @@
         },
         candidates: &candidates,
         base: None,
+        term: None,
         leaderless_since: marks.contains('n').then(|| at(0)),
         is_unreachable: marks.contains('x'),
         former: if marks.contains('d') {
@@ -179,7 +181,7 @@
 }
 
 /// Returns one line of the table: the base of the settled record of `a` (`?` if it is not
-/// settled), the ends of the other servers' logs, the time without a primary, and the step.
+/// settled, a digit for the term of `a`), the ends of the other servers' logs, the time without a primary, and the step.
 fn branch_row(
     base: Option<Watermark>,
     mark: &str,
@@ -188,7 +190,7 @@
 ) -> String {
     let record = Leadership {
         base,
-        ..leadership("a", mark.is_empty())
+        ..leadership("a", mark != "?")
     };
     let candidates: Vec<_> = logs
         .iter()
@@ -201,6 +203,7 @@
         record: Record::Current(&record, at(0)),
         candidates: &candidates,
         base,
+        term: mark.parse().ok(),
         leaderless_since: Some(at(0)),
         is_unreachable: true,
         former: Former::Unknown,
@@ -246,6 +249,24 @@
     insta::assert_snapshot!(rows.join("\n"));
 }
 
+/// The second of two handovers promoted a server that had received nothing of the term between
+/// them. Entries of that term are not on the branch, although their term is above the base's.
+#[test]
+fn entries_of_a_term_between_two_handovers_do_not_come_back() {
+    let base = Some(watermark(1, 38));
+    let former = ("c", watermark(2, 45));
+    let rows = [
+        branch_row(base, "3", &[("b", watermark(1, 37)), former], 0),
+        branch_row(base, "3", &[("b", watermark(3, 40)), former], 0),
+        branch_row(base, "3", &[former], 0),
+        branch_row(base, "3", &[former], 8_000),
+        branch_row(base, "2", &[former], 0),
+        // The term is not known.
+        branch_row(base, "", &[("b", watermark(1, 37)), former], 0),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 #[test]
 fn a_server_is_unreachable_after_lasting_failures() {
     let mut transcript = String::new();
@@ -298,7 +319,8 @@
             let state = State {
                 record: Record::Current(&record, seen),
                 candidates: &candidates,
-            base: None,
+                base: None,
+                term: None,
                 leaderless_since: None,
                 is_unreachable: true,
                 former: Former::Unknown,
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -147,6 +147,7 @@
             is_settled: true,
             roster: Roster::first(names("a b")),
             base: None,
+            term: None,
             former: None,
             succession: 0,
         };
@@ -231,6 +232,7 @@
             record: Record::Current(&self.record, self.first_seen),
             candidates: &candidates,
             base: None,
+            term: None,
             leaderless_since: None,
             is_unreachable: !self.is_reached,
             former: self.demotion,
@@ -279,6 +281,7 @@
             is_settled,
             roster,
             base: None,
+            term: None,
             former: None,
             succession: 0,
         };
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -125,6 +125,13 @@
         leadership.and_then(|(leadership, _)| leadership.base)
     }
 
+    /// Returns the term in which the recorded primary leads, if it is known.
+    #[must_use]
+    pub fn term(&self) -> Option<Term> {
+        let leadership = self.leadership.as_ref().filter(|_| !self.is_outdated);
+        leadership.and_then(|(leadership, _)| leadership.term)
+    }
+
     /// Returns the server whose demotion releases the recorded primary; none if it is not
     /// known.
     #[must_use]
@@ -163,6 +170,7 @@
             is_settled: false,
             roster,
             base: choice.last,
+            term: None,
             former: choice.former.clone(),
             succession: self.next_succession(),
         })
@@ -170,9 +178,15 @@
 
     /// Returns the record of a server that leads already; none if there is no coordinator.
     ///
-    /// Its base is unknown unless this coordinator or another one has chosen the server.
-    #[must_use]
-    pub fn settle(&self, primary: ServerId, roster: Roster) -> Option<Leadership> {
+    /// Its base is unknown unless this coordinator or another one has chosen the server, and
+    /// its term unless it has been queried.
+    #[must_use]
+    pub fn settle(
+        &self,
+        primary: ServerId,
+        term: Option<Term>,
+        roster: Roster,
+    ) -> Option<Leadership> {
         let recorded = self.leadership.as_ref().filter(|_| !self.is_outdated);
         let recorded = recorded.map(|(leadership, _)| leadership);
         let recorded = recorded.filter(|recorded| recorded.primary == primary);
@@ -182,6 +196,7 @@
             is_settled: true,
             roster,
             base: recorded.and_then(|recorded| recorded.base),
+            term: term.or_else(|| recorded?.term),
             former: None,
             succession: recorded
                 .map_or_else(|| self.next_succession(), |recorded| recorded.succession),
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -5,6 +5,7 @@
 use super::suspicion::Suspicions;
 use super::trigger::Trigger;
 use crate::clock::uptime;
+use crate::message::Command;
 use crate::metrics::millis;
 use crate::protocol::Protocol;
 use crate::source::{self, Order, Promoter, Revision, RowVersion, Store};
@@ -214,6 +215,7 @@
             record: basis.record(),
             candidates: &candidates,
             base: basis.base().filter(|_| is_queried),
+            term: basis.term(),
             leaderless_since: transition.leaderless_since,
             is_unreachable,
             former: transition.former_state(basis.former()),
@@ -256,8 +258,19 @@
 
     /// Records that `primary` is the only server that may accept writes.
     async fn settle(&mut self, basis: &Basis, primary: ServerId) {
+        let term = self.led_term(&primary).await;
         let roster = self.next_roster(basis, &primary);
-        self.write(basis, basis.settle(primary, roster)).await;
+        self.write(basis, basis.settle(primary, term, roster)).await;
+    }
+
+    /// Returns the term in which a server answers that it leads, if it does.
+    async fn led_term(&self, server: &ServerId) -> Option<Term> {
+        let server = self.upstreams.server(server)?;
+        if server.is_unreachable() {
+            return None;
+        }
+        let status = server.request_status(Command::Status).await.ok()?;
+        status.is_primary.then_some(status.term)
     }
 
     /// Replaces a group's leadership record, and returns whether it was replaced.
@@ -273,6 +286,7 @@
             is_settled = leadership.is_settled,
             fence = leadership.fence,
             base = leadership.base.map(tracing::field::display),
+            term = leadership.term,
             based_on = basis.version(),
             version = written.as_ref().ok(),
             outcome = outcome(&written),
--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -12,6 +12,7 @@
         is_settled: true,
         roster: Roster::default(),
         base: None,
+        term: None,
         former: None,
         succession: 0,
     }
