transaction: end before a leaving server does

Read in the code, not seen at a caller.

Cause: a leaving server gets no new work after 0.8 of the time for which it keeps serving, but a transaction that was open there went on for as long as its caller liked. Nothing enforced the deadline on what was begun before it.

Change: at the same limit a transaction ends between two of its statements, with ABORTED, which is true and which callers repeat elsewhere. A commit is still passed on, as all other work of its transaction has been done.

--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -100,8 +100,8 @@
 
     /// Runs a statement of an open transaction.
     ///
-    /// Returns no connection if it broke or the statement timed out; the server then
-    /// rolls the transaction back.
+    /// Returns no connection if it broke, the statement timed out, or the server ends soon; the
+    /// server then rolls the transaction back.
     pub async fn run_in_transaction(
         &self,
         mut pinned: Pinned<W>,
@@ -112,6 +112,11 @@
         let Some(command) = link::command(request, work.context, None) else {
             return (Some(pinned), unprepared(State::Open));
         };
+        let limit = self.upstreams().leaving_limit();
+        if pinned.server.has_been_leaving_for(limit) {
+            // The server may end before the commit, whose outcome would then be unknown.
+            return (None, aborted("the server is leaving"));
+        }
         let setup = Setup::new(work.context, Some(request));
         let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
