node: delete the rows before the last answers are sent

What callers could see: handovers that wait for the leases, and work assigned to a node that has ended, after a stop under load. Read in the code, not seen at a caller.

Cause: a stopping node deleted its rows once its last session had ended. If a caller read its answers slowly, that took until the end of the grace period, and no time was left.

Change: from the cut on, when nothing is passed on to servers any more, the rows are deleted while the last answers are sent. The task that writes the rows ends at the cut, so it doesn't write them again.

Result: a_node_leaves_although_a_caller_reads_no_answers failed before (the row was still there after the grace period), and holds now.

--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -255,7 +255,7 @@
             process: self.process,
             store: self.store.clone(),
         };
-        let publisher = presence.run(self.snapshots.clone(), self.end.clone());
+        let publisher = presence.run(self.snapshots.clone(), self.drain.cut.clone());
         self.tasks.spawn("presence", publisher);
         let monitor = Monitor {
             node: self.config.node.clone(),
@@ -323,9 +323,10 @@
         }
         // Callers may have been accepted since the last session ended.
         self.drain.cut.cancel();
-        let end = Deadline::from_std(schedule.end);
-        let _ = timeout_at(end, wait(served)).await;
-        let _ = timeout_at(end, self.leave()).await;
+        // Nothing is passed on any more, so handovers need not wait for this node while it
+        // sends its last answers.
+        let leaving = async { tokio::join!(wait(served), self.leave()) };
+        let _ = timeout_at(Deadline::from_std(schedule.end), leaving).await;
     }
 
     /// Gives up the coordinator's row if this node holds it.
