--- a/crates/agateport-relay/tests/group.rs
+++ b/crates/agateport-relay/tests/group.rs
@@ -80,6 +80,23 @@
     assert!(first_seen > first.1);
 }
 
+/// A record of an older version lists no servers, so it is not known which ones could have been
+/// promoted, and no answers confirm its primary.
+#[test]
+fn a_record_without_a_list_confirms_no_primary() {
+    let listed = Leadership {
+        roster: Roster::first(["one".into(), "two".into()]),
+        ..leadership("one")
+    };
+    let confirmable = [leadership("one"), listed].map(|leadership| {
+        let group = Group::new("ledger".into());
+        group.record_leadership(Some(leadership), Some(uptime()));
+        group.select_leader(&["one".into()]);
+        group.confirmable(uptime())
+    });
+    insta::assert_debug_snapshot!(confirmable);
+}
+
 #[test]
 fn a_leader_is_recorded_and_reported_as_primary() {
     let group = Group::new("ledger".into());
