--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -201,7 +201,7 @@
 pub struct Choice {
     /// Name of the server.
     pub server: ServerId,
-    /// Watermark of its log.
+    /// Watermark by which it was chosen.
     pub last: Option<Watermark>,
     /// Server whose demotion shows that no server accepts writes any more; none if it is
     /// not known which one may.
--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -28,13 +28,20 @@
     /// Returns whether the former primary has not become the primary again since its
     /// demotion; if it has, it is demoted once more.
     ///
-    /// A server keeps its role over a restart only once another one has been promoted.
+    /// A server that restarts leads again unless another one has been promoted meanwhile.
     pub(super) async fn is_still_demoted(&mut self, basis: &Basis) -> bool {
         let is_needed = self.transition(basis).is_demoted && !basis.is_released();
         let Some(former) = basis.former().filter(|_| is_needed) else {
             return true;
         };
         let is_demoted = self.request_demotion(&basis.group, former).await;
+        tracing::info!(
+            event = "demotion_checked",
+            group = &*basis.group,
+            former = &**former,
+            is_demoted,
+            "the former primary was queried again before a promotion"
+        );
         if is_demoted == Some(false) {
             self.transition(basis).is_demoted = false;
         }
