relay: log and count prepared statements up to the server

Cause: no line shows which statement a session prepared, the name under which a server has it, on which connection and at which node it was prepared, or that a server does not know a name that its connection had recorded.

Change: no logic. Sessions and connections to servers get numbers, unique on their node. Events statement_defined and statement_routed at the caller's node, statement_prepared, statement_executed, statement_missing and connection_reset at the node that holds the connection, all within the rate limits of log lines; counter agateport_statement_total by step.

--- a/crates/agateport-domain/src/id.rs
+++ b/crates/agateport-domain/src/id.rs
@@ -13,6 +13,8 @@
 pub type Fence = u64;
 /// Name of a database group, unique in a bundle.
 pub type GroupId = Arc<str>;
+/// Number of a connection to an upstream server, unique on the node that opened it.
+pub type LinkId = u64;
 /// Name of a node, unique in the fleet.
 pub type NodeId = Arc<str>;
 /// Position in a log: the number of entries up to and including this one.
--- a/crates/agateport-domain/src/prelude.rs
+++ b/crates/agateport-domain/src/prelude.rs
@@ -1,8 +1,8 @@
 //! Common types, imported with `use agateport_domain::prelude::*`.
 
 pub use crate::id::{
-    BundleVersion, CallerId, DatabaseId, Fence, GroupId, NodeId, Position, PriorityId, RequestId,
-    ServerId, SessionId, Term, Uptime, Zone,
+    BundleVersion, CallerId, DatabaseId, Fence, GroupId, LinkId, NodeId, Position, PriorityId,
+    RequestId, ServerId, SessionId, Term, Uptime, Zone,
 };
 pub use crate::session::Watermark;
 pub use crate::shard::Sharded;
--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -64,6 +64,8 @@
 /// A caller's session.
 #[derive(Debug)]
 pub struct Session<W: Protocol> {
+    /// Number of the session, unique on this node.
+    id: SessionId,
     connection: Connection<W>,
     runner: Runner<W>,
     database: DatabaseId,
@@ -88,6 +90,7 @@
         drain: Drain,
     ) -> Self {
         Self {
+            id: runner.upstreams().trace().next_session(),
             connection,
             runner,
             database: "".into(),
@@ -198,6 +201,8 @@
             } => {
                 let prepared = (*access, shape.clone());
                 self.context.prepared.insert(name.clone(), prepared);
+                let trace = self.runner.upstreams().trace();
+                trace.record_definition(self.id, &self.database, request);
                 self.done()
             }
             Verb::Deallocate { name } => match self.context.prepared.remove(name) {
@@ -378,6 +383,7 @@
     ) -> Work<'a> {
         Work {
             id,
+            session: self.id,
             route,
             caller: &self.caller,
             context: &self.context,
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -148,6 +148,12 @@
 }
 
 impl Channel {
+    /// Returns the address of the node at the other end.
+    #[must_use]
+    pub fn node(&self) -> SocketAddr {
+        self.node
+    }
+
     /// Executes one command with the borrowed permit.
     ///
     /// # Errors
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -40,6 +40,7 @@
 pub mod source;
 pub mod statement;
 pub mod tasks;
+pub mod trace;
 pub mod transaction;
 pub mod upstreams;
 pub mod work;
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -90,6 +90,8 @@
 /// A connection to an upstream server.
 #[derive(Debug)]
 pub struct Link<W> {
+    /// Number of the connection, unique on this node.
+    pub id: LinkId,
     stream: TcpStream,
     buffer: BytesMut,
     /// Values that are set on the connection, by name.
@@ -110,17 +112,19 @@
     /// [`enum@Error`] if the server is unreachable, is not the expected one, or has
     /// reached its connection limit.
     pub async fn open(
+        id: LinkId,
         address: SocketAddr,
         group: &GroupId,
         server: &ServerId,
     ) -> Result<(Self, Option<Watermark>), Error> {
-        let opening = Self::connect(address, group, server);
+        let opening = Self::connect(id, address, group, server);
         timeout(OPEN_TIMEOUT, opening)
             .await
             .map_err(|_| Error::TimedOut)?
     }
 
     async fn connect(
+        id: LinkId,
         address: SocketAddr,
         group: &GroupId,
         server: &ServerId,
@@ -128,6 +132,7 @@
         let stream = TcpStream::connect(address).await?;
         configure_socket(&stream)?;
         let mut link = Self {
+            id,
             stream,
             buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
             values: BTreeMap::new(),
@@ -156,20 +161,21 @@
         }
     }
 
-    /// Brings the connection into the state that a command needs.
+    /// Brings the connection into the state that a command needs, and returns the
+    /// commands that this took.
     ///
     /// # Errors
     ///
     /// [`enum@Error`] if the connection is unusable; no statement was run.
-    pub async fn align(&mut self, setup: &Setup<'_>) -> Result<(), Error> {
+    pub async fn align(&mut self, setup: &Setup<'_>) -> Result<Vec<Command>, Error> {
         let commands = self.alignment(setup);
         if commands.is_empty() {
-            return Ok(());
+            return Ok(commands);
         }
         let answers = self.exchange(&commands).await?;
         let is_done = |answer: &Answer| matches!(answer.outcome, Outcome::Done(_));
         if answers.iter().all(is_done) {
-            return Ok(());
+            return Ok(commands);
         }
         tracing::warn!(
             event = "alignment_failed",
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -314,6 +314,17 @@
     Demote(Term),
 }
 
+impl Command {
+    /// Returns the id of the caller's statement that the command forwards, if it does.
+    #[must_use]
+    pub fn id(&self) -> Option<&Bytes> {
+        match self {
+            Self::Pass { id, .. } | Self::Execute { id, .. } => Some(id),
+            _ => None,
+        }
+    }
+}
+
 /// Status that a server reports.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Status {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -105,7 +105,9 @@
     let (publisher, snapshots) = watch::channel(None);
     let node = Node {
         upstreams: Arc::new(
-            Upstreams::<W>::new(config.node.clone(), config.zone.clone()).with_drain(config.drain),
+            Upstreams::<W>::new(config.node.clone(), config.zone.clone())
+                .with_drain(config.drain)
+                .with_metrics(metrics.clone()),
         ),
         config,
         process: rand::random(),
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -10,6 +10,7 @@
 use crate::protocol::Protocol;
 use crate::server::{Role, Server};
 use crate::slot::{Slot, Usage};
+use crate::trace::Site;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 use bytes::Bytes;
@@ -95,7 +96,7 @@
         match self {
             Self::Local { slot, link } => {
                 slot.resume();
-                run_on(link, setup, command).await
+                run_on(slot.server(), link, setup, command).await
             }
             Self::Borrowed { channel, .. } => {
                 let time_left = deadline.saturating_duration_since(Instant::now());
@@ -104,6 +105,15 @@
         }
     }
 
+    /// Returns the address of the node that lent the permit, if another one did.
+    #[must_use]
+    pub fn owner(&self) -> Option<SocketAddr> {
+        match self {
+            Self::Local { .. } => None,
+            Self::Borrowed { channel, .. } => Some(channel.node()),
+        }
+    }
+
     /// Releases the slot between two statements of a transaction.
     pub fn pause(&self) {
         match self {
@@ -127,15 +137,25 @@
 }
 
 async fn run_on<W: Protocol>(
+    server: &Server<W>,
     link: &mut Link<W>,
     setup: &Setup<'_>,
     command: Command,
 ) -> Result<Answer, exchange::Failure> {
-    link.align(setup).await.map_err(|error| {
+    let aligned = link.align(setup).await.map_err(|error| {
         tracing::debug!(%error, "a connection could not be set up for a session");
         exchange::Failure::Unsent
     })?;
-    let answers = link.exchange(&[command]).await.map_err(|error| {
+    let site = Site {
+        server,
+        link: link.id,
+        request: command.id(),
+    };
+    server.trace().record_alignment(&site, &aligned);
+    let prepared = setup.prepared.as_ref();
+    server.trace().record_execution(&site, &command, prepared);
+    let commands = std::slice::from_ref(&command);
+    let answers = link.exchange(commands).await.map_err(|error| {
         tracing::debug!(%error, "an exchange with a server failed");
         exchange::Failure::Disconnected
     })?;
@@ -144,6 +164,7 @@
         .next()
         .ok_or(exchange::Failure::Disconnected)?;
     if answer.code() == Some(&Code::NoStatement) {
+        server.trace().record_mismatch(&site, &command);
         link.forget_prepared();
     }
     Ok(answer)
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -7,6 +7,7 @@
 use crate::protocol::Protocol;
 use crate::registry::Entry;
 use crate::slot::Slot;
+use crate::trace::Trace;
 use agateport_domain::admission::{Admission, Decision, Queue, Share, Ticket};
 use agateport_domain::bundle::Priority;
 use agateport_domain::group::Detector;
@@ -84,6 +85,7 @@
     /// The outcome of the last probe, and when it was sent.
     last_probe: tokio::sync::Mutex<Option<(Uptime, probe::Outcome)>>,
     inner: Mutex<Inner<W>>,
+    trace: Arc<Trace>,
 }
 
 impl<W> Inner<W> {
@@ -113,6 +115,7 @@
         entry: Entry,
         share: Share,
         priorities: &[Priority],
+        trace: Arc<Trace>,
     ) -> Result<Self, agateport_domain::admission::Error> {
         let queue = Queue::new(share, QUEUE_CAPACITY, priorities, Instant::now())?.reserving();
         let inner = Inner {
@@ -135,9 +138,16 @@
             role: RwLock::default(),
             last_probe: tokio::sync::Mutex::default(),
             inner: Mutex::new(inner),
+            trace,
         })
     }
 
+    /// Returns the log of prepared statements.
+    #[must_use]
+    pub fn trace(&self) -> &Trace {
+        &self.trace
+    }
+
     /// Returns the registry entry of the server.
     #[must_use]
     pub fn entry(&self) -> Arc<Entry> {
@@ -280,7 +290,13 @@
         }
         let started_at = uptime();
         let entry = self.entry();
-        let opened = Link::open(entry.address, &entry.group, &entry.server).await;
+        let opened = Link::open(
+            self.trace.next_link(),
+            entry.address,
+            &entry.group,
+            &entry.server,
+        )
+        .await;
         match opened {
             Ok((link, watermark)) => {
                 self.record_answer(started_at, watermark);
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -124,6 +124,8 @@
             permit.release(State::Idle);
             return Attempt::Finished(unprepared(State::Idle));
         };
+        let trace = self.upstreams.trace();
+        trace.record_route(work, request, server, permit.owner());
         let setup = Setup::new(work.context, Some(request));
         let sent_at = uptime();
         let exchange = Exchange {
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -117,6 +117,8 @@
             // The server may end before the commit, whose outcome would then be unknown.
             return (None, aborted("the server is leaving"));
         }
+        let trace = self.upstreams().trace();
+        trace.record_route(work, request, &pinned.server, pinned.permit.owner());
         let setup = Setup::new(work.context, Some(request));
         let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -4,6 +4,7 @@
 use crate::channel;
 use crate::currency::{Currencies, Origin};
 use crate::group::Group;
+use crate::metrics::Metrics;
 use crate::ownership::{Members, Ownership};
 use crate::priority;
 use crate::protocol::Protocol;
@@ -11,6 +12,7 @@
 use crate::registry::{self, Entry, Registry};
 use crate::server::{Role, Server};
 use crate::source::{Reading, Revision};
+use crate::trace::Trace;
 use agateport_domain::admission::Share;
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
@@ -49,6 +51,8 @@
     registry_revision: Mutex<Revision>,
     /// Fingerprint of the registry, for comparison between nodes.
     fingerprint: AtomicU64,
+    /// Logs and counts prepared statements.
+    trace: Arc<Trace>,
 }
 
 impl<W: Protocol> Upstreams<W> {
@@ -69,9 +73,25 @@
             channels: Arc::default(),
             registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
+            trace: Arc::default(),
         }
     }
 
+    /// Sets the metrics that prepared statements are logged and counted with.
+    #[must_use]
+    pub fn with_metrics(self, metrics: Arc<Metrics>) -> Self {
+        Self {
+            trace: Arc::new(Trace::new(metrics)),
+            ..self
+        }
+    }
+
+    /// Returns the log of prepared statements.
+    #[must_use]
+    pub fn trace(&self) -> &Trace {
+        &self.trace
+    }
+
     /// Sets the time for which a leaving server keeps serving.
     #[must_use]
     pub fn with_drain(self, drain: Duration) -> Self {
@@ -286,7 +306,7 @@
         }
         let (role, share) = self.share(entry);
         let priorities = priority::all();
-        match Server::new(entry.clone(), share, &priorities) {
+        match Server::new(entry.clone(), share, &priorities, self.trace.clone()) {
             Ok(server) => {
                 server.set_role(role, share, &priorities);
                 self.servers.insert(entry.server.clone(), Arc::new(server));
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -12,6 +12,8 @@
     /// Id that the caller gave to the statement. While a transaction is opened at a
     /// server, it is the id of the statement that follows BEGIN.
     pub id: &'a Bytes,
+    /// Number of its session.
+    pub session: SessionId,
     /// Route of its database.
     pub route: &'a Route,
     /// Name of the caller, for fairness between callers.
