link: name statements by a number of their connection

A read could run as a write, and a write could change another item than it named.

Cause: the name under which a node prepared a statement was its access and its whole shape. A shape extends to the end of its line and may hold blanks, a name may not, so the server took the rest of the name for further fields. Text from outside became part of a name that its reader splits.

Ruled out as the cause of the report: a wrong record of a connection, which doesn't change the arguments, and lines that are cut differently, which wouldn't show the prefix of a node.

Change: a connection numbers the statements that it prepares. A number is never used again on it, holds no text, and stands for one statement. The borrower of a connection sends the statement alone; the owner of the connection names it. A command that was not bound to a connection has the name "-", for which a server runs nothing.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -194,12 +194,8 @@
                 self.context.values.insert(name.clone(), value.clone());
                 self.done()
             }
-            Verb::Prepare {
-                name,
-                access,
-                shape,
-            } => {
-                let prepared = (*access, shape.clone());
+            Verb::Prepare { name, prepared } => {
+                let prepared = prepared.clone();
                 self.context.prepared.insert(name.clone(), prepared);
                 let trace = self.runner.upstreams().trace();
                 trace.record_definition(self.id, &self.database, request);
@@ -218,7 +214,7 @@
             Verb::Read => self.run_statement(request, Access::Read).await,
             Verb::Write => self.run_statement(request, Access::Write).await,
             Verb::Execute { .. } => match link::prepared(&self.context, request) {
-                Some((access, _)) => self.run_statement(request, access).await,
+                Some(prepared) => self.run_statement(request, prepared.access).await,
                 None => reply::unprepared(self.state()),
             },
             Verb::Unknown => malformed("the statement can't be read", self.state()),
--- a/crates/agateport-relay/src/caller/ending.rs
+++ b/crates/agateport-relay/src/caller/ending.rs
@@ -118,7 +118,7 @@
         match &request.verb {
             Verb::Read => Some(Access::Read),
             Verb::Write => Some(Access::Write),
-            _ => link::prepared(&self.context, request).map(|(access, _)| access),
+            _ => link::prepared(&self.context, request).map(|prepared| prepared.access),
         }
     }
 
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -9,7 +9,7 @@
 use crate::control::peer::Call;
 use crate::exchange;
 use crate::link::{Setup, configure_socket};
-use crate::message::{Access, Answer, Command, Outcome, State};
+use crate::message::{Answer, Command, Outcome, Prepared, State};
 use crate::permit::{Cause, Claim, Denial};
 use crate::probe;
 use agateport_domain::prelude::*;
@@ -52,7 +52,7 @@
     /// does not depend on them.
     pub values: Option<BTreeMap<Bytes, Bytes>>,
     /// Prepared statement that the connection must have, if any.
-    pub prepared: Option<(Access, Bytes)>,
+    pub prepared: Option<Prepared>,
     /// The command to execute.
     pub command: Command,
     /// Time left for the execution.
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -1,9 +1,12 @@
 //! A connection to an upstream server.
 
-use crate::message::{Access, Answer, Code, Command, Outcome, Part, Request, State, Verb};
+pub mod names;
+
+use crate::message::{Answer, Code, Command, Outcome, Part, Prepared, Request, State, Verb};
 use crate::protocol::{self, Protocol};
 use agateport_domain::prelude::*;
 use bytes::{Bytes, BytesMut};
+use names::Names;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::marker::PhantomData;
@@ -27,6 +30,10 @@
 /// Initial capacity of a connection's buffer in bytes; most answers fit.
 const INITIAL_CAPACITY: usize = 2_048;
 
+/// Name in a command that no connection has set the name of. No statement is ever prepared
+/// under it, so a server that receives it runs nothing.
+const UNBOUND: Bytes = Bytes::from_static(b"-");
+
 /// Failure of a connection, which makes it unusable.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -53,8 +60,8 @@
 pub struct Context {
     /// Values of the session, by name.
     pub values: BTreeMap<Bytes, Bytes>,
-    /// Access and shape of the session's prepared statements, by the caller's name.
-    pub prepared: BTreeMap<Bytes, (Access, Bytes)>,
+    /// Prepared statements of the session, by the caller's name.
+    pub prepared: BTreeMap<Bytes, Prepared>,
 }
 
 /// State that a connection needs for a command.
@@ -62,8 +69,8 @@
 pub struct Setup<'a> {
     /// Values of the session by name; none if the command does not depend on them.
     pub values: Option<&'a BTreeMap<Bytes, Bytes>>,
-    /// Access and shape of the prepared statement that the command runs, if any.
-    pub prepared: Option<(Access, Bytes)>,
+    /// The prepared statement that the command runs, if any.
+    pub prepared: Option<Prepared>,
 }
 
 impl<'a> Setup<'a> {
@@ -82,7 +89,7 @@
     pub fn new(context: &'a Context, request: Option<&Request>) -> Self {
         Self {
             values: Some(&context.values),
-            prepared: request.and_then(|request| prepared(context, request)),
+            prepared: request.and_then(|request| prepared(context, request).cloned()),
         }
     }
 }
@@ -97,7 +104,7 @@
     /// Values that are set on the connection, by name.
     values: BTreeMap<Bytes, Bytes>,
     /// Names of the statements that are prepared on the connection.
-    prepared: BTreeSet<Bytes>,
+    names: Names,
     /// When the connection was last released.
     pub idle_since: Uptime,
     protocol: PhantomData<fn() -> W>,
@@ -136,7 +143,7 @@
             stream,
             buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
             values: BTreeMap::new(),
-            prepared: BTreeSet::new(),
+            names: Names::default(),
             idle_since: Uptime::ZERO,
             protocol: PhantomData,
         };
@@ -205,19 +212,29 @@
                 commands.push(Command::Set { name, value });
             }
         }
-        if let Some((access, shape)) = &setup.prepared {
-            let name = statement_name(*access, shape);
-            if has_extra || !self.prepared.contains(&name) {
-                commands.push(Command::Prepare {
-                    name,
-                    access: *access,
-                    shape: shape.clone(),
-                });
-            }
+        if let Some(prepared) = &setup.prepared
+            && (has_extra || self.names.get(prepared).is_none())
+        {
+            commands.push(Command::Prepare {
+                name: self.names.next(),
+                prepared: prepared.clone(),
+            });
         }
         commands
     }
 
+    /// Sets the name under which a command executes the prepared statement of `setup`,
+    /// which [`Link::align`] has prepared.
+    #[must_use]
+    pub fn bind(&self, setup: &Setup<'_>, mut command: Command) -> Command {
+        if let Command::Execute { name, .. } = &mut command {
+            let prepared = setup.prepared.as_ref();
+            let bound = prepared.and_then(|prepared| self.names.get(prepared));
+            *name = bound.unwrap_or(UNBOUND);
+        }
+        command
+    }
+
     /// Returns the number of commands needed to set a session's values. The idle
     /// connection with the smallest number is preferred.
     #[must_use]
@@ -239,9 +256,7 @@
         let mut answers = Vec::with_capacity(commands.len());
         for command in commands {
             let answer = self.answer().await?;
-            if matches!(answer.outcome, Outcome::Done(_)) {
-                self.record(command);
-            }
+            self.record(command, matches!(answer.outcome, Outcome::Done(_)));
             answers.push(answer);
         }
         Ok(answers)
@@ -258,22 +273,20 @@
     /// Marks all prepared statements as missing, after the server rejected one as
     /// unknown.
     pub fn forget_prepared(&mut self) {
-        self.prepared.clear();
+        self.names.clear();
     }
 
     /// Records the effect of a command on the connection's state.
-    fn record(&mut self, command: &Command) {
+    fn record(&mut self, command: &Command, is_done: bool) {
         match command {
-            Command::Reset => {
+            Command::Reset if is_done => {
                 self.values.clear();
-                self.prepared.clear();
+                self.names.clear();
             }
-            Command::Set { name, value } => {
+            Command::Set { name, value } if is_done => {
                 self.values.insert(name.clone(), value.clone());
             }
-            Command::Prepare { name, .. } => {
-                self.prepared.insert(name.clone());
-            }
+            Command::Prepare { prepared, .. } => self.names.record(prepared.clone(), is_done),
             _ => {}
         }
     }
@@ -344,34 +357,22 @@
             text: request.text.clone(),
         });
     };
-    let (access, shape) = prepared(context, request)?;
+    prepared(context, request)?;
     Some(Command::Execute {
         id: request.id.clone(),
         floor,
-        name: statement_name(access, &shape),
+        name: UNBOUND,
         arguments: arguments.clone(),
     })
 }
 
-/// Returns the access and shape of the prepared statement that a request executes.
+/// Returns the prepared statement that a request executes.
 #[must_use]
-pub fn prepared(context: &Context, request: &Request) -> Option<(Access, Bytes)> {
+pub fn prepared<'a>(context: &'a Context, request: &Request) -> Option<&'a Prepared> {
     let Verb::Execute { name, .. } = &request.verb else {
         return None;
     };
-    context.prepared.get(name).cloned()
-}
-
-/// Returns the name under which nodes prepare a statement at servers.
-///
-/// The name is derived from access and shape, so that sessions share prepared
-/// statements without name collisions.
-fn statement_name(access: Access, shape: &Bytes) -> Bytes {
-    let kind: &[u8] = match access {
-        Access::Read => b"r_",
-        Access::Write => b"w_",
-    };
-    [kind, shape].concat().into()
+    context.prepared.get(name)
 }
 
 impl State {
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -41,6 +41,15 @@
     Write,
 }
 
+/// What a caller prepared under a name.
+#[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
+pub struct Prepared {
+    /// Whether the statement reads or writes.
+    pub access: Access,
+    /// Shape of the statement, which is opaque to the node.
+    pub shape: Bytes,
+}
+
 /// Kind of a statement, with its parsed arguments.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Verb {
@@ -68,10 +77,8 @@
     Prepare {
         /// The caller's name for the statement.
         name: Bytes,
-        /// Whether the statement reads or writes.
-        access: Access,
-        /// Shape of the statement, which is opaque to the node.
-        shape: Bytes,
+        /// The statement.
+        prepared: Prepared,
     },
     /// Executes a prepared statement.
     Execute {
@@ -285,7 +292,7 @@
         id: Bytes,
         /// Watermark that the server's log must have reached.
         floor: Option<Watermark>,
-        /// Name of the prepared statement on the connection.
+        /// Name of the prepared statement on the connection, which the connection sets.
         name: Bytes,
         /// Item and data.
         arguments: Bytes,
@@ -301,10 +308,8 @@
     Prepare {
         /// Name of the prepared statement on the connection.
         name: Bytes,
-        /// Whether the statement reads or writes.
-        access: Access,
-        /// Shape of the statement, which is opaque to the node.
-        shape: Bytes,
+        /// The statement.
+        prepared: Prepared,
     },
     /// Clears all values and prepared statements of the connection.
     Reset,
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -146,6 +146,7 @@
         tracing::debug!(%error, "a connection could not be set up for a session");
         exchange::Failure::Unsent
     })?;
+    let command = link.bind(setup, command);
     let site = Site {
         server,
         link: link.id,
--- a/crates/agateport-relay/src/trace.rs
+++ b/crates/agateport-relay/src/trace.rs
@@ -1,6 +1,6 @@
 //! Logs and counts prepared statements, from the caller's name to the name at a server.
 
-use crate::message::{Access, Command, Request, Verb};
+use crate::message::{Access, Command, Prepared, Request, Verb};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::server::Server;
@@ -62,14 +62,10 @@
 
     /// Records that a caller prepares a statement, which is kept in its session.
     pub fn record_definition(&self, session: SessionId, database: &DatabaseId, request: &Request) {
-        let Verb::Prepare {
-            name,
-            access,
-            shape,
-        } = &request.verb
-        else {
+        let Verb::Prepare { name, prepared } = &request.verb else {
             return;
         };
+        let (access, shape) = (prepared.access, &prepared.shape);
         let has_line_break = self.check_line_break(request);
         let Some(omitted) = self.allow("defined", "statement_defined") else {
             return;
@@ -127,11 +123,9 @@
         for command in commands {
             match command {
                 Command::Reset => self.record_reset(site),
-                Command::Prepare {
-                    name,
-                    access,
-                    shape,
-                } => self.record_preparation(site, name, *access, shape),
+                Command::Prepare { name, prepared } => {
+                    self.record_preparation(site, name, prepared);
+                }
                 _ => {}
             }
         }
@@ -155,9 +149,9 @@
         &self,
         site: &Site<'_, W>,
         name: &Bytes,
-        access: Access,
-        shape: &Bytes,
+        prepared: &Prepared,
     ) {
+        let Prepared { access, shape } = prepared;
         let Some(omitted) = self.allow("prepared", "statement_prepared") else {
             return;
         };
@@ -180,7 +174,7 @@
         &self,
         site: &Site<'_, W>,
         command: &Command,
-        prepared: Option<&(Access, Bytes)>,
+        prepared: Option<&Prepared>,
     ) {
         let Command::Execute { name, .. } = command else {
             return;
@@ -250,11 +244,9 @@
 }
 
 /// Returns access and shape of a prepared statement for a log line.
-fn describe(
-    prepared: Option<&(Access, Bytes)>,
-) -> (Option<tracing::field::DebugValue<Access>>, &[u8]) {
-    let access = prepared.map(|(access, _)| tracing::field::debug(*access));
-    let shape = prepared.map_or(&[][..], |(_, shape)| shape);
+fn describe(prepared: Option<&Prepared>) -> (Option<tracing::field::DebugValue<Access>>, &[u8]) {
+    let access = prepared.map(|prepared| tracing::field::debug(prepared.access));
+    let shape = prepared.map_or(&[][..], |prepared| &*prepared.shape);
     (access, shape)
 }
 
