transaction: commit with the session's values

Seen: a session that set a value in a transaction, was told DONE, and then committed, had its COMMIT run on a connection without the value (PINNED).

Cause: values are brought to the connection before each statement of a transaction, but COMMIT was sent with a setup that depends on no value.

Change: a commit is set up like any other statement of its session.

--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -144,13 +144,11 @@
             floor: None,
             text: request.text.clone(),
         };
+        let setup = Setup::new(work.context, None);
         let group = pinned.group.clone();
         let exchange = pinned.exchange(work.route.timeout);
         let (sent_at, deadline) = (uptime(), exchange.deadline);
-        let answer = match self
-            .exchange(&group, exchange, work, &Setup::any(), command)
-            .await
-        {
+        let answer = match self.exchange(&group, exchange, work, &setup, command).await {
             Ok(answer) => answer,
             Err(exchange::Failure::TimedOut) => return timed_out(),
             Err(exchange::Failure::Unsent) => return aborted("the connection broke"),
