field: hold text from outside in types that are checked

Callers could see: a statement with a bare LF or CR was passed on as it was. A server that ends lines at either would run the rest as a statement that nobody sent, the same class of fault as the names of statements: text from outside becomes a part of a line that its reader splits again.

Cause: names, values, shapes, ids and texts were plain bytes, and each place that wrote a line relied on the parser before it. Commands that come from other nodes were not checked at all.

Change: field::Word is one field, field::Text the last one of a line; their only constructors check, also when a value comes from another node. A statement with a CR or LF is answered MALFORMED, as is one that lacks its last field or that the node could not extend within the limit of a line; in an id or CONNECT a CR or LF closes the connection. MALFORMED says why. Rows and receipts are still forwarded unchanged.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -6,6 +6,7 @@
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::drain::Drain;
+use crate::field::Word;
 use crate::link::{self, Context};
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
 use crate::protocol::Protocol;
@@ -14,7 +15,6 @@
 use crate::transaction::Pinned;
 use crate::work::Work;
 use agateport_domain::prelude::*;
-use bytes::Bytes;
 use std::io;
 use tokio::sync::watch;
 
@@ -217,7 +217,7 @@
                 Some(prepared) => self.run_statement(request, prepared.access).await,
                 None => reply::unprepared(self.state()),
             },
-            Verb::Unknown => malformed("the statement can't be read", self.state()),
+            Verb::Malformed(reason) => malformed(reason, self.state()),
         }
     }
 
@@ -372,7 +372,7 @@
 
     fn work<'a>(
         &'a self,
-        id: &'a Bytes,
+        id: &'a Word,
         route: &'a Route,
         arrived: Uptime,
         started: Instant,
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -9,7 +9,7 @@
 use crate::control::peer::Call;
 use crate::exchange;
 use crate::link::{Setup, configure_socket};
-use crate::message::{Answer, Command, Outcome, Prepared, State};
+use crate::message::{Answer, Command, Outcome, Prepared, State, Values};
 use crate::permit::{Cause, Claim, Denial};
 use crate::probe;
 use agateport_domain::prelude::*;
@@ -50,7 +50,7 @@
 pub struct Request {
     /// Session values that the connection must have, by name; none if the command
     /// does not depend on them.
-    pub values: Option<BTreeMap<Bytes, Bytes>>,
+    pub values: Option<Values>,
     /// Prepared statement that the connection must have, if any.
     pub prepared: Option<Prepared>,
     /// The command to execute.
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod drain;
 pub mod error;
 pub mod exchange;
+pub mod field;
 pub mod group;
 pub mod http;
 pub mod lease;
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -2,10 +2,13 @@
 
 pub mod names;
 
-use crate::message::{Answer, Code, Command, Outcome, Part, Prepared, Request, State, Verb};
+use crate::field::{self, Word};
+use crate::message::{
+    Answer, Code, Command, Outcome, Part, Prepared, Request, State, Values, Verb,
+};
 use crate::protocol::{self, Protocol};
 use agateport_domain::prelude::*;
-use bytes::{Bytes, BytesMut};
+use bytes::BytesMut;
 use names::Names;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
@@ -30,10 +33,6 @@
 /// Initial capacity of a connection's buffer in bytes; most answers fit.
 const INITIAL_CAPACITY: usize = 2_048;
 
-/// Name in a command that no connection has set the name of. No statement is ever prepared
-/// under it, so a server that receives it runs nothing.
-const UNBOUND: Bytes = Bytes::from_static(b"-");
-
 /// Failure of a connection, which makes it unusable.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -49,6 +48,9 @@
     /// The server refused the connection.
     #[error("the server refused the connection: {}", .0.name())]
     Refused(Code),
+    /// The name of the server or of its group is not a single field.
+    #[error("unusable name: {0}")]
+    Unnamed(#[from] field::Error),
     /// The server's answer is malformed or unexpected.
     #[error("invalid answer from the server: {0}")]
     Malformed(#[from] protocol::Error),
@@ -59,16 +61,16 @@
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Context {
     /// Values of the session, by name.
-    pub values: BTreeMap<Bytes, Bytes>,
+    pub values: Values,
     /// Prepared statements of the session, by the caller's name.
-    pub prepared: BTreeMap<Bytes, Prepared>,
+    pub prepared: BTreeMap<Word, Prepared>,
 }
 
 /// State that a connection needs for a command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Setup<'a> {
     /// Values of the session by name; none if the command does not depend on them.
-    pub values: Option<&'a BTreeMap<Bytes, Bytes>>,
+    pub values: Option<&'a Values>,
     /// The prepared statement that the command runs, if any.
     pub prepared: Option<Prepared>,
 }
@@ -102,7 +104,7 @@
     stream: TcpStream,
     buffer: BytesMut,
     /// Values that are set on the connection, by name.
-    values: BTreeMap<Bytes, Bytes>,
+    values: Values,
     /// Names of the statements that are prepared on the connection.
     names: Names,
     /// When the connection was last released.
@@ -136,21 +138,21 @@
         group: &GroupId,
         server: &ServerId,
     ) -> Result<(Self, Option<Watermark>), Error> {
+        let open = Command::Open {
+            group: Word::try_from(&**group)?,
+            server: Word::try_from(&**server)?,
+        };
         let stream = TcpStream::connect(address).await?;
         configure_socket(&stream)?;
         let mut link = Self {
             id,
             stream,
             buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
-            values: BTreeMap::new(),
+            values: Values::new(),
             names: Names::default(),
             idle_since: Uptime::ZERO,
             protocol: PhantomData,
         };
-        let open = Command::Open {
-            group: group.clone(),
-            server: server.clone(),
-        };
         let greeting = match link.send(&[open]).await {
             Ok(()) => link.part().await,
             Err(error) => Err(error),
@@ -230,7 +232,8 @@
         if let Command::Execute { name, .. } = &mut command {
             let prepared = setup.prepared.as_ref();
             let bound = prepared.and_then(|prepared| self.names.get(prepared));
-            *name = bound.unwrap_or(UNBOUND);
+            // No statement is prepared under this word, so the server would run nothing.
+            *name = bound.unwrap_or_else(Word::absent);
         }
         command
     }
@@ -238,7 +241,7 @@
     /// Returns the number of commands needed to set a session's values. The idle
     /// connection with the smallest number is preferred.
     #[must_use]
-    pub fn distance(&self, values: &BTreeMap<Bytes, Bytes>) -> usize {
+    pub fn distance(&self, values: &Values) -> usize {
         let setup = Setup {
             values: Some(values),
             prepared: None,
@@ -361,7 +364,7 @@
     Some(Command::Execute {
         id: request.id.clone(),
         floor,
-        name: UNBOUND,
+        name: Word::absent(),
         arguments: arguments.clone(),
     })
 }
--- a/crates/agateport-relay/src/link/names.rs
+++ b/crates/agateport-relay/src/link/names.rs
@@ -1,8 +1,8 @@
 //! Names of the statements that are prepared on a connection.
 
+use crate::field::Word;
 use crate::message::Prepared;
 use agateport_domain::prelude::*;
-use bytes::Bytes;
 
 /// Number of a name, unique on its connection.
 type NameId = u64;
@@ -20,14 +20,14 @@
 impl Names {
     /// Returns the name of a statement; none if it is not prepared.
     #[must_use]
-    pub fn get(&self, prepared: &Prepared) -> Option<Bytes> {
-        self.prepared.get(prepared).copied().map(format_name)
+    pub fn get(&self, prepared: &Prepared) -> Option<Word> {
+        self.prepared.get(prepared).copied().map(Word::numbered)
     }
 
     /// Returns the name of the next statement to be prepared.
     #[must_use]
-    pub fn next(&self) -> Bytes {
-        format_name(self.last + 1)
+    pub fn next(&self) -> Word {
+        Word::numbered(self.last + 1)
     }
 
     /// Records that a statement was prepared under the next name, or, if the server
@@ -44,7 +44,3 @@
         self.prepared.clear();
     }
 }
-
-fn format_name(id: NameId) -> Bytes {
-    format!("s{id}").into()
-}
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -1,6 +1,7 @@
 //! Messages exchanged with callers and upstream servers, independent of the wire
 //! protocol.
 
+use crate::field::{Text, Word};
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
@@ -25,9 +26,9 @@
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
     /// Id that the caller gave to the statement; it is forwarded unchanged.
-    pub id: Bytes,
+    pub id: Word,
     /// The statement as the caller wrote it.
-    pub text: Bytes,
+    pub text: Text,
     /// Kind of the statement.
     pub verb: Verb,
 }
@@ -41,13 +42,16 @@
     Write,
 }
 
+/// Values of a session, by name.
+pub type Values = BTreeMap<Word, Text>;
+
 /// What a caller prepared under a name.
 #[derive(Clone, Debug, Deserialize, Eq, Ord, PartialEq, PartialOrd, Serialize)]
 pub struct Prepared {
     /// Whether the statement reads or writes.
     pub access: Access,
     /// Shape of the statement, which is opaque to the node.
-    pub shape: Bytes,
+    pub shape: Text,
 }
 
 /// Kind of a statement, with its parsed arguments.
@@ -69,31 +73,31 @@
     /// Sets a value of the session.
     Set {
         /// Name of the value.
-        name: Bytes,
+        name: Word,
         /// New value.
-        value: Bytes,
+        value: Text,
     },
     /// Prepares a statement.
     Prepare {
         /// The caller's name for the statement.
-        name: Bytes,
+        name: Word,
         /// The statement.
         prepared: Prepared,
     },
     /// Executes a prepared statement.
     Execute {
         /// The caller's name for the statement.
-        name: Bytes,
+        name: Word,
         /// Item and data.
-        arguments: Bytes,
+        arguments: Text,
     },
     /// Deallocates a prepared statement.
     Deallocate {
         /// The caller's name for the statement.
-        name: Bytes,
+        name: Word,
     },
-    /// A statement with invalid syntax.
-    Unknown,
+    /// A statement that is not run, and why.
+    Malformed(&'static str),
 }
 
 /// Transaction state of a session or of a connection to a server.
@@ -136,7 +140,7 @@
     /// It is unknown whether the statement ran.
     Unknown,
     /// Any other code, which is forwarded to the caller.
-    Other(Bytes),
+    Other(Word),
 }
 
 impl Code {
@@ -264,9 +268,9 @@
     /// Opens the connection.
     Open {
         /// Group that the server must belong to.
-        group: GroupId,
+        group: Word,
         /// Id that the server must have.
-        server: ServerId,
+        server: Word,
     },
     /// Begins a transaction.
     Begin {
@@ -280,34 +284,34 @@
     /// Forwards a caller's statement unchanged.
     Pass {
         /// Id that the caller gave to the statement.
-        id: Bytes,
+        id: Word,
         /// Watermark that the server's log must have reached.
         floor: Option<Watermark>,
         /// The statement.
-        text: Bytes,
+        text: Text,
     },
     /// Executes a prepared statement.
     Execute {
         /// Id that the caller gave to the statement.
-        id: Bytes,
+        id: Word,
         /// Watermark that the server's log must have reached.
         floor: Option<Watermark>,
         /// Name of the prepared statement on the connection, which the connection sets.
-        name: Bytes,
+        name: Word,
         /// Item and data.
-        arguments: Bytes,
+        arguments: Text,
     },
     /// Sets a value of the connection.
     Set {
         /// Name of the value.
-        name: Bytes,
+        name: Word,
         /// New value.
-        value: Bytes,
+        value: Text,
     },
     /// Prepares a statement.
     Prepare {
         /// Name of the prepared statement on the connection.
-        name: Bytes,
+        name: Word,
         /// The statement.
         prepared: Prepared,
     },
@@ -322,7 +326,7 @@
 impl Command {
     /// Returns the id of the caller's statement that the command forwards, if it does.
     #[must_use]
-    pub fn id(&self) -> Option<&Bytes> {
+    pub fn id(&self) -> Option<&Word> {
         match self {
             Self::Pass { id, .. } | Self::Execute { id, .. } => Some(id),
             _ => None,
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -5,7 +5,7 @@
 use crate::clock::uptime;
 use crate::exchange;
 use crate::link::{self, Link, Setup};
-use crate::message::{Answer, Code, Command, State, Status};
+use crate::message::{Answer, Code, Command, State, Status, Values};
 use crate::probe;
 use crate::protocol::Protocol;
 use crate::server::{Role, Server};
@@ -13,7 +13,6 @@
 use crate::trace::Site;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
-use bytes::Bytes;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 
@@ -35,7 +34,7 @@
     /// Maximum wait for a slot and a connection.
     pub max_wait: Duration,
     /// Values of the caller's session; a connection that already has them is preferred.
-    pub values: BTreeMap<Bytes, Bytes>,
+    pub values: Values,
 }
 
 /// Why a permit is unavailable at a node.
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -3,6 +3,7 @@
 
 use crate::clock::uptime;
 use crate::link::{self, Link};
+use crate::message::Values;
 use crate::probe;
 use crate::protocol::Protocol;
 use crate::registry::Entry;
@@ -13,7 +14,6 @@
 use agateport_domain::group::Detector;
 use agateport_domain::prelude::*;
 use agateport_domain::request::{Reason, Refusal};
-use bytes::Bytes;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 use tokio::sync::oneshot;
@@ -267,7 +267,7 @@
     /// Takes the idle connection that needs the fewest commands to have `values` out of
     /// the pool; none if a new one has to be opened.
     #[must_use]
-    pub fn idle_link(&self, values: &BTreeMap<Bytes, Bytes>) -> Option<Link<W>> {
+    pub fn idle_link(&self, values: &Values) -> Option<Link<W>> {
         let mut inner = self.lock();
         inner.idle.retain(Link::is_open);
         let nearest = inner
@@ -284,7 +284,7 @@
     /// # Errors
     ///
     /// [`link::Error`] if the server is unreachable or refuses the connection.
-    pub async fn link(&self, values: &BTreeMap<Bytes, Bytes>) -> Result<Link<W>, link::Error> {
+    pub async fn link(&self, values: &Values) -> Result<Link<W>, link::Error> {
         if let Some(link) = self.idle_link(values) {
             return Ok(link);
         }
--- a/crates/agateport-relay/src/trace.rs
+++ b/crates/agateport-relay/src/trace.rs
@@ -1,12 +1,12 @@
 //! Logs and counts prepared statements, from the caller's name to the name at a server.
 
+use crate::field::Word;
 use crate::message::{Access, Command, Prepared, Request, Verb};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
 use crate::server::Server;
 use crate::work::Work;
 use agateport_domain::prelude::*;
-use bytes::Bytes;
 use std::net::SocketAddr;
 use std::slice::EscapeAscii;
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -25,7 +25,7 @@
     /// Number of the connection.
     pub link: LinkId,
     /// Id of the request; none for a command that carries no id.
-    pub request: Option<&'a Bytes>,
+    pub request: Option<&'a Word>,
 }
 
 /// Numbers a node's sessions and its connections to servers, and logs and counts their
@@ -66,7 +66,6 @@
             return;
         };
         let (access, shape) = (prepared.access, &prepared.shape);
-        let has_line_break = self.check_line_break(request);
         let Some(omitted) = self.allow("defined", "statement_defined") else {
             return;
         };
@@ -79,7 +78,6 @@
             ?access,
             shape = %excerpt(shape),
             shape_bytes = shape.len(),
-            has_line_break,
             omitted,
             "a session defined a prepared statement"
         );
@@ -97,7 +95,6 @@
         let Verb::Execute { name, .. } = &request.verb else {
             return;
         };
-        let has_line_break = self.check_line_break(request);
         let Some(omitted) = self.allow("routed", "statement_routed") else {
             return;
         };
@@ -110,7 +107,6 @@
             access,
             shape = %excerpt(shape),
             shape_bytes = shape.len(),
-            has_line_break,
             server = &*server.entry().server,
             owner = owner.map(tracing::field::display),
             omitted,
@@ -148,7 +144,7 @@
     fn record_preparation<W: Protocol>(
         &self,
         site: &Site<'_, W>,
-        name: &Bytes,
+        name: &Word,
         prepared: &Prepared,
     ) {
         let Prepared { access, shape } = prepared;
@@ -217,18 +213,6 @@
         );
     }
 
-    /// Returns whether a caller's statement holds a bare CR or LF, and counts it.
-    fn check_line_break(&self, request: &Request) -> bool {
-        let has_line_break = request
-            .text
-            .iter()
-            .any(|byte| matches!(byte, b'\r' | b'\n'));
-        if let (true, Some(metrics)) = (has_line_break, &self.metrics) {
-            metrics.count("statement", "line_break");
-        }
-        has_line_break
-    }
-
     /// Counts a step of a prepared statement, and applies the rate limit of its log lines.
     fn allow(&self, reason: &'static str, event: &'static str) -> Option<u64> {
         let metrics = self.metrics.as_ref()?;
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -1,17 +1,17 @@
 //! The context of a statement and the result of an attempt to run it at a server.
 
 use crate::catalog::Route;
+use crate::field::Word;
 use crate::link::Context;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
-use bytes::Bytes;
 
 /// Context of a statement: its session, its route and its time limits.
 #[derive(Debug)]
 pub struct Work<'a> {
     /// Id that the caller gave to the statement. While a transaction is opened at a
     /// server, it is the id of the statement that follows BEGIN.
-    pub id: &'a Bytes,
+    pub id: &'a Word,
     /// Number of its session.
     pub session: SessionId,
     /// Route of its database.
