pipeline: name prepared statements by a digest of 192 bits

A caller could make another caller's statement run as one of its own: sessions share connections, and a connection prepares a name only once.

Cause: the name was a 64-bit hash of text and parameter types whose key is known, so two statements with one name can be searched for.

Evidence: two threads found a SELECT and a DELETE with the name agateport_44c8f4f44f09c614 in less than four minutes. With these two texts the old code ran the SELECT of one session as the DELETE of another, and the row was gone.

It is computed in the domain crate.

--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -2,6 +2,7 @@
 
 mod error;
 pub mod key;
+pub mod name;
 pub mod retry;
 pub mod setting;
 pub mod statement;
--- a/crates/agateport-node/src/frontend/pipeline.rs
+++ b/crates/agateport-node/src/frontend/pipeline.rs
@@ -1,18 +1,18 @@
 //! Collects a caller's messages into queries.
 //!
 //! Prepared statements belong to the session, not to an upstream connection. Their
-//! names at the upstream are hashes of their texts and parameter types, so that any
+//! names at the upstream are digests of their texts and parameter types, so that any
 //! pooled connection can hold them.
 
 use super::query::{Expected, Query};
 use agateport_domain::prelude::*;
+use agateport_domain::request::name;
 use agateport_domain::request::statement::{Kind, Statement};
 use agateport_wire::frame::{Batch, Prepared};
 use agateport_wire::postgres::Frontend;
 use bytes::BytesMut;
 use pgwire::messages::extendedquery::{Parse, TARGET_TYPE_BYTE_STATEMENT};
 use std::collections::VecDeque;
-use std::hash::{DefaultHasher, Hash, Hasher};
 
 /// A prepared statement of the session.
 #[derive(Clone, Debug)]
@@ -89,9 +89,7 @@
 
     fn push_parse(&mut self, mut parse: Parse) {
         let caller_name = parse.name.take().unwrap_or_default();
-        let mut hasher = DefaultHasher::new();
-        (&parse.query, &parse.type_oids).hash(&mut hasher);
-        let name = format!("agateport_{:016x}", hasher.finish());
+        let name = name::prepared(&parse.query, &parse.type_oids);
         let statement = Statement::parse(&parse.query);
         parse.name = Some(name.clone());
         let mut encoded = BytesMut::new();
--- a/crates/agateport-node/tests/end_to_end/sessions.rs
+++ b/crates/agateport-node/tests/end_to_end/sessions.rs
@@ -141,3 +141,27 @@
     text.push_str(&transcripts(&first, &inside).await);
     insta::assert_snapshot!(text);
 }
+
+/// Two texts that the standard library's hasher, which has no secret key, cannot tell apart.
+const SELECT: &str = "SELECT data FROM item WHERE id = $1 -- 73aac187fd5ad716";
+const DELETE: &str = "DELETE FROM item WHERE id = $1 -- 93e702c625d28173";
+
+/// The sessions share a connection, on which both statements are prepared.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn statements_with_one_hash_do_not_run_as_each_other() {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let first = deployment.connect(0).await;
+    let second = deployment.connect(0).await;
+    let create = "CREATE TABLE item (id BIGINT PRIMARY KEY, data TEXT)";
+    first.batch_execute(create).await.unwrap();
+    let delete = first.prepare(DELETE).await.unwrap();
+    first.execute(&delete, &[&1i64]).await.unwrap();
+    let insert = "INSERT INTO item VALUES (1, 'Mombasa')";
+    first.batch_execute(insert).await.unwrap();
+    let select = second.prepare(SELECT).await.unwrap();
+    let rows = second.query(&select, &[&1i64]).await.unwrap();
+    let data: Vec<String> = rows.iter().map(|row| row.get(0)).collect();
+    assert_eq!(data, ["Mombasa"]);
+    let count = first.query_one("SELECT count(*) FROM item", &[]).await;
+    assert_eq!(count.unwrap().get::<_, i64>(0), 1);
+}
