relay: leave out routes, groups, servers and positions with odd names

A route whose service holds a blank or CR LF would make each node send servers lines that nobody wrote. A timeout that cannot be added to the time, in an update from another node, would panic where a statement computes its deadline.

Cause: only the servers' rows were checked (registry::Entry::checked). Configurations were not, and updates from other nodes were used as they were decoded.

Evidence: with six odd names in a configuration, all odd routes and groups were in the catalog; of an update, the route with Duration::MAX was adopted.

An odd part is logged and left out; the rest is used. Durations are limited in both cases. Names of nodes in records are left alone: they are sent only inside JSON, and a member that was left out would no longer be waited for.

--- a/crates/agateport-relay/src/catalog.rs
+++ b/crates/agateport-relay/src/catalog.rs
@@ -1,8 +1,12 @@
 //! The operator's configuration: how the statements of each database are routed.
 
+use crate::name;
 use agateport_domain::prelude::*;
 use serde::{Deserialize, Serialize};
 
+/// Longest duration of a configuration. It can be added to any time.
+pub const MAX_DURATION: Duration = Duration::from_hours(365 * 24);
+
 /// Consistency of reads.
 #[derive(Clone, Copy, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub enum Consistency {
@@ -23,6 +27,14 @@
             Self::Bounded(staleness) | Self::ReadYourWrites(staleness) => staleness,
         }
     }
+
+    fn checked(self) -> Self {
+        match self {
+            Self::Primary => Self::Primary,
+            Self::Bounded(staleness) => Self::Bounded(staleness.min(MAX_DURATION)),
+            Self::ReadYourWrites(staleness) => Self::ReadYourWrites(staleness.min(MAX_DURATION)),
+        }
+    }
 }
 
 /// Routing of a database's statements.
@@ -42,6 +54,21 @@
     pub priority: PriorityId,
 }
 
+impl Route {
+    /// Returns the route with durations of at most [`MAX_DURATION`]; none if a name is
+    /// not valid.
+    fn checked(self) -> Option<Self> {
+        let names = [&*self.database, &*self.group];
+        let are_valid = names.into_iter().all(name::is_valid);
+        are_valid.then(|| Self {
+            consistency: self.consistency.checked(),
+            timeout: self.timeout.min(MAX_DURATION),
+            target: self.target.min(MAX_DURATION),
+            ..self
+        })
+    }
+}
+
 /// One version of the operator's configuration.
 #[derive(Clone, Debug, Default, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Catalog {
@@ -54,3 +81,45 @@
     /// Time after which an idle transaction is rolled back; none disables this.
     pub idle_transaction_timeout: Option<Duration>,
 }
+
+impl Catalog {
+    /// Returns the configuration without the routes and groups whose names are not valid,
+    /// which are logged, and with durations of at most [`MAX_DURATION`].
+    #[must_use]
+    pub fn checked(self) -> Self {
+        let version = self.version;
+        let routes = self.routes.into_iter().filter_map(|(database, route)| {
+            let checked = Route::clone(&route).checked();
+            let checked = checked.filter(|route| route.database == database);
+            if checked.is_none() {
+                tracing::warn!(
+                    event = "route_odd",
+                    version,
+                    database = &*database,
+                    group = &*route.group,
+                    "a route whose names are not valid is ignored"
+                );
+            }
+            Some((database, Arc::new(checked?)))
+        });
+        let connections = self.connections.into_iter().filter(|(group, _)| {
+            let is_valid = name::is_valid(group);
+            if !is_valid {
+                tracing::warn!(
+                    event = "group_odd",
+                    version,
+                    group = &**group,
+                    "a group whose name is not valid is ignored"
+                );
+            }
+            is_valid
+        });
+        let idle_timeout = self.idle_transaction_timeout;
+        Self {
+            version,
+            routes: routes.collect(),
+            connections: connections.collect(),
+            idle_transaction_timeout: idle_timeout.map(|timeout| timeout.min(MAX_DURATION)),
+        }
+    }
+}
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -11,6 +11,7 @@
 use crate::currency::VALIDITY;
 use crate::lend::Lender;
 use crate::link::configure_socket;
+use crate::name;
 use crate::permit::Claim;
 use crate::protocol::Protocol;
 use crate::record::Records;
@@ -113,6 +114,30 @@
     pub positions: BTreeMap<GroupId, Position>,
 }
 
+impl Update {
+    /// Returns the update without what names no group or server, which is logged. Names of
+    /// nodes stay: no line holds them, and a member that was left out would no longer be
+    /// waited for.
+    fn checked(mut self) -> Self {
+        self.catalog = self.catalog.map(Catalog::checked);
+        self.registry = self.registry.map(registry::Snapshot::checked);
+        self.positions.retain(|group, position| {
+            let names = [&**group, &*position.server];
+            let are_valid = names.into_iter().all(name::is_valid);
+            if !are_valid {
+                tracing::warn!(
+                    event = "position_odd",
+                    group = &**group,
+                    server = &*position.server,
+                    "a log position whose names are not valid is ignored"
+                );
+            }
+            are_valid
+        });
+        self
+    }
+}
+
 /// Log position of a primary.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
 pub struct Position {
@@ -294,6 +319,7 @@
         let (connection, update): (_, Update) = timeout(max_time, exchanging)
             .await
             .map_err(|_| Error::TimedOut)??;
+        let update = update.checked();
         self.connections.insert(address, connection);
         // The node received the query after it was sent, so this is no later than its
         // answer.
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -24,6 +24,7 @@
 pub mod link;
 pub mod message;
 pub mod metrics;
+pub mod name;
 pub mod node;
 pub mod ownership;
 pub mod permit;
--- a/crates/agateport-relay/src/registry.rs
+++ b/crates/agateport-relay/src/registry.rs
@@ -1,14 +1,12 @@
 //! The registered upstream servers.
 
+use crate::name;
 use crate::source::Revision;
 use agateport_domain::prelude::*;
 use serde::{Deserialize, Serialize};
 use std::net::SocketAddr;
 use thiserror::Error;
 
-/// Maximum length of the name of a server or group, in bytes.
-const MAX_NAME: usize = 200;
-
 /// Maximum number of slots of a server. A larger number is not a number of statements
 /// that a server runs concurrently.
 const MAX_SLOTS: usize = 1 << 16;
@@ -61,7 +59,10 @@
             return Err(Unusable::Address);
         }
         // Names are sent to servers as words of a line.
-        if [&*self.server, &*self.group].into_iter().any(is_no_word) {
+        if ![&*self.server, &*self.group]
+            .into_iter()
+            .all(name::is_valid)
+        {
             return Err(Unusable::Name);
         }
         if !(1..=MAX_SLOTS).contains(&self.slots) {
@@ -71,11 +72,6 @@
     }
 }
 
-fn is_no_word(name: &str) -> bool {
-    let is_separator = |character: char| character.is_whitespace() || character.is_control();
-    name.is_empty() || name.len() > MAX_NAME || name.contains(is_separator)
-}
-
 /// All registered servers, by name.
 pub type Registry = BTreeMap<ServerId, Entry>;
 
@@ -89,6 +85,27 @@
     pub revision: Revision,
 }
 
+impl Snapshot {
+    /// Returns the snapshot without the entries that describe no server, which are logged.
+    #[must_use]
+    pub fn checked(mut self) -> Self {
+        self.registry.retain(|server, entry| {
+            let checked = entry.clone().checked().map(|_| entry.server == *server);
+            let is_usable = checked == Ok(true);
+            if !is_usable {
+                tracing::warn!(
+                    event = "entry_odd",
+                    server = &**server,
+                    ?checked,
+                    "an entry of the registry describes no server; ignored"
+                );
+            }
+            is_usable
+        });
+        self
+    }
+}
+
 /// The registry as read from the store.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
 pub struct Observation {
