pipeline: run no statement of another session by its name

A caller that bound a statement under the name of another session's statement ran that statement, without having prepared it; its effect was then unknown to the node, so a write was routed and retried like a read.

Cause: a name that the session had not prepared was passed on, and the shared connection may know it.

Change: such a name gets a prefix under which nothing is prepared if it looks like one that agateport gives. The upstream answers 26000 as for any unknown name.

Test: sessions::statement_of_another_session_cannot_be_run_by_its_name.

--- a/crates/agateport-domain/src/request/name.rs
+++ b/crates/agateport-domain/src/request/name.rs
@@ -3,6 +3,9 @@
 use super::key::to_hex;
 use sha2::{Digest, Sha256};
 
+/// Prefix of the names.
+const PREFIX: &str = "agateport_";
+
 /// Bytes of the digest in a name. PostgreSQL cuts names at 63 bytes, and the prefix and two
 /// digits a byte stay below that.
 const DIGEST_LENGTH: usize = 24;
@@ -19,5 +22,11 @@
         hasher.update(type_id.to_be_bytes());
     }
     let digest = hasher.finalize();
-    format!("agateport_{}", to_hex(&digest[..DIGEST_LENGTH]))
+    format!("{PREFIX}{}", to_hex(&digest[..DIGEST_LENGTH]))
+}
+
+/// Returns whether an upstream may have a statement of this name that [`prepared`] named.
+#[must_use]
+pub fn is_reserved(name: &str) -> bool {
+    name.starts_with(PREFIX)
 }
--- a/crates/agateport-node/src/frontend/pipeline.rs
+++ b/crates/agateport-node/src/frontend/pipeline.rs
@@ -144,7 +144,7 @@
     fn rename(&mut self, name: Option<String>, is_run: bool) -> Option<String> {
         let Some(entry) = self.statements.get(name.as_deref().unwrap_or_default()) else {
             // The upstream has no such statement either, and returns the error.
-            return name;
+            return name.map(unknown);
         };
         let entry = entry.clone();
         let name = entry.prepared.name.clone();
@@ -179,3 +179,11 @@
         }
     }
 }
+
+/// Returns a name that stands for no statement of another session.
+fn unknown(name: String) -> String {
+    if name::is_reserved(&name) {
+        return format!("unknown_{name}");
+    }
+    name
+}
--- a/crates/agateport-node/tests/end_to_end/sessions.rs
+++ b/crates/agateport-node/tests/end_to_end/sessions.rs
@@ -7,6 +7,10 @@
 
 use crate::support::Deployment;
 use crate::transcript::transcripts;
+use agateport_domain::request::name;
+use agateport_wire::postgres::{Backend, Frontend, Upstream};
+use bytes::BytesMut;
+use pgwire::messages::extendedquery::{Bind, Execute, Sync};
 use std::time::Duration;
 use test_case::test_case;
 use tokio_postgres::{Client, NoTls, SimpleQueryMessage};
@@ -142,6 +146,55 @@
     insta::assert_snapshot!(text);
 }
 
+/// SQLSTATE for the name of a statement that is not prepared.
+const NO_SUCH_STATEMENT: &str = "26000";
+
+/// Runs a statement that the session has not prepared, by its name at the upstream; returns
+/// the code of the error.
+async fn run_by_name(deployment: &Deployment, name: &str) -> String {
+    let address = deployment.nodes[0].callers;
+    let mut connection = Upstream::connect(address, "test", "ledger").await.unwrap();
+    let bind = Bind::new(None, Some(name.to_owned()), vec![], vec![], vec![]);
+    let messages = [
+        Frontend::Bind(bind),
+        Frontend::Execute(Execute::new(None, 0)),
+        Frontend::Sync(Sync::new()),
+    ];
+    let mut encoded = BytesMut::new();
+    for message in messages {
+        message.encode(&mut encoded).unwrap();
+    }
+    connection.send(encoded.freeze()).await.unwrap();
+    let mut result = "run".to_owned();
+    loop {
+        match connection.receive().await.unwrap() {
+            Backend::ErrorResponse(error) => {
+                let code = error.fields.iter().find(|(kind, _)| *kind == b'C');
+                result = code.map(|(_, code)| code.clone()).unwrap_or_default();
+            }
+            Backend::ReadyForQuery(_) => return result,
+            _ => {}
+        }
+    }
+}
+
+/// The sessions share a connection, on which the statement of the first is prepared.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn statement_of_another_session_cannot_be_run_by_its_name() {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let client = deployment.connect(0).await;
+    client.batch_execute(CREATE).await.unwrap();
+    let insert = "INSERT INTO stock (id, holder) VALUES (1, 'Mombasa') ON CONFLICT DO NOTHING";
+    let statement = client.prepare(insert).await.unwrap();
+    client.execute(&statement, &[]).await.unwrap();
+    client.batch_execute("DELETE FROM stock").await.unwrap();
+    let name = name::prepared(insert, &[]);
+    let result = run_by_name(&deployment, &name).await;
+    assert_eq!(result, NO_SUCH_STATEMENT);
+    let count = client.query_one("SELECT count(*) FROM stock", &[]).await;
+    assert_eq!(count.unwrap().get::<_, i64>(0), 0);
+}
+
 /// Two texts that the standard library's hasher, which has no secret key, cannot tell apart.
 const SELECT: &str = "SELECT data FROM item WHERE id = $1 -- 73aac187fd5ad716";
 const DELETE: &str = "DELETE FROM item WHERE id = $1 -- 93e702c625d28173";
