metrics: keep names from the bundle within the name of their metric

A priority whose name holds `:`, `|` or a line feed added fields, or a metric of its own, to what is sent to the statsd server.

Cause: the name of a priority is part of a metric's name as it is.

Change: all characters but ASCII letters, digits, `.`, `_` and `-` are replaced by `_`.

Test: metrics::outside_text_stays_in_the_name_of_its_metric.

--- a/crates/agateport-node/src/metrics.rs
+++ b/crates/agateport-node/src/metrics.rs
@@ -38,9 +38,10 @@
         })
     }
 
-    /// Increments the counter named `{kind}.{reason}`.
+    /// Increments the counter named `{kind}.{reason}`. Characters that separate the fields
+    /// or lines of a metric are replaced.
     pub fn count(&self, kind: &str, reason: &str) {
-        let name = format!("{kind}.{reason}");
+        let name = format!("{kind}.{reason}").replace(is_no_part_of_a_name, "_");
         // A metric that cannot be sent is lost; the local counter still includes it.
         let _ = self.client.count(&name, 1);
         self.counts.with(&name, |counts| {
@@ -58,3 +59,7 @@
         all
     }
 }
+
+fn is_no_part_of_a_name(character: char) -> bool {
+    !character.is_ascii_alphanumeric() && !matches!(character, '.' | '_' | '-')
+}
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -3,6 +3,7 @@
 
 mod failover;
 mod keys;
+mod metrics;
 mod operation;
 mod path;
 mod security;
