standin: keep the quotes of literals when a text is split

Tests with an idempotency key that holds quotes failed with `40001 not run: not_primary`, since the stand-in ran another statement than it was sent.

Cause: the stand-in splits a text into statements by its tokens, and joins the texts of the tokens again; those of literals lack the quotes that were doubled.

Change: the tokens keep their literals as they are written. With this the test shows that agateport quotes keys in its own statements.

Test: keys::key_with_quotes_is_a_key.

--- a/crates/agateport-node/tests/end_to_end/keys.rs
+++ b/crates/agateport-node/tests/end_to_end/keys.rs
@@ -63,3 +63,23 @@
     let rows = first.query("SELECT count(*) FROM payments", &[]).await;
     assert_eq!(rows.unwrap()[0].get::<_, i64>(0), 1);
 }
+
+/// Keys are put into statements of agateport's own.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn key_with_quotes_is_a_key() {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let client = deployment.connect(0).await;
+    let texts = [
+        CREATE,
+        "SET agateport.key = ''', '', ''); DROP TABLE payments; --'",
+        "INSERT INTO payments VALUES (1, 100)",
+        "SHOW agateport.outcome",
+        "SET agateport.key = 'a\\'",
+        "INSERT INTO payments VALUES (2, 100)",
+        "SHOW agateport.outcome",
+        "INSERT INTO payments VALUES (3, 100) /* key='''); DROP TABLE payments; --' */",
+        "SELECT count(*) FROM payments",
+        "SELECT name FROM agateport_key ORDER BY name",
+    ];
+    insta::assert_snapshot!(transcripts(&client, &texts).await);
+}
--- a/crates/agateport-standin/src/group/command.rs
+++ b/crates/agateport-standin/src/group/command.rs
@@ -78,7 +78,9 @@
 
 /// Splits the text of a query into statements.
 pub fn split(sql: &str) -> Vec<String> {
-    let Ok(tokens) = Tokenizer::new(&PostgreSqlDialect {}, sql).tokenize() else {
+    // The texts of the tokens are joined again, so literals must keep their quotes.
+    let mut tokenizer = Tokenizer::new(&PostgreSqlDialect {}, sql).with_unescape(false);
+    let Ok(tokens) = tokenizer.tokenize() else {
         return vec![sql.to_owned()];
     };
     let statements = tokens.split(|token| *token == Token::SemiColon);
