setting: replay settings as their caller wrote them

A SET statement could run other statements: the value of a setting held a quote after a backslash, and what followed ran on each connection that the session used. Two quotes in a value became one.

Cause: the settings of a session are applied to its connections as the parser renders them. For a quote after a backslash, and for two quotes, it assumes that they are escaped already, and writes them as they are.

Evidence: with the old code, after SET work_mem = 'a\''; DELETE FROM stock; --' the next statement of the session emptied the table.

Change: the text is cut from the caller's query at the semicolons that the tokenizer finds (request::text). A query that cannot be cut is classified like one that cannot be parsed. The value, for agateport's own settings, is that of the literal.

--- a/crates/agateport-domain/src/request/mod.rs
+++ b/crates/agateport-domain/src/request/mod.rs
@@ -7,6 +7,7 @@
 pub mod setting;
 pub mod statement;
 pub mod tag;
+pub mod text;
 
 pub use error::{Error, Reason, Refusal};
 pub use key::Key;
--- a/crates/agateport-domain/src/request/setting.rs
+++ b/crates/agateport-domain/src/request/setting.rs
@@ -1,6 +1,6 @@
 //! Statements that set, reset or show a setting of the session.
 
-use sqlparser::ast::{ContextModifier, Reset, Set, Statement as Ast};
+use sqlparser::ast::{ContextModifier, Expr, Reset, Set, Statement as Ast};
 
 /// Prefix of the settings that agateport itself handles.
 const OWN_PREFIX: &str = "agateport.";
@@ -14,7 +14,8 @@
         name: String,
         /// Value without its quotes.
         value: String,
-        /// The whole statement, to be replayed on another connection.
+        /// The whole statement as the caller wrote it, to be replayed on another
+        /// connection. The parser's own text of a literal may end at another quote.
         sql: String,
     },
     /// Resets a setting to its default.
@@ -33,11 +34,12 @@
 
 impl Setting {
     /// Returns the operation of a statement on the settings; none if it has none,
-    /// or sets a setting with `SET LOCAL`, which ends with its transaction.
+    /// or sets a setting with `SET LOCAL`, which ends with its transaction. `text` is the
+    /// text of the statement.
     #[must_use]
-    pub fn of(statement: &Ast) -> Option<Self> {
+    pub fn of(statement: &Ast, text: &str) -> Option<Self> {
         match statement {
-            Ast::Set(set) => Self::of_set(set, statement),
+            Ast::Set(set) => Self::of_set(set, text),
             Ast::Reset(reset) => Some(match &reset.reset {
                 Reset::ALL => Self::ResetAll,
                 Reset::ConfigurationParameter(name) => Self::Reset {
@@ -59,8 +61,8 @@
         }
     }
 
-    fn of_set(set: &Set, statement: &Ast) -> Option<Self> {
-        let sql = statement.to_string();
+    fn of_set(set: &Set, text: &str) -> Option<Self> {
+        let sql = text.to_owned();
         match set {
             Set::SingleAssignment {
                 scope: Some(ContextModifier::Local),
@@ -68,16 +70,15 @@
             } => None,
             Set::SingleAssignment {
                 variable, values, ..
-            } => {
-                let values: Vec<_> = values.iter().map(ToString::to_string).collect();
-                Some(Self::Set {
-                    name: variable.to_string().to_lowercase(),
-                    value: unquote(&values.join(", ")),
-                    sql,
-                })
-            }
+            } => Some(Self::Set {
+                name: variable.to_string().to_lowercase(),
+                value: value(values),
+                sql,
+            }),
             _ => {
-                let name = sql.split_whitespace().nth(1).unwrap_or_default();
+                // Comments of the caller are no words of the statement.
+                let plain = set.to_string();
+                let name = plain.split_whitespace().nth(1).unwrap_or_default();
                 Some(Self::Set {
                     name: name.to_lowercase(),
                     value: String::new(),
@@ -99,9 +100,14 @@
     }
 }
 
-fn unquote(text: &str) -> String {
-    let inner = text
-        .strip_prefix('\'')
-        .and_then(|rest| rest.strip_suffix('\''));
-    inner.unwrap_or(text).replace("''", "'")
+/// Returns the value that a statement sets, without quotes if it is a single literal.
+fn value(values: &[Expr]) -> String {
+    let literal = match values {
+        [Expr::Value(literal)] => literal.clone().into_string(),
+        _ => None,
+    };
+    literal.unwrap_or_else(|| {
+        let texts: Vec<_> = values.iter().map(ToString::to_string).collect();
+        texts.join(", ")
+    })
 }
--- a/crates/agateport-domain/src/request/statement.rs
+++ b/crates/agateport-domain/src/request/statement.rs
@@ -2,6 +2,7 @@
 
 use super::setting::Setting;
 use super::tag;
+use super::text;
 use crate::id::PriorityId;
 use serde::{Deserialize, Serialize};
 use sqlparser::ast::{
@@ -74,33 +75,39 @@
     /// not certainly a read, counts as a write.
     #[must_use]
     pub fn parse(sql: &str) -> Self {
-        let key = tag::value(sql, "key");
-        let priority = tag::value(sql, "priority").map(Into::into);
-        let Ok(statements) = Parser::parse_sql(&PostgreSqlDialect {}, sql) else {
-            return Self {
-                kind: Kind::Write,
-                count: 1,
-                leaves_state: true,
-                priority,
-                key,
-                ..Self::default()
-            };
+        let parsed = Parser::parse_sql(&PostgreSqlDialect {}, sql).ok();
+        let classified = parsed.and_then(|statements| Self::classify(sql, &statements));
+        let unknown = || Self {
+            kind: Kind::Write,
+            count: 1,
+            leaves_state: true,
+            ..Self::default()
         };
-        let mut tables = BTreeSet::new();
-        let _: ControlFlow<()> = visit_relations(&statements, |relation| {
-            tables.insert(relation.to_string().to_lowercase());
-            ControlFlow::Continue(())
-        });
         Self {
+            priority: tag::value(sql, "priority").map(Into::into),
+            key: tag::value(sql, "key"),
+            ..classified.unwrap_or_else(unknown)
+        }
+    }
+
+    /// Classifies the statements of a text; none if a setting's text cannot be found in it.
+    fn classify(sql: &str, statements: &[Ast]) -> Option<Self> {
+        let mut tables = BTreeSet::new();
+        for statement in statements {
+            let _: ControlFlow<()> = visit_relations(statement, |relation| {
+                tables.insert(relation.to_string().to_lowercase());
+                ControlFlow::Continue(())
+            });
+        }
+        Some(Self {
             kind: statements.iter().map(kind).max().unwrap_or_default(),
             tables,
             controls: statements.iter().filter_map(control).collect(),
-            settings: statements.iter().filter_map(Setting::of).collect(),
+            settings: settings(sql, statements)?,
             count: statements.len(),
             leaves_state: statements.iter().any(leaves_state),
-            priority,
-            key,
-        }
+            ..Self::default()
+        })
     }
 
     /// Adds the statements of `other`, which run after these.
@@ -133,6 +140,22 @@
     }
 }
 
+/// Returns the effects of statements on the settings; none if the text of a statement that
+/// sets one cannot be found.
+fn settings(sql: &str, statements: &[Ast]) -> Option<Vec<Setting>> {
+    let has_set = statements
+        .iter()
+        .any(|statement| matches!(statement, Ast::Set(_)));
+    let texts = if has_set {
+        text::statements(sql).filter(|texts| texts.len() == statements.len())?
+    } else {
+        vec![""; statements.len()]
+    };
+    let settings = statements.iter().zip(texts);
+    let settings = settings.filter_map(|(statement, text)| Setting::of(statement, text));
+    Some(settings.collect())
+}
+
 fn kind(statement: &Ast) -> Kind {
     match statement {
         Ast::Query(query) if is_read(query) => Kind::Read,
--- a/crates/agateport-node/tests/end_to_end/sessions.rs
+++ b/crates/agateport-node/tests/end_to_end/sessions.rs
@@ -218,3 +218,23 @@
     let count = first.query_one("SELECT count(*) FROM item", &[]).await;
     assert_eq!(count.unwrap().get::<_, i64>(0), 1);
 }
+
+/// A setting is sent again on each connection that its session uses.
+#[tokio::test(flavor = "multi_thread", worker_threads = 2)]
+async fn value_of_a_setting_is_not_run() {
+    let deployment = Deployment::start(1, Duration::ZERO).await;
+    let client = deployment.connect(0).await;
+    let texts = [
+        CREATE,
+        "INSERT INTO stock VALUES (1, 'Mombasa')",
+        "SET work_mem = 'a\\''; DELETE FROM stock; --'",
+        "SHOW work_mem",
+        "SET work_mem = 'a''''b'; SET search_path = 'x;y' /* ; */;;",
+        "SHOW work_mem",
+        "SHOW search_path",
+    ];
+    let mut text = transcripts(&client, &texts).await;
+    let other = deployment.connect(0).await;
+    text.push_str(&transcripts(&other, &["SELECT count(*) FROM stock"]).await);
+    insta::assert_snapshot!(text);
+}
