context: limit what sessions set and prepare

What callers could see: a session that prepared or set without end was always answered with DONE, until its node had no memory left and ended with all its sessions.

Cause: a session's values and prepared statements were plain maps without a bound, and each text held the whole buffer that it was received in.

What exceeds the limit of the session is rejected with MALFORMED, what exceeds that of the node is refused with BUSY and a retry delay; the session and its earlier statements stay usable. Texts are copied out of their buffers.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -1,13 +1,14 @@
 //! A caller's session, from opening to closing.
 
 mod ending;
+mod keeping;
 
 use crate::catalog::Route;
 use crate::clock::uptime;
 use crate::connection::Connection;
+use crate::context::Context;
 use crate::drain::Drain;
 use crate::field::Word;
-use crate::link::{self, Context};
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
 use crate::protocol::Protocol;
 use crate::reply;
@@ -89,13 +90,14 @@
         shutdown: watch::Receiver<bool>,
         drain: Drain,
     ) -> Self {
+        let context = Context::new(runner.upstreams().context_usage().clone());
         Self {
             id: runner.upstreams().trace().next_session(),
             connection,
             runner,
             database: "".into(),
             caller: "".into(),
-            context: Context::default(),
+            context,
             last_write: None,
             transaction: Transaction::None,
             shutdown,
@@ -191,20 +193,12 @@
         }
         match &request.verb {
             Verb::Set { name, value } => {
-                self.context.values.insert(name.clone(), value.clone());
-                self.done()
-            }
-            Verb::Prepare { name, prepared } => {
-                let prepared = prepared.clone();
-                self.context.prepared.insert(name.clone(), prepared);
-                let trace = self.runner.upstreams().trace();
-                trace.record_definition(self.id, &self.database, request);
-                self.done()
+                let kept = self.context.set(name, value);
+                self.answer_kept(kept)
             }
-            Verb::Deallocate { name } => match self.context.prepared.remove(name) {
-                Some(_) => self.done(),
-                None => reply::unprepared(self.state()),
-            },
+            Verb::Prepare { name, prepared } => self.prepare(request, name, prepared),
+            Verb::Deallocate { name } if self.context.deallocate(name) => self.done(),
+            Verb::Deallocate { .. } => reply::unprepared(self.state()),
             Verb::Begin { is_read_only } => self.begin(*is_read_only),
             Verb::Rollback => {
                 self.roll_back();
@@ -213,7 +207,7 @@
             Verb::Commit => self.commit(request).await,
             Verb::Read => self.run_statement(request, Access::Read).await,
             Verb::Write => self.run_statement(request, Access::Write).await,
-            Verb::Execute { .. } => match link::prepared(&self.context, request) {
+            Verb::Execute { .. } => match self.context.prepared(request) {
                 Some(prepared) => self.run_statement(request, prepared.access).await,
                 None => reply::unprepared(self.state()),
             },
--- a/crates/agateport-relay/src/caller/ending.rs
+++ b/crates/agateport-relay/src/caller/ending.rs
@@ -1,7 +1,6 @@
 //! What a session waits for, and how it ends.
 
 use super::{Event, Session, Transaction};
-use crate::link;
 use crate::message::{Access, Answer, Request, State, Verb};
 use crate::metrics::millis;
 use crate::protocol::Protocol;
@@ -118,7 +117,10 @@
         match &request.verb {
             Verb::Read => Some(Access::Read),
             Verb::Write => Some(Access::Write),
-            _ => link::prepared(&self.context, request).map(|prepared| prepared.access),
+            _ => self
+                .context
+                .prepared(request)
+                .map(|prepared| prepared.access),
         }
     }
 
--- a/crates/agateport-relay/src/field.rs
+++ b/crates/agateport-relay/src/field.rs
@@ -46,6 +46,22 @@
     pub fn numbered(number: u64) -> Self {
         Self(format!("s{number}").into())
     }
+
+    /// Returns a copy out of the buffer of the connection that received it. The buffer is
+    /// larger, and would not be freed while a part of it is in use.
+    #[must_use]
+    pub fn detached(&self) -> Self {
+        Self(Bytes::copy_from_slice(&self.0))
+    }
+}
+
+impl Text {
+    /// Returns a copy out of the buffer of the connection that received it. The buffer is
+    /// larger, and would not be freed while a part of it is in use.
+    #[must_use]
+    pub fn detached(&self) -> Self {
+        Self(Bytes::copy_from_slice(&self.0))
+    }
 }
 
 impl TryFrom<Bytes> for Word {
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -56,8 +56,9 @@
     spawn_http(address, router).await
 }
 
-/// Returns the version of the configuration and the ages of what the node knows, in
-/// milliseconds; the age of something that is not known yet is omitted.
+/// Returns the version of the configuration, the size of what the sessions set and
+/// prepared, and the ages of what the node knows, in milliseconds; the age of something
+/// that is not known yet is omitted.
 fn gauges<W: Protocol>(
     upstreams: &Upstreams<W>,
     snapshot: Option<&Snapshot>,
@@ -72,7 +73,10 @@
         .into_iter()
         .filter_map(|(name, age)| Some((name, millis(age?))));
     let version = ("configuration_version", upstreams.catalog().version);
-    ages.chain([version]).collect()
+    let context_bytes = upstreams.context_usage().bytes();
+    let context_bytes = u64::try_from(context_bytes).unwrap_or(u64::MAX);
+    let context_bytes = ("session_context_bytes", context_bytes);
+    ages.chain([version, context_bytes]).collect()
 }
 
 async fn spawn_http(address: SocketAddr, router: Router) -> Result<(), Error> {
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod channel;
 pub mod clock;
 pub mod connection;
+pub mod context;
 pub mod control;
 pub mod currency;
 pub mod drain;
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -2,6 +2,7 @@
 
 pub mod names;
 
+use crate::context::Context;
 use crate::field::{self, Word};
 use crate::message::{
     Answer, Code, Command, Outcome, Part, Prepared, Request, State, Values, Verb,
@@ -56,16 +57,6 @@
     Malformed(#[from] protocol::Error),
 }
 
-/// Values and prepared statements of a session, which a connection needs to run its
-/// statements.
-#[derive(Clone, Debug, Default, Eq, PartialEq)]
-pub struct Context {
-    /// Values of the session, by name.
-    pub values: Values,
-    /// Prepared statements of the session, by the caller's name.
-    pub prepared: BTreeMap<Word, Prepared>,
-}
-
 /// State that a connection needs for a command.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Setup<'a> {
@@ -90,8 +81,8 @@
     #[must_use]
     pub fn new(context: &'a Context, request: Option<&Request>) -> Self {
         Self {
-            values: Some(&context.values),
-            prepared: request.and_then(|request| prepared(context, request).cloned()),
+            values: Some(context.values()),
+            prepared: request.and_then(|request| context.prepared(request).cloned()),
         }
     }
 }
@@ -360,7 +351,7 @@
             text: request.text.clone(),
         });
     };
-    prepared(context, request)?;
+    context.prepared(request)?;
     Some(Command::Execute {
         id: request.id.clone(),
         floor,
@@ -369,15 +360,6 @@
     })
 }
 
-/// Returns the prepared statement that a request executes.
-#[must_use]
-pub fn prepared<'a>(context: &'a Context, request: &Request) -> Option<&'a Prepared> {
-    let Verb::Execute { name, .. } = &request.verb else {
-        return None;
-    };
-    context.prepared.get(name)
-}
-
 impl State {
     /// Returns whether a connection in this state can be used by another session.
     #[must_use]
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -1,5 +1,6 @@
 //! Answers that the node generates itself.
 
+use crate::context;
 use crate::currency::VALIDITY;
 use crate::group::Group;
 use crate::message::{Answer, Code, Outcome, State};
@@ -15,6 +16,10 @@
 /// server ran the statement, or when the refusal suggests no delay.
 const DEFAULT_RETRY_DELAY: Duration = Duration::from_millis(200);
 
+/// Retry delay suggested to a caller whose value or prepared statement the node has no
+/// room for; sessions that end free it.
+const CONTEXT_RETRY_DELAY: Duration = Duration::from_secs(1);
+
 /// Returns how to proceed after an error code which means that nothing was run; none
 /// for other codes.
 #[must_use]
@@ -91,6 +96,16 @@
     Answer::local(Outcome::error(Code::Aborted, text), State::Failed)
 }
 
+/// Returns the answer to a value or prepared statement that exceeds a limit.
+#[must_use]
+pub fn unkept(error: context::Error, state: State) -> Answer {
+    if error.is_temporary() {
+        let answer = busy(&error.to_string(), CONTEXT_RETRY_DELAY);
+        return Answer { state, ..answer };
+    }
+    Answer::local(Outcome::error(Code::Malformed, error.to_string()), state)
+}
+
 /// Returns the answer to a statement that its session has not prepared.
 #[must_use]
 pub fn unprepared(state: State) -> Answer {
--- a/crates/agateport-relay/src/trace.rs
+++ b/crates/agateport-relay/src/trace.rs
@@ -98,7 +98,7 @@
         let Some(omitted) = self.allow("routed", "statement_routed") else {
             return;
         };
-        let (access, shape) = describe(work.context.prepared.get(name));
+        let (access, shape) = describe(work.context.prepared(request));
         tracing::info!(
             event = "statement_routed",
             request = %excerpt(&request.id),
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Catalog;
 use crate::channel;
+use crate::context;
 use crate::currency::{Currencies, Origin};
 use crate::group::Group;
 use crate::metrics::Metrics;
@@ -47,6 +48,8 @@
     ownership: Ownership,
     /// Channels to the owners of servers.
     channels: Arc<channel::Pool>,
+    /// Size of the values and prepared statements of this node's sessions.
+    context_usage: Arc<context::Usage>,
     /// Revision of the registry.
     registry_revision: Mutex<Revision>,
     /// Fingerprint of the registry, for comparison between nodes.
@@ -71,6 +74,7 @@
             catalog_version: watch::Sender::new(0),
             changes: watch::Sender::new(0),
             channels: Arc::default(),
+            context_usage: Arc::default(),
             registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
             trace: Arc::default(),
@@ -371,6 +375,12 @@
         &self.channels
     }
 
+    /// Returns the size of the values and prepared statements of this node's sessions.
+    #[must_use]
+    pub fn context_usage(&self) -> &Arc<context::Usage> {
+        &self.context_usage
+    }
+
     /// Closes connections and channels that were idle for too long.
     pub fn close_idle(&self) {
         self.servers.for_each(|_, server| server.close_idle());
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -1,8 +1,8 @@
 //! The context of a statement and the result of an attempt to run it at a server.
 
 use crate::catalog::Route;
+use crate::context::Context;
 use crate::field::Word;
-use crate::link::Context;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 
