link: limit what a connection to a server keeps

What callers could see: a session that prepares, executes and deallocates ever new statements made its node, and the server, keep all of them for as long as the connection was used, until the process had no memory left.

Cause: the record of what is prepared on a connection only grew, and outlived the session.

Change: what is set and prepared on a connection is an aggregate of its own (`link::content`). At most 256 statements with 32 KiB of shapes are prepared on a connection, or a single larger one; before one more, the connection is reset and the session's values are set again. Within a transaction four times as much is allowed, so that a reset between its statements is rare. What a large session left on an unused connection (64 KiB) is forgotten, and the connection is reset before its next use.

--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -1,7 +1,9 @@
 //! A connection to an upstream server.
 
+pub mod content;
 pub mod names;
 
+use crate::clock::uptime;
 use crate::context::Context;
 use crate::field::{self, Word};
 use crate::message::{
@@ -10,7 +12,7 @@
 use crate::protocol::{self, Protocol};
 use agateport_domain::prelude::*;
 use bytes::BytesMut;
-use names::Names;
+use content::Content;
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::marker::PhantomData;
@@ -94,10 +96,8 @@
     pub id: LinkId,
     stream: TcpStream,
     buffer: BytesMut,
-    /// Values that are set on the connection, by name.
-    values: Values,
-    /// Names of the statements that are prepared on the connection.
-    names: Names,
+    /// What is set and prepared on the connection.
+    content: Content,
     /// When the connection was last released.
     pub idle_since: Uptime,
     protocol: PhantomData<fn() -> W>,
@@ -139,8 +139,7 @@
             id,
             stream,
             buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
-            values: Values::new(),
-            names: Names::default(),
+            content: Content::default(),
             idle_since: Uptime::ZERO,
             protocol: PhantomData,
         };
@@ -190,43 +189,14 @@
     /// Returns the commands that bring the connection into the state of `setup`.
     #[must_use]
     pub fn alignment(&self, setup: &Setup<'_>) -> Vec<Command> {
-        let mut commands = Vec::new();
-        let Some(values) = setup.values else {
-            return commands;
-        };
-        // A value is only removed by a reset, which also drops the prepared statements.
-        let has_extra = self.values.keys().any(|name| !values.contains_key(name));
-        if has_extra {
-            commands.push(Command::Reset);
-        }
-        for (name, value) in values {
-            if has_extra || self.values.get(name) != Some(value) {
-                let (name, value) = (name.clone(), value.clone());
-                commands.push(Command::Set { name, value });
-            }
-        }
-        if let Some(prepared) = &setup.prepared
-            && (has_extra || self.names.get(prepared).is_none())
-        {
-            commands.push(Command::Prepare {
-                name: self.names.next(),
-                prepared: prepared.clone(),
-            });
-        }
-        commands
+        self.content.alignment(setup)
     }
 
     /// Sets the name under which a command executes the prepared statement of `setup`,
     /// which [`Link::align`] has prepared.
     #[must_use]
-    pub fn bind(&self, setup: &Setup<'_>, mut command: Command) -> Command {
-        if let Command::Execute { name, .. } = &mut command {
-            let prepared = setup.prepared.as_ref();
-            let bound = prepared.and_then(|prepared| self.names.get(prepared));
-            // No statement is prepared under this word, so the server would run nothing.
-            *name = bound.unwrap_or_else(Word::absent);
-        }
-        command
+    pub fn bind(&self, setup: &Setup<'_>, command: Command) -> Command {
+        self.content.bind(setup, command)
     }
 
     /// Returns the number of commands needed to set a session's values. The idle
@@ -250,7 +220,8 @@
         let mut answers = Vec::with_capacity(commands.len());
         for command in commands {
             let answer = self.answer().await?;
-            self.record(command, matches!(answer.outcome, Outcome::Done(_)));
+            let is_done = matches!(answer.outcome, Outcome::Done(_));
+            self.content.record(command, is_done, answer.state);
             answers.push(answer);
         }
         Ok(answers)
@@ -264,25 +235,16 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Marks the connection as unused from now on.
+    pub fn rest(&mut self) {
+        self.idle_since = uptime();
+        self.content.shed();
+    }
+
     /// Marks all prepared statements as missing, after the server rejected one as
     /// unknown.
     pub fn forget_prepared(&mut self) {
-        self.names.clear();
-    }
-
-    /// Records the effect of a command on the connection's state.
-    fn record(&mut self, command: &Command, is_done: bool) {
-        match command {
-            Command::Reset if is_done => {
-                self.values.clear();
-                self.names.clear();
-            }
-            Command::Set { name, value } if is_done => {
-                self.values.insert(name.clone(), value.clone());
-            }
-            Command::Prepare { prepared, .. } => self.names.record(prepared.clone(), is_done),
-            _ => {}
-        }
+        self.content.forget_prepared();
     }
 
     async fn send(&mut self, commands: &[Command]) -> Result<(), Error> {
--- a/crates/agateport-relay/src/link/names.rs
+++ b/crates/agateport-relay/src/link/names.rs
@@ -1,9 +1,20 @@
 //! Names of the statements that are prepared on a connection.
 
 use crate::field::Word;
-use crate::message::Prepared;
+use crate::message::{Prepared, State};
 use agateport_domain::prelude::*;
 
+/// Maximum number of statements that are prepared on a connection.
+pub const MAX_PREPARED: usize = 256;
+
+/// Maximum size of the shapes of the statements that are prepared on a connection in
+/// bytes. A single statement may be larger.
+pub const MAX_PREPARED_BYTES: usize = 32 << 10;
+
+/// Factor by which a transaction may exceed these limits, so that it hardly ever needs a
+/// reset between its statements.
+pub const TRANSACTION_FACTOR: usize = 4;
+
 /// Number of a name, unique on its connection.
 type NameId = u64;
 
@@ -15,6 +26,8 @@
 pub struct Names {
     prepared: BTreeMap<Prepared, NameId>,
     last: NameId,
+    /// Size of the shapes in bytes.
+    bytes: usize,
 }
 
 impl Names {
@@ -35,12 +48,36 @@
     pub fn record(&mut self, prepared: Prepared, is_done: bool) {
         self.last += 1;
         if is_done {
-            self.prepared.insert(prepared, self.last);
+            let size = prepared.shape.len();
+            if self.prepared.insert(prepared, self.last).is_none() {
+                self.bytes += size;
+            }
         }
     }
 
+    /// Returns whether a statement is prepared, or can be without exceeding the limits of a
+    /// connection in this transaction state.
+    #[must_use]
+    pub fn has_room(&self, prepared: &Prepared, state: State) -> bool {
+        let factor = if state.is_idle() {
+            1
+        } else {
+            TRANSACTION_FACTOR
+        };
+        let is_within = self.prepared.len() < MAX_PREPARED * factor
+            && self.bytes + prepared.shape.len() <= MAX_PREPARED_BYTES * factor;
+        is_within || self.prepared.is_empty() || self.prepared.contains_key(prepared)
+    }
+
+    /// Returns the number of prepared statements and the size of their shapes in bytes.
+    #[must_use]
+    pub fn size(&self) -> (usize, usize) {
+        (self.prepared.len(), self.bytes)
+    }
+
     /// Records that no statement is prepared any more.
     pub fn clear(&mut self) {
         self.prepared.clear();
+        self.bytes = 0;
     }
 }
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -312,7 +312,7 @@
 
     /// Takes back a connection that is outside of a transaction, for reuse.
     pub fn release_link(&self, mut link: Link<W>) {
-        link.idle_since = uptime();
+        link.rest();
         self.lock().idle.push(link);
     }
 
