link: end a statement whose value or shape a server rejects

What callers saw: after an acknowledged SET whose value the server rejects, each later statement of the session was answered with BUSY after four attempts, each of which closed its connection to the server, without end; in a transaction with ABORTED. The same after an acknowledged PREPARE of such a shape.

Cause: an error in reply to a SET or PREPARE that a node sends for a session counted as a broken connection. The statement was tried elsewhere, and the connection was closed.

Change: such an error ends the statement, which was not sent, with MALFORMED and what the server rejected. Nothing is tried elsewhere; the transaction stays as the server reports it, and a COMMIT that was not sent rolls back (ABORTED). BUSY and other errors that do not depend on the value are passed on as the server's answer, and are tried elsewhere as before. The connection stays in use: what it has for a rejected value is unknown, so the value is set again, or the connection is reset for a session without it. A lender answers in the same way, with the messages that nodes exchange already.

In tests/content.rs the property fails if a rejected value is not recorded as unknown, and passes with the change.

--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -2,6 +2,7 @@
 
 pub mod content;
 pub mod names;
+pub mod rejection;
 
 use crate::clock::uptime;
 use crate::context::Context;
@@ -13,6 +14,7 @@
 use agateport_domain::prelude::*;
 use bytes::BytesMut;
 use content::Content;
+use rejection::{Alignment, Rejection};
 use socket2::{SockRef, TcpKeepalive};
 use std::io;
 use std::marker::PhantomData;
@@ -160,30 +162,27 @@
         }
     }
 
-    /// Brings the connection into the state that a command needs, and returns the
-    /// commands that this took.
+    /// Brings the connection into the state that a command needs. If the server rejects a
+    /// part of that, the connection has another state, but stays usable.
     ///
     /// # Errors
     ///
     /// [`enum@Error`] if the connection is unusable; no statement was run.
-    pub async fn align(&mut self, setup: &Setup<'_>) -> Result<Vec<Command>, Error> {
+    pub async fn align(&mut self, setup: &Setup<'_>) -> Result<Alignment, Error> {
         let commands = self.alignment(setup);
         if commands.is_empty() {
-            return Ok(commands);
+            return Ok(Alignment::default());
         }
         let answers = self.exchange(&commands).await?;
-        let is_done = |answer: &Answer| matches!(answer.outcome, Outcome::Done(_));
-        if answers.iter().all(is_done) {
-            return Ok(commands);
+        let alignment = Alignment::new(commands, answers);
+        if alignment
+            .rejection
+            .as_ref()
+            .is_some_and(Rejection::is_of_reset)
+        {
+            return Err(protocol::Error::Malformed("error in reply to a reset").into());
         }
-        tracing::warn!(
-            event = "alignment_failed",
-            "a server rejected a session's value or prepared statement"
-        );
-        Err(
-            protocol::Error::Malformed("error in reply to a session's value or prepared statement")
-                .into(),
-        )
+        Ok(alignment)
     }
 
     /// Returns the commands that bring the connection into the state of `setup`.
--- a/crates/agateport-relay/src/link/content.rs
+++ b/crates/agateport-relay/src/link/content.rs
@@ -2,8 +2,9 @@
 
 use super::Setup;
 use super::names::Names;
-use crate::field::Word;
+use crate::field::{Text, Word};
 use crate::message::{Command, State, Values};
+use agateport_domain::prelude::*;
 
 /// Maximum size in bytes of what is remembered of an unused connection. A node has many,
 /// and what a session set or prepared stays on them after it has ended.
@@ -12,8 +13,9 @@
 /// What is set and prepared on a connection.
 #[derive(Debug, Default)]
 pub struct Content {
-    /// Values that are set, by name.
-    values: Values,
+    /// Values that are set, by name; none if the server rejected the last one, and may have
+    /// an earlier one.
+    values: BTreeMap<Word, Option<Text>>,
     /// Names of the statements that are prepared.
     names: Names,
     /// Transaction state after the last answer.
@@ -35,7 +37,7 @@
             commands.push(Command::Reset);
         }
         for (name, value) in values {
-            if is_reset || self.values.get(name) != Some(value) {
+            if is_reset || self.value(name) != Some(value) {
                 let (name, value) = (name.clone(), value.clone());
                 commands.push(Command::Set { name, value });
             }
@@ -51,6 +53,10 @@
         commands
     }
 
+    fn value(&self, name: &Word) -> Option<&Text> {
+        self.values.get(name)?.as_ref()
+    }
+
     /// Returns whether the connection must be reset, which drops its values and its
     /// prepared statements. A value is only removed in this way.
     fn needs_reset(&self, setup: &Setup<'_>, values: &Values) -> bool {
@@ -88,7 +94,9 @@
     pub fn shed(&mut self) {
         let (_, prepared) = self.names.size();
         let values = self.values.iter();
-        let values: usize = values.map(|(name, value)| name.len() + value.len()).sum();
+        let values: usize = values
+            .map(|(name, value)| name.len() + value.as_ref().map_or(0, |value| value.len()))
+            .sum();
         if prepared + values > MAX_IDLE_BYTES {
             self.values.clear();
             self.names.clear();
@@ -106,8 +114,9 @@
                 self.names.clear();
                 self.is_incomplete = false;
             }
-            Command::Set { name, value } if is_done => {
-                self.values.insert(name.clone(), value.clone());
+            Command::Set { name, value } => {
+                let value = is_done.then(|| value.clone());
+                self.values.insert(name.clone(), value);
             }
             Command::Prepare { prepared, .. } => self.names.record(prepared.clone(), is_done),
             _ => {}
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -81,7 +81,8 @@
 }
 
 impl<W: Protocol> Permit<W> {
-    /// Executes one command, after its connection has been set up for it.
+    /// Executes one command, after its connection has been set up for it. If the server
+    /// rejects the setup, the answer says so, and the command is not sent.
     ///
     /// # Errors
     ///
@@ -152,6 +153,9 @@
         request: command.id(),
     };
     server.trace().record_alignment(&site, &aligned);
+    if let Some(rejection) = aligned.rejection {
+        return Ok(rejection.into_answer());
+    }
     let prepared = setup.prepared.as_ref();
     server.trace().record_execution(&site, &command, prepared);
     let commands = std::slice::from_ref(&command);
--- a/crates/agateport-relay/src/trace.rs
+++ b/crates/agateport-relay/src/trace.rs
@@ -1,6 +1,7 @@
 //! Logs and counts prepared statements, from the caller's name to the name at a server.
 
 use crate::field::Word;
+use crate::link::rejection::{Alignment, Rejection};
 use crate::message::{Access, Command, Prepared, Request, Verb};
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
@@ -114,9 +115,10 @@
         );
     }
 
-    /// Records what a connection was sent to bring it into the state for a request.
-    pub fn record_alignment<W: Protocol>(&self, site: &Site<'_, W>, commands: &[Command]) {
-        for command in commands {
+    /// Records what a connection was sent to bring it into the state for a request, and
+    /// what the server rejected of that.
+    pub fn record_alignment<W: Protocol>(&self, site: &Site<'_, W>, aligned: &Alignment) {
+        for command in &aligned.accepted {
             match command {
                 Command::Reset => self.record_reset(site),
                 Command::Prepare { name, prepared } => {
@@ -125,6 +127,25 @@
                 _ => {}
             }
         }
+        if let Some(rejection) = &aligned.rejection {
+            self.record_rejection(site, rejection);
+        }
+    }
+
+    fn record_rejection<W: Protocol>(&self, site: &Site<'_, W>, rejection: &Rejection) {
+        let Some(omitted) = self.allow("rejected", "alignment_failed") else {
+            return;
+        };
+        tracing::info!(
+            event = "alignment_failed",
+            request = %site.request(),
+            server = &*site.server.entry().server,
+            connection = site.link,
+            code = rejection.code(),
+            reason = %rejection,
+            omitted,
+            "a server rejected a value or prepared statement, and the statement was not sent"
+        );
     }
 
     fn record_reset<W: Protocol>(&self, site: &Site<'_, W>) {
@@ -234,8 +255,8 @@
     (access, shape)
 }
 
-/// Returns the start of a caller's text with all bytes but printable ASCII escaped, so
-/// that the log shows blanks, line ends and invalid UTF-8 as they are.
-fn excerpt(text: &[u8]) -> EscapeAscii<'_> {
+/// Returns the start of a text from outside with all bytes but printable ASCII escaped, so
+/// that blanks, line ends and invalid UTF-8 are shown as they are.
+pub(crate) fn excerpt(text: &[u8]) -> EscapeAscii<'_> {
     text.get(..MAX_EXCERPT).unwrap_or(text).escape_ascii()
 }
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -5,7 +5,7 @@
 use crate::group::Group;
 use crate::lease::wait_before_acknowledge;
 use crate::link::{self, Setup};
-use crate::message::{Access, Answer, Command, Outcome, Request, State};
+use crate::message::{Access, Answer, Code, Command, Outcome, Request, State};
 use crate::permit::Permit;
 use crate::placement::Placement;
 use crate::protocol::Protocol;
@@ -51,7 +51,7 @@
             let group = &group;
             async move { self.try_begin(group, &server, work, is_read_only).await }
         })
-        .await
+        .await?
     }
 
     /// Attempts to open a transaction at one server.
@@ -61,7 +61,7 @@
         server: &Arc<Server<W>>,
         work: &Work<'_>,
         is_read_only: bool,
-    ) -> Attempt<Pinned<W>> {
+    ) -> Attempt<Result<Pinned<W>, Answer>> {
         let access = if is_read_only {
             Access::Read
         } else {
@@ -86,15 +86,19 @@
             return Attempt::Failed(Failure::Retry("the connection broke"));
         };
         if answer.state == State::Open {
-            return Attempt::Finished(Pinned {
+            return Attempt::Finished(Ok(Pinned {
                 permit,
                 server: server.clone(),
                 group: group.clone(),
                 has_written: false,
-            });
+            }));
         }
         let failure = answer.code().and_then(failure);
         permit.release(answer.state);
+        if answer.code() == Some(&Code::Malformed) {
+            // The server rejected a value of the session, as any other one would.
+            return Attempt::Finished(Err(answer));
+        }
         Attempt::Failed(failure.unwrap_or(Failure::NextServer("the server opened no transaction")))
     }
 
@@ -163,6 +167,12 @@
             ..
         } = pinned;
         permit.release(answer.state);
+        if let (State::Open, Outcome::Error { code, text }) = (answer.state, &answer.outcome)
+            && *code == Code::Malformed
+        {
+            // The transaction ends with its connection.
+            return aborted(&String::from_utf8_lossy(text));
+        }
         let is_done = matches!(answer.outcome, Outcome::Done(_));
         if has_written
             && is_done
--- a/crates/agateport-relay/tests/content.rs
+++ b/crates/agateport-relay/tests/content.rs
@@ -120,6 +120,9 @@
     insta::assert_snapshot!(transcript);
 }
 
+/// Value that the server rejects; it may then have any value.
+const REJECTED: &str = "2";
+
 /// What a session needs of a connection: the numbers of its values and its statement.
 type Need = (BTreeMap<u8, u8>, Option<(u8, usize)>);
 
@@ -133,8 +136,8 @@
 proptest! {
     #![proptest_config(ProptestConfig::with_cases(64))]
 
-    /// After each alignment a server has exactly the values of the session and its
-    /// statement, and no more statements than the limits allow.
+    /// After each alignment in which no value was rejected, a server has exactly the values
+    /// of the session and its statement, and no more statements than the limits allow.
     #[test]
     fn a_connection_has_what_the_session_needs(needs in prop::collection::vec((need(), any::<bool>(), any::<bool>()), 0..30)) {
         let mut content = Content::default();
@@ -147,12 +150,18 @@
                 .collect();
             let statement = statement.map(|(number, length)| read(number.to_string().repeat(length)));
             let setup = Setup { values: Some(&values), prepared: statement.clone() };
-            for command in align(&mut content, &setup, state) {
+            let rejected = text(REJECTED);
+            for command in content.alignment(&setup) {
+                let is_rejected = matches!(&command, Command::Set { value, .. } if *value == rejected);
+                content.record(&command, !is_rejected, state);
                 match command {
                     Command::Reset => {
                         set.clear();
                         prepared.clear();
                     }
+                    Command::Set { name, .. } if is_rejected => {
+                        set.insert(name, text("unknown"));
+                    }
                     Command::Set { name, value } => {
                         set.insert(name, value);
                     }
@@ -162,7 +171,14 @@
                     other => prop_assert!(false, "{:?}", other),
                 }
             }
-            prop_assert_eq!(&set, &values);
+            // A rejected value is set again until it is accepted or gone.
+            let missing = values.iter().filter(|(_, value)| **value == rejected);
+            let missing = missing.map(|(name, value)| Command::Set { name: name.clone(), value: value.clone() });
+            let missing: Vec<_> = missing.collect();
+            prop_assert_eq!(content.alignment(&setup), missing.as_slice());
+            if missing.is_empty() {
+                prop_assert_eq!(&set, &values);
+            }
             if let Some(statement) = statement {
                 let name = content.names().get(&statement).expect("the statement is prepared");
                 prop_assert_eq!(prepared.get(&name), Some(&statement));
