standin: replicate savepoints

Cause: the log of the stand-in for PostgreSQL held the statements of a transaction that change data, but not those that set savepoints and roll back to them, as SQLite calls these read-only. A replica thus applied an insert that the primary had rolled back: it counted 2, the primary 1.

Evidence: the statements of the test; PostgreSQL does not commit an insert that was rolled back to a savepoint, so 1 is the right count, at every server.

Change: savepoint statements of a transaction at the primary are part of its entry, and make none on their own.

--- a/crates/agateport-standin/src/group/session/execute.rs
+++ b/crates/agateport-standin/src/group/session/execute.rs
@@ -293,7 +293,10 @@
 
     fn commit_transaction(&mut self) -> Result<(), Failure> {
         let statements = std::mem::take(&mut self.statements);
-        if let (Some(guard), false) = (self.guard.take(), statements.is_empty()) {
+        let has_changes = statements
+            .iter()
+            .any(|statement| !is_savepoint(&first_word(&statement.sql)));
+        if let (Some(guard), true) = (self.guard.take(), has_changes) {
             match self.server.commit(&self.connection, statements, &guard) {
                 Ok(Ok(last)) => self.committed = Some(last),
                 Ok(Err(rejection)) => {
@@ -338,7 +341,8 @@
                 return Err(error.into());
             }
         };
-        if !is_read_only {
+        // Replicas must roll back to the same savepoints.
+        if !is_read_only || (is_savepoint(&word) && self.guard.is_some()) {
             self.statements.push(statement);
         }
         if is_autocommit {
@@ -361,6 +365,12 @@
     word.to_uppercase()
 }
 
+/// Returns whether a statement that begins with this word sets, releases or rolls back to a
+/// savepoint. Other forms of ROLLBACK end a transaction and are no SQL for the database.
+fn is_savepoint(word: &str) -> bool {
+    matches!(word, "RELEASE" | "ROLLBACK" | "SAVEPOINT")
+}
+
 fn command_tag(word: &str, rows: &Rows) -> String {
     match word {
         "SELECT" | "VALUES" | "WITH" => format!("SELECT {}", rows.values.len()),
