platform: encode keys in the paths of table and object calls

The record of the primary of a group `a?b` or `a#b` was read from the row of the group `a`, so two groups could have read one record.

Cause: a key with the name of a group, which the bundle may choose freely, was put into a path as it is.

Change: all bytes but letters, digits, `-`, `.`, `_`, `~` and `/` are percent-encoded.

Test: platform::a_key_is_read_as_it_is.

--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -6,6 +6,7 @@
 mod metrics;
 mod operation;
 mod path;
+mod platform;
 mod security;
 mod sessions;
 mod support;
--- a/crates/agateport-wire/src/platform.rs
+++ b/crates/agateport-wire/src/platform.rs
@@ -6,6 +6,7 @@
 use rand_pcg::Pcg64Mcg;
 use reqwest::{Client, RequestBuilder, Response, StatusCode};
 use serde::{Deserialize, Serialize};
+use std::fmt::Write;
 use std::net::SocketAddr;
 use std::sync::{Arc, Mutex, MutexGuard, PoisonError};
 use std::time::{Duration, Instant};
@@ -113,7 +114,7 @@
     ///
     /// [`Error`] if the request fails.
     pub async fn row(&self, key: &str) -> Result<Option<Row>, Error> {
-        let response = self.get(&format!("table/{key}")).await?;
+        let response = self.get(&format!("table/{}", encode(key))).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -139,7 +140,7 @@
     ///
     /// [`Error`] if the request fails.
     pub async fn object(&self, key: &str) -> Result<Option<Vec<u8>>, Error> {
-        let response = self.get(&format!("object/{key}")).await?;
+        let response = self.get(&format!("object/{}", encode(key))).await?;
         if response.status() == StatusCode::NOT_FOUND {
             return Ok(None);
         }
@@ -152,7 +153,7 @@
     ///
     /// [`Error`] if the request fails.
     pub async fn put_object(&self, key: &str, bytes: Vec<u8>) -> Result<(), Error> {
-        let url = format!("{}/object/{key}", self.base);
+        let url = format!("{}/object/{}", self.base, encode(key));
         let request = self.client.put(url).body(bytes);
         check_status(self.send(request).await?)?;
         Ok(())
@@ -199,3 +200,18 @@
         status => Err(Error::Status(status)),
     }
 }
+
+/// Encodes a key as a part of a path. Keys hold names of groups, which may be any text.
+fn encode(key: &str) -> String {
+    let mut path = String::new();
+    for byte in key.bytes() {
+        match byte {
+            b'a'..=b'z' | b'A'..=b'Z' | b'0'..=b'9' | b'-' | b'.' | b'_' | b'~' | b'/' => {
+                path.push(char::from(byte));
+            }
+            // Writing to a string cannot fail.
+            _ => drop(write!(path, "%{byte:02X}")),
+        }
+    }
+    path
+}
