transaction: keep its promises, and run nothing outside of it

Found by a review of the fixes; no caller reported it. In a transaction, a value that the server rejected with BUSY was answered BUSY with the transaction still open, and COMMIT then kept an earlier write, although BUSY promises that nothing is kept (REFUSED). A COMMIT whose value failed the transaction was answered MALFORMED. If a server ended the transaction in reply to a value, the next statement ran outside of it (PINNED). A connection could be reset within a transaction.

Cause: the state that the server reports after a connection was set up was not compared with the state before, and an answer that was not sent by a statement took the way of one that was.

Change: a rejection within a transaction is answered ABORTED in each state of the server. A command is not sent if the state has changed before it. A promise of the server fails the transaction (READY E); an unknown prepared statement is ABORTED, as its preparation was acknowledged. A statement after which no transaction is open is ABORTED, or UNKNOWN for a write that was done. Within a transaction a connection is never reset: it may hold what a session may keep. After a server lost a prepared statement, the connection is reset before its next use.

--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -56,6 +56,10 @@
     /// The name of the server or of its group is not a single field.
     #[error("unusable name: {0}")]
     Unnamed(#[from] field::Error),
+    /// A connection cannot be reset within a transaction, which has too many prepared
+    /// statements.
+    #[error("too many statements were prepared within a transaction")]
+    Full,
     /// The server's answer is malformed or unexpected.
     #[error("invalid answer from the server: {0}")]
     Malformed(#[from] protocol::Error),
@@ -173,6 +177,9 @@
         if commands.is_empty() {
             return Ok(Alignment::default());
         }
+        if commands.contains(&Command::Reset) && !self.state().is_idle() {
+            return Err(Error::Full);
+        }
         let answers = self.exchange(&commands).await?;
         let alignment = Alignment::new(commands, answers);
         if alignment
@@ -234,6 +241,12 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns the transaction state after the last answer.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.content.state()
+    }
+
     /// Marks the connection as unused from now on.
     pub fn rest(&mut self) {
         self.idle_since = uptime();
--- a/crates/agateport-relay/src/link/content.rs
+++ b/crates/agateport-relay/src/link/content.rs
@@ -84,9 +84,17 @@
         &self.names
     }
 
-    /// Marks all prepared statements as missing.
+    /// Returns the transaction state after the last answer.
+    #[must_use]
+    pub fn state(&self) -> State {
+        self.state
+    }
+
+    /// Marks all prepared statements as missing. The server may still have some of them, so
+    /// the connection is reset before its next use.
     pub fn forget_prepared(&mut self) {
         self.names.clear();
+        self.is_incomplete = true;
     }
 
     /// Forgets the content if it is too large for an unused connection, which is then reset
--- a/crates/agateport-relay/src/link/names.rs
+++ b/crates/agateport-relay/src/link/names.rs
@@ -1,5 +1,6 @@
 //! Names of the statements that are prepared on a connection.
 
+use crate::context::{MAX_ENTRIES, MAX_SESSION_BYTES};
 use crate::field::Word;
 use crate::message::{Prepared, State};
 use agateport_domain::prelude::*;
@@ -11,10 +12,6 @@
 /// bytes. A single statement may be larger.
 pub const MAX_PREPARED_BYTES: usize = 32 << 10;
 
-/// Factor by which a transaction may exceed these limits, so that it hardly ever needs a
-/// reset between its statements.
-pub const TRANSACTION_FACTOR: usize = 4;
-
 /// Number of a name, unique on its connection.
 type NameId = u64;
 
@@ -59,13 +56,14 @@
     /// connection in this transaction state.
     #[must_use]
     pub fn has_room(&self, prepared: &Prepared, state: State) -> bool {
-        let factor = if state.is_idle() {
-            1
+        // A connection cannot be reset within a transaction, which may need all statements
+        // of its session.
+        let (count, bytes) = if state.is_idle() {
+            (MAX_PREPARED, MAX_PREPARED_BYTES)
         } else {
-            TRANSACTION_FACTOR
+            (MAX_ENTRIES, MAX_SESSION_BYTES)
         };
-        let is_within = self.prepared.len() < MAX_PREPARED * factor
-            && self.bytes + prepared.shape.len() <= MAX_PREPARED_BYTES * factor;
+        let is_within = self.prepared.len() < count && self.bytes + prepared.shape.len() <= bytes;
         is_within || self.prepared.is_empty() || self.prepared.contains_key(prepared)
     }
 
--- a/crates/agateport-relay/src/link/rejection.rs
+++ b/crates/agateport-relay/src/link/rejection.rs
@@ -1,6 +1,6 @@
 //! A session's value or prepared statement that a server rejected.
 
-use crate::message::{Answer, Code, Command, Outcome};
+use crate::message::{Answer, Code, Command, Outcome, State};
 use crate::reply;
 use crate::trace::excerpt;
 use std::fmt;
@@ -57,12 +57,17 @@
         self.answer.code().map_or("done", Code::name)
     }
 
-    /// Returns the answer to the statement that was not sent.
+    /// Returns the answer to the statement that was not sent, on a connection that was in
+    /// `state` before.
     ///
-    /// An error that does not depend on the value is passed on, so that the statement is
-    /// tried elsewhere. Otherwise the answer says what was rejected.
+    /// A transaction is rolled back: the session's later statements need the value too.
+    /// Otherwise an error that does not depend on the value is passed on, so that the
+    /// statement is tried elsewhere, and any other answer says what was rejected.
     #[must_use]
-    pub fn into_answer(self) -> Answer {
+    pub fn into_answer(self, state: State) -> Answer {
+        if !state.is_idle() {
+            return reply::aborted(&format!("not run: {self}"));
+        }
         let outcome = match self.answer.code() {
             Some(Code::Failed | Code::Malformed | Code::Other(_)) => {
                 Outcome::error(Code::Malformed, format!("not run: {self}"))
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -142,6 +142,7 @@
     setup: &Setup<'_>,
     command: Command,
 ) -> Result<Answer, exchange::Failure> {
+    let state = link.state();
     let aligned = link.align(setup).await.map_err(|error| {
         tracing::debug!(%error, "a connection could not be set up for a session");
         exchange::Failure::Unsent
@@ -154,7 +155,11 @@
     };
     server.trace().record_alignment(&site, &aligned);
     if let Some(rejection) = aligned.rejection {
-        return Ok(rejection.into_answer());
+        return Ok(rejection.into_answer(state));
+    }
+    if link.state() != state {
+        // The server ended the transaction, so the command would run outside of it.
+        return Err(exchange::Failure::Unsent);
     }
     let prepared = setup.prepared.as_ref();
     server.trace().record_execution(&site, &command, prepared);
--- a/crates/agateport-relay/src/transaction.rs
+++ b/crates/agateport-relay/src/transaction.rs
@@ -131,9 +131,12 @@
             Err(exchange::Failure::TimedOut) => return (None, aborted("the server took too long")),
             Err(_) => return (None, aborted("the connection broke")),
         };
+        if answer.state.is_idle() {
+            return (None, ended(&answer, access));
+        }
         pinned.permit.pause();
         pinned.has_written |= access == Access::Write;
-        (Some(pinned), answer)
+        (Some(pinned), keep_promise(answer))
     }
 
     /// Commits a transaction.
@@ -167,12 +170,6 @@
             ..
         } = pinned;
         permit.release(answer.state);
-        if let (State::Open, Outcome::Error { code, text }) = (answer.state, &answer.outcome)
-            && *code == Code::Malformed
-        {
-            // The transaction ends with its connection.
-            return aborted(&String::from_utf8_lossy(text));
-        }
         let is_done = matches!(answer.outcome, Outcome::Done(_));
         if has_written
             && is_done
@@ -192,3 +189,25 @@
         }
     }
 }
+
+/// Returns the answer to a statement after which the server has no transaction open.
+fn ended(answer: &Answer, access: Access) -> Answer {
+    let reason = "the server ended the transaction";
+    match answer.outcome {
+        // The server may have run the write on its own.
+        Outcome::Done(_) if access == Access::Write => unknown(reason),
+        _ => aborted(reason),
+    }
+}
+
+/// Fails the transaction if the answer promises that nothing is kept of what the caller tried.
+fn keep_promise(answer: Answer) -> Answer {
+    match answer.code() {
+        Some(Code::NoStatement) => aborted("the statement had to be prepared again"),
+        Some(code) if failure(code).is_some() => Answer {
+            state: State::Failed,
+            ..answer
+        },
+        _ => answer,
+    }
+}
--- a/crates/agateport-relay/tests/content.rs
+++ b/crates/agateport-relay/tests/content.rs
@@ -1,10 +1,10 @@
 //! Rules of what is set and prepared on a connection that sessions share.
 
 use agateport_domain::prelude::*;
+use agateport_relay::context::{MAX_ENTRIES, MAX_SESSION_BYTES};
 use agateport_relay::field::{Text, Word};
 use agateport_relay::link::Setup;
 use agateport_relay::link::content::{Content, MAX_IDLE_BYTES};
-use agateport_relay::link::names::{MAX_PREPARED, MAX_PREPARED_BYTES, TRANSACTION_FACTOR};
 use agateport_relay::message::{Access, Command, Prepared, State, Values};
 use bytes::Bytes;
 use proptest::prelude::*;
@@ -71,7 +71,7 @@
         if !matches!(commands[..], [Command::Prepare { .. }]) {
             return format!("statement {number}: {}", describe(&commands));
         }
-        assert!(number <= 2 * TRANSACTION_FACTOR * MAX_PREPARED, "no limit");
+        assert!(number <= 2 * MAX_ENTRIES, "no limit");
     }
     String::new()
 }
@@ -185,8 +185,8 @@
             }
             let (count, bytes) = content.names().size();
             prop_assert_eq!(count, prepared.len());
-            prop_assert!(count <= MAX_PREPARED * TRANSACTION_FACTOR);
-            prop_assert!(count <= 1 || bytes <= MAX_PREPARED_BYTES * TRANSACTION_FACTOR);
+            prop_assert!(count <= MAX_ENTRIES);
+            prop_assert!(count <= 1 || bytes <= MAX_SESSION_BYTES);
             if is_released {
                 content.shed();
                 let (_, bytes) = content.names().size();
