context: leave each session a small share of the node's limit

Callers could see: sessions with large prepared statements could use up the limit of their node, and SET or PREPARE of any other session was then refused with BUSY, after which its client closes it.

Change: the first 2 KiB of a session do not count towards the limit of the node.

--- a/crates/agateport-relay/src/context.rs
+++ b/crates/agateport-relay/src/context.rs
@@ -18,6 +18,10 @@
 /// bytes; the smallest nodes have 160 MB of memory.
 pub const MAX_NODE_BYTES: usize = 32 << 20;
 
+/// Size in bytes of a session's values and prepared statements that does not count towards
+/// the limit of the node, so that sessions with many cannot keep others from a few.
+pub const FREE_BYTES: usize = 2 << 10;
+
 /// Size in bytes that is counted for each entry besides its texts: that of the map's
 /// entry and of two allocations.
 pub const ENTRY_BYTES: usize = 128;
@@ -168,9 +172,9 @@
         let Some(prepared) = self.prepared.remove(name) else {
             return false;
         };
-        let freed = size(name, &prepared.shape);
-        self.bytes -= freed;
-        self.usage.subtract(freed);
+        let bytes = self.bytes - size(name, &prepared.shape);
+        self.usage.subtract(shared(self.bytes) - shared(bytes));
+        self.bytes = bytes;
         true
     }
 
@@ -184,9 +188,10 @@
         if bytes > MAX_SESSION_BYTES {
             return Err(Error::TooLarge);
         }
-        if size <= former {
-            self.usage.subtract(former - size);
-        } else if !self.usage.add(size - former) {
+        let (before, after) = (shared(self.bytes), shared(bytes));
+        if after <= before {
+            self.usage.subtract(before - after);
+        } else if !self.usage.add(after - before) {
             return Err(Error::NodeFull);
         }
         self.bytes = bytes;
@@ -196,10 +201,15 @@
 
 impl Drop for Context {
     fn drop(&mut self) {
-        self.usage.subtract(self.bytes);
+        self.usage.subtract(shared(self.bytes));
     }
 }
 
+/// Returns the part of a session's size that counts towards the limit of the node.
+fn shared(bytes: usize) -> usize {
+    bytes.saturating_sub(FREE_BYTES)
+}
+
 /// Returns the size in bytes that counts for an entry.
 fn size(name: &Word, text: &Text) -> usize {
     name.len() + text.len() + ENTRY_BYTES
