standin: wait for the last session when a server is stopped

transactions::transaction_whose_upstream_is_lost failed now and then beside load. In the traced run the `INSERT` and the `SELECT` after the stop were still answered, and the `ROLLBACK` had an unknown outcome.

Cause: dropping a server only asks its tasks to end. In the trace the replicas lost it at .140, and its session ran the next two statements at .141 and .142.

Change: Running::stop waits for all tasks and sessions, and the test uses it.

--- a/crates/agateport-node/tests/end_to_end/support.rs
+++ b/crates/agateport-node/tests/end_to_end/support.rs
@@ -151,9 +151,9 @@
         toml::from_str(&text).unwrap()
     }
 
-    /// Stops a server without warning.
-    pub fn stop_server(&mut self, index: usize) {
-        self.servers.remove(index);
+    /// Stops a server without warning. On return it answers nothing any more.
+    pub async fn stop_server(&mut self, index: usize) {
+        self.servers.remove(index).stop().await;
     }
 
     /// Connects a caller to a node.
--- a/crates/agateport-node/tests/end_to_end/transactions.rs
+++ b/crates/agateport-node/tests/end_to_end/transactions.rs
@@ -54,7 +54,7 @@
     let client = deployment.connect(0).await;
     let before = [CREATE, "BEGIN", "INSERT INTO stock VALUES (1, 'Mombasa')"];
     let mut text = transcripts(&client, &before).await;
-    deployment.stop_server(0);
+    deployment.stop_server(0).await;
     let after = [
         "INSERT INTO stock VALUES (2, 'Mombasa')",
         "SELECT count(*) FROM stock",
--- a/crates/agateport-standin/src/group/mod.rs
+++ b/crates/agateport-standin/src/group/mod.rs
@@ -17,6 +17,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 use tokio::task::JoinSet;
+use tokio_util::task::TaskTracker;
 
 /// Settings of a server.
 #[derive(Clone, Debug)]
@@ -67,6 +68,7 @@
     /// Address of the admin port, which reports the status and sets faults.
     pub admin: SocketAddr,
     tasks: JoinSet<Result<(), Error>>,
+    sessions: TaskTracker,
 }
 
 impl Running {
@@ -82,16 +84,30 @@
         let (address, admin) = (listener.local_addr()?, admin_listener.local_addr()?);
         let server = Arc::new(Server::open(config)?);
         let mut tasks = JoinSet::new();
+        let sessions = TaskTracker::new();
         tasks.spawn(replication::follow(Arc::clone(&server)));
-        tasks.spawn(session::serve(listener, Arc::clone(&server)));
+        tasks.spawn(session::serve(
+            listener,
+            Arc::clone(&server),
+            sessions.clone(),
+        ));
         tasks.spawn(admin::serve(admin_listener, server));
         Ok(Self {
             address,
             admin,
             tasks,
+            sessions,
         })
     }
 
+    /// Stops the server without warning, and waits until its last session has ended.
+    /// Without that wait, a session may still answer a statement.
+    pub async fn stop(mut self) {
+        self.tasks.shutdown().await;
+        self.sessions.close();
+        self.sessions.wait().await;
+    }
+
     /// Waits until a task ends, which it does only on an error.
     ///
     /// # Errors
--- a/crates/agateport-standin/src/group/session.rs
+++ b/crates/agateport-standin/src/group/session.rs
@@ -19,26 +19,32 @@
 use tokio::task::JoinSet;
 use tokio::time::sleep;
 use tokio_util::codec::Framed;
+use tokio_util::task::TaskTracker;
 
 type Socket = Framed<TcpStream, postgres::Server>;
 
-/// Accepts connections until the task is aborted.
+/// Accepts connections until the task is aborted. `tracker` counts the sessions.
 ///
 /// # Errors
 ///
 /// [`Error`] if the listener fails.
-pub async fn serve(listener: TcpListener, server: Arc<Server>) -> Result<(), Error> {
-    // Dropping the set aborts all sessions when the server stops.
+pub async fn serve(
+    listener: TcpListener,
+    server: Arc<Server>,
+    tracker: TaskTracker,
+) -> Result<(), Error> {
+    // Dropping the set aborts all sessions when the server stops. A session that is running
+    // at that moment ends at its next wait.
     let mut sessions = JoinSet::new();
     loop {
         let (stream, _) = listener.accept().await?;
         while sessions.try_join_next().is_some() {}
         let server = Arc::clone(&server);
-        sessions.spawn(async move {
+        sessions.spawn(tracker.track_future(async move {
             if let Err(error) = Session::run(stream, server).await {
                 tracing::debug!(%error, "connection failed");
             }
-        });
+        }));
     }
 }
 
