--- a/crates/agateport-domain/src/id.rs
+++ b/crates/agateport-domain/src/id.rs
@@ -34,5 +34,7 @@
 /// `Instant` does not advance while a VM is suspended, so leases and other
 /// expiries use this clock.
 pub type Uptime = Duration;
+/// Name of a workspace, unique in a configuration.
+pub type WorkspaceId = Arc<str>;
 /// Name of an availability zone.
 pub type Zone = Arc<str>;
--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -18,3 +18,4 @@
 pub mod session;
 pub mod shard;
 pub mod tree;
+pub mod workspace;
--- a/crates/agateport-domain/src/owner/assignment.rs
+++ b/crates/agateport-domain/src/owner/assignment.rs
@@ -2,7 +2,7 @@
 
 use super::rendezvous::score;
 use crate::admission::Share;
-use crate::id::{NodeId, ServerId, Zone};
+use crate::id::{NodeId, ServerId, WorkspaceId, Zone};
 
 /// Owners of an oversubscribed server.
 ///
@@ -80,6 +80,15 @@
     }
 }
 
+/// Moves an owner that a hash of `key` and `server` selects to the front of the owners and
+/// backups of a server, so that all nodes try the same owner first for the same key.
+pub fn rotate<T>(nodes: &mut [T], key: &WorkspaceId, server: &ServerId) {
+    let owners = nodes.len().min(OWNERS);
+    let [high, low, ..] = score(key, server);
+    let first = usize::from(u16::from_be_bytes([high, low])) % owners.max(1);
+    nodes[..owners].rotate_left(first);
+}
+
 /// Rank of a node for a server: whether it is in another zone, its hash, and its name.
 type Rank = (bool, [u8; 32], NodeId);
 
--- a/crates/agateport-domain/src/owner/mod.rs
+++ b/crates/agateport-domain/src/owner/mod.rs
@@ -12,7 +12,7 @@
 mod rendezvous;
 
 pub use allowance::{Allowance, RAISE_DELAY, allowance, even_allowance};
-pub use assignment::{Assignment, Capacity};
+pub use assignment::{Assignment, Capacity, rotate};
 pub use cache::Cache;
 pub use even::Even;
 pub use rendezvous::Rendezvous;
