workspace: identify callers by their keys, and connect to servers per workspace

Callers: on deployments whose configuration lists workspaces, every statement was run under the fixed name agateport, and a withdrawn or unknown key got in.

Change: the configuration's workspaces become a directory of key digests. A session's key is checked at CONNECT and at each statement, also within a transaction; a connection to a server belongs to one workspace, and borrowers ask the owner that the workspace's hash selects. Slots are shared in turn among workspaces. Claims without a workspace are encoded as before. Deployments whose configuration lists no workspaces are not affected.

Ruled out: one connection for all workspaces, since the server is told one name when it opens. Closing sessions of withdrawn keys was not needed: each statement is refused.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -1,9 +1,9 @@
 //! A caller's session, from opening to closing.
 
 mod ending;
+mod identity;
 mod keeping;
 
-use crate::catalog::Route;
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::context::Context;
@@ -16,6 +16,7 @@
 use crate::transaction::Pinned;
 use crate::work::Work;
 use agateport_domain::prelude::*;
+use identity::{Identity, Target};
 use std::io;
 use tokio::sync::watch;
 
@@ -34,7 +35,7 @@
     /// The caller began a transaction, which is not yet open at a server.
     Begun {
         is_read_only: bool,
-        route: Arc<Route>,
+        target: Target,
         /// When BEGIN was received, on the clock of leases.
         arrived: Uptime,
         /// The same, on the clock of timeouts.
@@ -43,7 +44,7 @@
     /// The transaction is open at a server.
     Open {
         pinned: Box<Pinned<W>>,
-        route: Arc<Route>,
+        target: Target,
         /// When BEGIN was received, on the clock of leases.
         arrived: Uptime,
     },
@@ -70,7 +71,7 @@
     connection: Connection<W>,
     runner: Runner<W>,
     database: DatabaseId,
-    caller: CallerId,
+    identity: Identity,
     context: Context,
     /// Watermark of the session's last acknowledged write; none before the first.
     last_write: Option<Watermark>,
@@ -96,7 +97,7 @@
             connection,
             runner,
             database: "".into(),
-            caller: "".into(),
+            identity: Identity::default(),
             context,
             last_write: None,
             transaction: Transaction::None,
@@ -118,11 +119,16 @@
             message = self.connection.message() => message?,
             () = cut.cancelled() => return Ok(()),
         };
-        let Some(Message::Open { database, caller }) = message else {
+        let Some(Message::Open {
+            database,
+            credential,
+        }) = message
+        else {
             return Ok(());
         };
         self.database = database.into();
-        self.caller = caller.into();
+        self.identity = Identity::new(&credential);
+        drop(credential);
         if !self.accept().await? {
             return Ok(());
         }
@@ -140,28 +146,22 @@
             () = upstreams.wait_configured(CONFIGURATION_TIMEOUT) => {}
             () = cut.cancelled() => {}
         }
-        if let Err(refusal) = self.route() {
+        if let Err(refusal) = self.target() {
             self.runner.report_refusal(&self.database, &refusal);
             W::encode_outcome(&refusal.outcome, &mut self.connection.output);
             self.connection.flush().await?;
             self.connection.close().await?;
             return Ok(false);
         }
+        if upstreams.catalog().workspaces.is_some() {
+            self.identity.clear_label();
+        }
         self.runner.metrics().count("session", "opened");
         W::encode_ready(State::Idle, None, &mut self.connection.output);
         self.connection.flush().await?;
         Ok(true)
     }
 
-    /// Returns the route of the session's database, or the refusal if it has none.
-    fn route(&self) -> Result<Arc<Route>, Box<Answer>> {
-        let upstreams = self.runner.upstreams();
-        // The configuration that is looked at afterwards may be younger, but not older.
-        let age = upstreams.currencies().catalog.age();
-        let route = upstreams.route(&self.database);
-        route.ok_or_else(|| Box::new(reply::no_route(age)))
-    }
-
     async fn serve(&mut self) -> io::Result<()> {
         loop {
             let request = match self.next_event().await? {
@@ -191,6 +191,9 @@
         if let Transaction::Failed = self.transaction {
             return self.handle_failed(request);
         }
+        if let Some(refusal) = self.refuse_withdrawn(request) {
+            return refusal;
+        }
         match &request.verb {
             Verb::Set { name, value } => {
                 let kept = self.context.set(name, value);
@@ -234,13 +237,13 @@
         if !matches!(self.transaction, Transaction::None) {
             return malformed("a transaction is open", self.state());
         }
-        let route = match self.route() {
-            Ok(route) => route,
+        let target = match self.target() {
+            Ok(target) => target,
             Err(refusal) => return *refusal,
         };
         self.transaction = Transaction::Begun {
             is_read_only,
-            route,
+            target,
             arrived: uptime(),
             started: Instant::now(),
         };
@@ -257,13 +260,13 @@
         // The transaction counts as failed unless its connection survives the statement.
         let Transaction::Open {
             pinned,
-            route,
+            target,
             arrived,
         } = std::mem::replace(&mut self.transaction, Transaction::Failed)
         else {
             return malformed("no transaction is open", State::Failed);
         };
-        let work = self.work(&request.id, &route, arrived, Instant::now());
+        let work = self.work(&request.id, &target, arrived, Instant::now());
         let (pinned, answer) = self
             .runner
             .run_in_transaction(*pinned, &work, request, access)
@@ -274,7 +277,7 @@
         let pinned = Box::new(pinned);
         self.transaction = Transaction::Open {
             pinned,
-            route,
+            target,
             arrived,
         };
         if answer.state == State::Failed {
@@ -285,11 +288,11 @@
     }
 
     async fn run_single(&mut self, request: &Request, access: Access) -> Answer {
-        let route = match self.route() {
-            Ok(route) => route,
+        let target = match self.target() {
+            Ok(target) => target,
             Err(refusal) => return *refusal,
         };
-        let work = self.work(&request.id, &route, uptime(), Instant::now());
+        let work = self.work(&request.id, &target, uptime(), Instant::now());
         let answer = self.runner.run_single(&work, request, access).await;
         if access == Access::Write {
             self.record_write(&answer);
@@ -301,25 +304,25 @@
     async fn open(&mut self, request: &Request) -> Result<(), Answer> {
         let Transaction::Begun {
             is_read_only,
-            route,
+            target,
             arrived,
             started,
         } = &self.transaction
         else {
             return Ok(());
         };
-        let (route, arrived) = (route.clone(), *arrived);
+        let (target, arrived) = (target.clone(), *arrived);
         // The time limits exclude the caller's pause between BEGIN and the first
         // statement.
         let started = (*started).max(Instant::now());
-        let work = self.work(&request.id, &route, arrived, started);
+        let work = self.work(&request.id, &target, arrived, started);
         let opened = self.runner.begin(&work, *is_read_only).await;
         match opened {
             Ok(pinned) => {
                 let pinned = Box::new(pinned);
                 self.transaction = Transaction::Open {
                     pinned,
-                    route,
+                    target,
                     arrived,
                 };
                 Ok(())
@@ -342,13 +345,13 @@
         let transaction = std::mem::replace(&mut self.transaction, Transaction::None);
         let Transaction::Open {
             pinned,
-            route,
+            target,
             arrived,
         } = transaction
         else {
             return malformed("no transaction is open", State::Idle);
         };
-        let work = self.work(&request.id, &route, arrived, Instant::now());
+        let work = self.work(&request.id, &target, arrived, Instant::now());
         let answer = self.runner.commit(*pinned, &work, request).await;
         self.record_write(&answer);
         answer
@@ -367,15 +370,16 @@
     fn work<'a>(
         &'a self,
         id: &'a Word,
-        route: &'a Route,
+        target: &'a Target,
         arrived: Uptime,
         started: Instant,
     ) -> Work<'a> {
         Work {
             id,
             session: self.id,
-            route,
-            caller: &self.caller,
+            route: &target.route,
+            caller: target.caller(&self.identity),
+            workspace: target.workspace.as_ref(),
             context: &self.context,
             last_write: self.last_write,
             arrived,
--- a/crates/agateport-relay/src/caller/ending.rs
+++ b/crates/agateport-relay/src/caller/ending.rs
@@ -80,8 +80,10 @@
     fn refuse_late(&mut self, request: &Request) -> Option<Answer> {
         let step = self.step(request)?;
         let timeout = match &self.transaction {
-            Transaction::Begun { route, .. } | Transaction::Open { route, .. } => route.timeout,
-            Transaction::None | Transaction::Failed => self.route().ok()?.timeout,
+            Transaction::Begun { target, .. } | Transaction::Open { target, .. } => {
+                target.route.timeout
+            }
+            Transaction::None | Transaction::Failed => self.target().ok()?.route.timeout,
         };
         if self.drain.allows(step, timeout) {
             return None;
--- /dev/null
+++ b/crates/agateport-relay/src/caller/identity.rs
@@ -0,0 +1,122 @@
+//! Who the caller of a session is, and what it may use.
+
+use super::{Session, Transaction};
+use crate::catalog::Route;
+use crate::currency::VALIDITY;
+use crate::message::{Answer, Credential, Request, State, Verb};
+use crate::protocol::Protocol;
+use crate::reply;
+use agateport_domain::prelude::*;
+use agateport_domain::workspace::{self, KeyDigest, Refusal};
+
+/// What a caller presented to identify itself.
+#[derive(Debug)]
+pub(super) struct Identity {
+    key: KeyDigest,
+    /// The same as a label, for deployments without workspaces, whose callers have no keys.
+    label: CallerId,
+}
+
+impl Default for Identity {
+    fn default() -> Self {
+        Self::new(&Credential::new(String::new()))
+    }
+}
+
+impl Identity {
+    pub(super) fn new(credential: &Credential) -> Self {
+        Self {
+            key: KeyDigest::of(credential.text().as_bytes()),
+            label: credential.text().into(),
+        }
+    }
+
+    /// Forgets the label, which may be a key.
+    pub(super) fn clear_label(&mut self) {
+        self.label = "".into();
+    }
+}
+
+/// What the statements of a session use.
+#[derive(Clone, Debug)]
+pub(super) struct Target {
+    /// Route of the database.
+    pub route: Arc<Route>,
+    /// Workspace of the caller; none in a deployment without workspaces, and for a caller of a
+    /// public route that is not identified.
+    pub workspace: Option<WorkspaceId>,
+}
+
+impl Target {
+    /// Returns the name under which slots are shared fairly among callers.
+    pub(super) fn caller<'a>(&'a self, identity: &'a Identity) -> &'a CallerId {
+        self.workspace.as_ref().unwrap_or(&identity.label)
+    }
+}
+
+impl<W: Protocol> Session<W> {
+    /// Returns the route of the session's database and the workspace of its caller, or the
+    /// refusal if it has none.
+    pub(super) fn target(&self) -> Result<Target, Box<Answer>> {
+        let upstreams = self.runner.upstreams();
+        // The configuration that is looked at afterwards may be younger, but not older.
+        let age = upstreams.currencies().catalog.age();
+        let Some(route) = upstreams.route(&self.database) else {
+            return Err(Box::new(reply::no_route(age)));
+        };
+        match self.identify(&route, age) {
+            Ok(workspace) => Ok(Target { route, workspace }),
+            Err(refusal) => {
+                self.runner.report_unidentified(&self.database, refusal);
+                Err(Box::new(reply::unidentified(refusal)))
+            }
+        }
+    }
+
+    /// Returns the answer to a statement of an open transaction whose caller's key was
+    /// withdrawn, or belongs to another workspace now. The transaction is rolled back.
+    pub(super) fn refuse_withdrawn(&mut self, request: &Request) -> Option<Answer> {
+        let (Transaction::Begun { target, .. } | Transaction::Open { target, .. }) =
+            &self.transaction
+        else {
+            return None;
+        };
+        if request.verb == Verb::Rollback {
+            return None;
+        }
+        let age = self.runner.upstreams().currencies().catalog.age();
+        let refusal = match self.identify(&target.route, age) {
+            Ok(workspace) if workspace == target.workspace => return None,
+            Ok(_) => Refusal::UnknownKey,
+            Err(refusal) => refusal,
+        };
+        self.runner.report_unidentified(&self.database, refusal);
+        self.roll_back();
+        if request.verb != Verb::Commit {
+            self.transaction = Transaction::Failed;
+        }
+        let answer = reply::aborted(&refusal.to_string());
+        Some(Answer {
+            state: State::Failed,
+            ..answer
+        })
+    }
+
+    /// Returns the workspace of the caller under the configuration in force, which was
+    /// confirmed `age` ago.
+    fn identify(
+        &self,
+        route: &Route,
+        age: Option<Duration>,
+    ) -> Result<Option<WorkspaceId>, Refusal> {
+        let upstreams = self.runner.upstreams();
+        let currency = workspace::Currency {
+            age,
+            validity: VALIDITY,
+            key_validity: upstreams.key_validity(),
+        };
+        let catalog = upstreams.catalog();
+        let directory = catalog.workspaces.as_deref();
+        workspace::identify(directory, route.is_public, &self.identity.key, currency)
+    }
+}
--- a/crates/agateport-relay/src/catalog.rs
+++ b/crates/agateport-relay/src/catalog.rs
@@ -2,6 +2,7 @@
 
 use crate::name;
 use agateport_domain::prelude::*;
+use agateport_domain::workspace::Directory;
 use serde::{Deserialize, Serialize};
 
 /// Longest duration of a configuration. It can be added to any time.
@@ -52,6 +53,8 @@
     pub target: Duration,
     /// Priority of its statements.
     pub priority: PriorityId,
+    /// Whether callers without a key may use it.
+    pub is_public: bool,
 }
 
 impl Route {
@@ -80,6 +83,8 @@
     pub connections: BTreeMap<GroupId, usize>,
     /// Time after which an idle transaction is rolled back; none disables this.
     pub idle_transaction_timeout: Option<Duration>,
+    /// The workspaces; none if callers need no key.
+    pub workspaces: Option<Arc<Directory>>,
 }
 
 impl Catalog {
@@ -120,6 +125,10 @@
             routes: routes.collect(),
             connections: connections.collect(),
             idle_transaction_timeout: idle_timeout.map(|timeout| timeout.min(MAX_DURATION)),
+            workspaces: self.workspaces.map(|directory| {
+                let directory = Arc::unwrap_or_clone(directory);
+                Arc::new(directory.checked(name::is_valid))
+            }),
         }
     }
 }
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -209,7 +209,7 @@
         }
         let reply = timeout(max_wait + FIRST_REPLY_TIMEOUT, receive(&mut self.transport)).await;
         let reply = reply.map_err(|_| Error::Overdue)??;
-        let (Reply::Pending, Call::Claim(claim)) = (&reply, call) else {
+        let (Reply::Pending, Call::Claim(claim) | Call::ClaimFor(_, claim)) = (&reply, call) else {
             return Ok(reply);
         };
         // The owner expects to start the request in time.
@@ -255,7 +255,10 @@
         owner: SocketAddr,
         claim: &Claim,
     ) -> Result<(Channel, usize), Denial> {
-        let call = Call::Claim(claim.clone());
+        let call = match &claim.workspace {
+            Some(workspace) => Call::ClaimFor(workspace.clone(), claim.clone()),
+            None => Call::Claim(claim.clone()),
+        };
         match self.request(owner, &call, claim.max_wait).await {
             Some((channel, Reply::Granted { load })) => Ok((channel, load)),
             Some((channel, Reply::Denied(denial))) => {
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -76,6 +76,8 @@
     Probe(ServerId),
     /// Reports that a primary may be down.
     Suspect(ServerId),
+    /// Requests a permit at a server, over a connection of the workspace.
+    ClaimFor(WorkspaceId, Claim),
 }
 
 /// Versions that the querying node already has.
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -59,6 +59,13 @@
         loop {
             match &call {
                 Call::Claim(claim) => self.lend(&mut transport, claim).await?,
+                Call::ClaimFor(workspace, claim) => {
+                    let claim = Claim {
+                        workspace: Some(workspace.clone()),
+                        ..claim.clone()
+                    };
+                    self.lend(&mut transport, &claim).await?;
+                }
                 Call::Probe(server) => self.answer_probe(&mut transport, server).await?,
                 Call::Suspect(server) => {
                     self.suspicions.report(server);
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -100,6 +100,8 @@
 pub struct Link<W> {
     /// Number of the connection, unique on this node.
     pub id: LinkId,
+    /// Workspace that the connection was opened for.
+    workspace: Option<WorkspaceId>,
     stream: TcpStream,
     buffer: BytesMut,
     /// What is set and prepared on the connection.
@@ -122,8 +124,9 @@
         address: SocketAddr,
         group: &GroupId,
         server: &ServerId,
+        workspace: Option<&WorkspaceId>,
     ) -> Result<(Self, Option<Watermark>), Error> {
-        let opening = Self::connect(id, address, group, server);
+        let opening = Self::connect(id, address, group, server, workspace);
         timeout(OPEN_TIMEOUT, opening)
             .await
             .map_err(|_| Error::TimedOut)?
@@ -134,15 +137,19 @@
         address: SocketAddr,
         group: &GroupId,
         server: &ServerId,
+        workspace: Option<&WorkspaceId>,
     ) -> Result<(Self, Option<Watermark>), Error> {
+        let name = workspace.map(|workspace| Word::try_from(&**workspace));
         let open = Command::Open {
             group: Word::try_from(&**group)?,
+            workspace: name.transpose()?,
             server: Word::try_from(&**server)?,
         };
         let stream = TcpStream::connect(address).await?;
         configure_socket(&stream)?;
         let mut link = Self {
             id,
+            workspace: workspace.cloned(),
             stream,
             buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
             content: Content::default(),
@@ -241,6 +248,12 @@
         matches!(read, Err(error) if error.kind() == io::ErrorKind::WouldBlock)
     }
 
+    /// Returns the workspace that the connection was opened for.
+    #[must_use]
+    pub fn workspace(&self) -> Option<&WorkspaceId> {
+        self.workspace.as_ref()
+    }
+
     /// Returns the transaction state after the last answer.
     #[must_use]
     pub fn state(&self) -> State {
--- a/crates/agateport-relay/src/message.rs
+++ b/crates/agateport-relay/src/message.rs
@@ -5,6 +5,7 @@
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use serde::{Deserialize, Serialize};
+use std::fmt;
 
 /// A message from a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -13,8 +14,8 @@
     Open {
         /// Name of the database.
         database: String,
-        /// Name of the caller.
-        caller: String,
+        /// What the caller presents to identify itself.
+        credential: Credential,
     },
     /// Requests that a statement is run.
     Query(Request),
@@ -22,6 +23,32 @@
     Close,
 }
 
+/// What a caller presents to identify itself: a label, or the key of its workspace.
+///
+/// It is only readable through [`Credential::text`], so that no log line shows a key.
+#[derive(Clone, Eq, PartialEq)]
+pub struct Credential(String);
+
+impl Credential {
+    /// Wraps the text that a caller sent.
+    #[must_use]
+    pub fn new(text: String) -> Self {
+        Self(text)
+    }
+
+    /// Returns the text, which may be a key.
+    #[must_use]
+    pub fn text(&self) -> &str {
+        &self.0
+    }
+}
+
+impl fmt::Debug for Credential {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Credential")
+    }
+}
+
 /// A statement from a caller.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Request {
@@ -141,6 +168,9 @@
     Unknown,
     /// Any other code, which is forwarded to the caller.
     Other(Word),
+    /// The key of the caller identifies no workspace; nothing was run. It comes last, because
+    /// nodes of the former version know the others by their number.
+    NotAuthorized,
 }
 
 impl Code {
@@ -155,6 +185,7 @@
             Self::Malformed => "malformed",
             Self::Misdirected => "misdirected",
             Self::NoDatabase => "no_database",
+            Self::NotAuthorized => "not_authorized",
             Self::NoStatement => "no_statement",
             Self::ReadOnly => "read_only",
             Self::Timeout => "timeout",
@@ -269,6 +300,8 @@
     Open {
         /// Group that the server must belong to.
         group: Word,
+        /// Workspace that the connection is for; none for a deployment without workspaces.
+        workspace: Option<Word>,
         /// Id that the server must have.
         server: Word,
     },
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -65,6 +65,8 @@
     pub grace: Duration,
     /// Time for which a server that announced that it leaves keeps serving.
     pub drain: Duration,
+    /// Age of the configuration up to which the key of a workspace is accepted.
+    pub key_validity: Duration,
 }
 
 /// Services of the platform that a node runs on.
@@ -107,6 +109,7 @@
         upstreams: Arc::new(
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
                 .with_drain(config.drain)
+                .with_key_validity(config.key_validity)
                 .with_metrics(metrics.clone()),
         ),
         config,
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -11,6 +11,7 @@
 use crate::server::{Role, Server};
 use crate::slot::{Slot, Usage};
 use crate::trace::Site;
+use agateport_domain::owner::rotate;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 use serde::{Deserialize, Serialize};
@@ -35,6 +36,10 @@
     pub max_wait: Duration,
     /// Values of the caller's session; a connection that already has them is preferred.
     pub values: Values,
+    /// Workspace whose connections are used. Between nodes it is part of
+    /// [`crate::control::peer::Call::ClaimFor`], so that other claims stay as they were.
+    #[serde(skip)]
+    pub workspace: Option<WorkspaceId>,
 }
 
 /// Why a permit is unavailable at a node.
@@ -195,7 +200,11 @@
     };
     let sent_at = uptime();
     let latest = Instant::now() + claim.max_wait;
-    for owner in owners {
+    let mut owners = owners.clone();
+    if let Some(workspace) = &claim.workspace {
+        rotate(&mut owners, workspace, &claim.server);
+    }
+    for owner in &owners {
         match borrow(server, channels, *owner, claim).await {
             Err(Denial::Unavailable(Cause::NotOwner | Cause::Leaving | Cause::Unresponsive)) => {}
             acquired => return acquired,
@@ -259,10 +268,10 @@
         .admit(&claim.priority, &claim.caller, now + claim.due_in, latest)
         .await
         .map_err(Denial::Refused)?;
-    let mut opened = server.link(&claim.values).await;
+    let mut opened = server.link(&claim.values, claim.workspace.as_ref()).await;
     while is_exhausted(&opened) && Instant::now() < latest {
         tokio::time::sleep(CONNECTION_PAUSE).await;
-        opened = server.link(&claim.values).await;
+        opened = server.link(&claim.values, claim.workspace.as_ref()).await;
     }
     if is_exhausted(&opened) {
         return Err(Denial::Unavailable(Cause::Exhausted));
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -199,6 +199,7 @@
         due_in: work.due().saturating_duration_since(now),
         max_wait: latest_start(work).saturating_duration_since(now),
         values: work.context.values().clone(),
+        workspace: work.workspace.cloned(),
     }
 }
 
--- a/crates/agateport-relay/src/probe.rs
+++ b/crates/agateport-relay/src/probe.rs
@@ -2,7 +2,7 @@
 
 use crate::clock::uptime;
 use crate::link;
-use crate::message::{Command, Status, Values};
+use crate::message::{Command, Status};
 use crate::protocol::{self, Protocol};
 use crate::server::Server;
 use agateport_domain::prelude::*;
@@ -120,7 +120,7 @@
     }
 
     async fn exchange_status(&self, command: Command) -> Result<Status, Error> {
-        let mut link = self.link(&Values::new()).await?;
+        let mut link = self.any_link().await?;
         let answers = link.exchange(&[command]).await?;
         let row = answers.first().and_then(|answer| answer.rows.first());
         let status = W::decode_status(row.ok_or(Error::NoStatus)?)?;
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -7,6 +7,7 @@
 use crate::work::Failure;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
+use agateport_domain::workspace;
 
 /// Retry delay suggested to a refused caller when the group has no primary: about the
 /// average remaining time of a handover.
@@ -64,6 +65,16 @@
     busy(reason, DEFAULT_RETRY_DELAY)
 }
 
+/// Returns the answer to a caller that is not identified.
+#[must_use]
+pub fn unidentified(refusal: workspace::Refusal) -> Answer {
+    if refusal.is_final() {
+        let text = refusal.to_string();
+        return Answer::local(Outcome::error(Code::NotAuthorized, text), State::Idle);
+    }
+    busy(&format!("not run: {refusal}"), DEFAULT_RETRY_DELAY)
+}
+
 fn busy(reason: &str, retry: Duration) -> Answer {
     let text = format!("{reason}; retry after {} ms", retry.as_millis());
     Answer::local(Outcome::error(Code::Busy, text), State::Idle)
--- a/crates/agateport-relay/src/report.rs
+++ b/crates/agateport-relay/src/report.rs
@@ -5,6 +5,7 @@
 use crate::protocol::Protocol;
 use crate::statement::Runner;
 use agateport_domain::prelude::*;
+use agateport_domain::workspace;
 
 impl<W: Protocol> Runner<W> {
     /// Counts the outcome of a statement, records the latency of a successful one, and
@@ -44,7 +45,27 @@
         );
     }
 
-    /// Counts and logs a session that is refused because its database has no route.
+    /// Counts and logs a caller that is not identified, without its key.
+    pub fn report_unidentified(&self, database: &DatabaseId, refusal: workspace::Refusal) {
+        self.metrics().count("caller_unidentified", refusal.name());
+        let Some(omitted) = self.metrics().allow_log("caller_unidentified") else {
+            return;
+        };
+        let currency = &self.upstreams().currencies().catalog;
+        tracing::info!(
+            event = "caller_unidentified",
+            database = &**database,
+            reason = refusal.name(),
+            configuration = self.upstreams().catalog().version,
+            configuration_age_ms = currency.age().map(millis),
+            configuration_origin = currency.origin().map(tracing::field::display),
+            omitted,
+            "the key of a caller identifies no workspace"
+        );
+    }
+
+    /// Counts and logs a session that is refused: its database has no route, or its caller is
+    /// not identified.
     pub fn report_refusal(&self, database: &DatabaseId, refusal: &Answer) {
         let code = refusal.code().map_or("unknown", Code::name);
         self.metrics().count("session", code);
@@ -60,7 +81,7 @@
             configuration_age_ms = currency.age().map(millis),
             configuration_origin = currency.origin().map(tracing::field::display),
             omitted,
-            "no route has the database of a session"
+            "a session is refused"
         );
     }
 }
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -29,6 +29,15 @@
 /// [`SCARCE_CONNECTIONS`] connections: the time of a few statements.
 const SCARCE_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 
+/// Idle timeout of a workspace's connection, which no other workspace can use: longer than the
+/// pauses between the statements of most workspaces, as a new connection takes a slot.
+const WORKSPACE_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Part of the share's connections that a node keeps open for workspaces. The shares of three
+/// owners add up to one and a half times the limit, so two thirds of each stay within it.
+const KEPT_NUMERATOR: usize = 2;
+const KEPT_DENOMINATOR: usize = 3;
+
 /// Number of connections in a node's share below which idle ones are closed early,
 /// so that other nodes can use them.
 const SCARCE_CONNECTIONS: usize = 2;
@@ -88,7 +97,22 @@
     trace: Arc<Trace>,
 }
 
-impl<W> Inner<W> {
+impl<W: Protocol> Inner<W> {
+    /// Closes the connections of workspaces that have been unused for the longest, until a
+    /// further connection stays within the node's part of the server's connections.
+    fn make_room(&mut self) {
+        let kept = self.share.connections * KEPT_NUMERATOR / KEPT_DENOMINATOR;
+        let is_kept = |link: &&Link<W>| link.workspace().is_some();
+        while self.queue.connections_in_use() + self.idle.len() >= kept.max(1) {
+            let idle = self.idle.iter().enumerate();
+            let idle = idle.filter(|(_, link)| is_kept(link));
+            let Some((index, _)) = idle.min_by_key(|(_, link)| link.idle_since) else {
+                return;
+            };
+            self.idle.swap_remove(index);
+        }
+    }
+
     fn change_share(&mut self, share: Share, priorities: &[Priority]) {
         if self.share.slots == share.slots {
             // Reconfiguring would reset the slot limit that follows from measured latency.
@@ -264,30 +288,54 @@
         }
     }
 
-    /// Takes the idle connection that needs the fewest commands to have `values` out of
-    /// the pool; none if a new one has to be opened.
+    /// Takes the idle connection of the workspace that needs the fewest commands to have
+    /// `values` out of the pool; none if a new one has to be opened.
     #[must_use]
-    pub fn idle_link(&self, values: &Values) -> Option<Link<W>> {
+    pub fn idle_link(&self, values: &Values, workspace: Option<&WorkspaceId>) -> Option<Link<W>> {
         let mut inner = self.lock();
         inner.idle.retain(Link::is_open);
-        let nearest = inner
-            .idle
-            .iter()
-            .enumerate()
-            .min_by_key(|(_, link)| link.distance(values));
-        let (index, _) = nearest?;
+        let usable = inner.idle.iter().enumerate();
+        let usable = usable.filter(|(_, link)| link.workspace() == workspace);
+        let (index, _) = usable.min_by_key(|(_, link)| link.distance(values))?;
         Some(inner.idle.swap_remove(index))
     }
 
-    /// Returns an idle connection, or opens a new one.
+    /// Returns an idle connection of any workspace, or opens one for none. The node's own
+    /// commands depend on no workspace.
+    ///
+    /// # Errors
+    ///
+    /// [`link::Error`] if the server is unreachable or refuses the connection.
+    pub async fn any_link(&self) -> Result<Link<W>, link::Error> {
+        let idle = {
+            let mut inner = self.lock();
+            inner.idle.retain(Link::is_open);
+            inner.idle.pop()
+        };
+        match idle {
+            Some(link) => Ok(link),
+            None => self.open_link(None).await,
+        }
+    }
+
+    /// Returns an idle connection of the workspace, or opens a new one.
     ///
     /// # Errors
     ///
     /// [`link::Error`] if the server is unreachable or refuses the connection.
-    pub async fn link(&self, values: &Values) -> Result<Link<W>, link::Error> {
-        if let Some(link) = self.idle_link(values) {
+    pub async fn link(
+        &self,
+        values: &Values,
+        workspace: Option<&WorkspaceId>,
+    ) -> Result<Link<W>, link::Error> {
+        if let Some(link) = self.idle_link(values, workspace) {
             return Ok(link);
         }
+        self.lock().make_room();
+        self.open_link(workspace).await
+    }
+
+    async fn open_link(&self, workspace: Option<&WorkspaceId>) -> Result<Link<W>, link::Error> {
         let started_at = uptime();
         let entry = self.entry();
         let opened = Link::open(
@@ -295,6 +343,7 @@
             entry.address,
             &entry.group,
             &entry.server,
+            workspace,
         )
         .await;
         match opened {
@@ -323,9 +372,15 @@
         let mut inner = self.lock();
         Self::dispatch(&mut inner);
         let idle_timeout = inner.idle_timeout;
-        inner
-            .idle
-            .retain(|link| now < link.idle_since + idle_timeout && link.is_open());
+        inner.idle.retain(|link| {
+            let is_kept = link.workspace().is_some() && idle_timeout == IDLE_TIMEOUT;
+            let timeout = if is_kept {
+                WORKSPACE_IDLE_TIMEOUT
+            } else {
+                idle_timeout
+            };
+            now < link.idle_since + timeout && link.is_open()
+        });
     }
 
     /// Records an answer to a request that was sent at `sent_at`, with its watermark.
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -29,6 +29,10 @@
 /// it. The rest is for the time until a node knows that it is leaving, and for that work.
 const LEAVING_SHARE: f64 = 0.8;
 
+/// Age of the configuration up to which a known key is accepted: the 5 s in which a change
+/// takes effect, and the 15 s by which an unstable store may delay it.
+pub const DEFAULT_KEY_VALIDITY: Duration = Duration::from_secs(20);
+
 /// Groups and servers known to a node.
 #[derive(Debug)]
 pub struct Upstreams<W> {
@@ -56,6 +60,8 @@
     fingerprint: AtomicU64,
     /// Logs and counts prepared statements.
     trace: Arc<Trace>,
+    /// Age of the configuration up to which a known key is accepted.
+    key_validity: Duration,
 }
 
 impl<W: Protocol> Upstreams<W> {
@@ -78,9 +84,25 @@
             registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
             trace: Arc::default(),
+            key_validity: DEFAULT_KEY_VALIDITY,
+        }
+    }
+
+    /// Sets the age of the configuration up to which a known key is accepted.
+    #[must_use]
+    pub fn with_key_validity(self, key_validity: Duration) -> Self {
+        Self {
+            key_validity,
+            ..self
         }
     }
 
+    /// Returns the age of the configuration up to which a known key is accepted.
+    #[must_use]
+    pub fn key_validity(&self) -> Duration {
+        self.key_validity
+    }
+
     /// Sets the metrics that prepared statements are logged and counted with.
     #[must_use]
     pub fn with_metrics(self, metrics: Arc<Metrics>) -> Self {
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -16,8 +16,10 @@
     pub session: SessionId,
     /// Route of its database.
     pub route: &'a Route,
-    /// Name of the caller, for fairness between callers.
+    /// Name of the caller, for fairness between callers: its workspace, if it has one.
     pub caller: &'a CallerId,
+    /// Workspace whose connections are used; none if the caller was not identified.
+    pub workspace: Option<&'a WorkspaceId>,
     /// Values and prepared statements of its session.
     pub context: &'a Context,
     /// Watermark of the session's last write; none if it has not written.
