workspace: keep the connections of a workspace at one owner

Cause: owners and backups used connections of their own for their callers instead of those at the workspace's owner, and the shares of three owners added up to one and a half times the limit.

Change: on deployments with workspaces an owner borrows from the workspace's owner like other nodes, and the shares of the owners stay within the limit. A part is left for the connections of restarted nodes. Only a connection that is about to be used is checked.

--- a/crates/agateport-domain/src/owner/assignment.rs
+++ b/crates/agateport-domain/src/owner/assignment.rs
@@ -70,6 +70,17 @@
         self.slots.saturating_mul(SLOT_OVERCOMMIT)
     }
 
+    /// Returns the share of each owner of an oversubscribed server whose connections belong
+    /// to workspaces. Such connections stay open between statements, so the shares of three
+    /// owners must not exceed the limit.
+    #[must_use]
+    pub fn workspace_share(self) -> Share {
+        Share {
+            slots: self.statements().div_ceil(OWNERS).max(1),
+            connections: (self.connections / OWNERS).max(1),
+        }
+    }
+
     /// Returns the share of each owner of an oversubscribed server.
     #[must_use]
     pub fn owner_share(self) -> Share {
@@ -147,6 +158,11 @@
         self.ranked.iter().any(|(.., other)| other == node)
     }
 
+    /// Returns the owners and backups, in this order.
+    pub fn nodes(&self) -> impl Iterator<Item = &NodeId> {
+        self.ranked.iter().map(|(.., node)| node)
+    }
+
     /// Returns the nodes that `borrower` requests permits from, in order: the
     /// owners, starting at one that differs among borrowers, then the backups.
     pub fn candidates(
--- a/crates/agateport-domain/tests/assignment.rs
+++ b/crates/agateport-domain/tests/assignment.rs
@@ -1,6 +1,6 @@
 //! The nodes that connect to a server, and the share of it that each may use.
 
-use agateport_domain::owner::{Assignment, Capacity};
+use agateport_domain::owner::{Assignment, Capacity, rotate};
 use agateport_domain::prelude::*;
 use proptest::prelude::*;
 use std::fmt::Write;
@@ -130,3 +130,37 @@
     assert!(capacity.even_share(3, 7).slots >= 1);
     assert_eq!(capacity.is_oversubscribed(7), slots == 0);
 }
+
+// Guards against nodes that ask different owners for the same workspace, which then has
+// connections at all of them, and against one owner that holds those of most workspaces.
+#[test]
+fn the_owner_of_a_workspace_is_the_same_for_all_nodes() {
+    let mut first_of = BTreeMap::new();
+    for number in 0..90 {
+        let workspace: WorkspaceId = format!("w{number}").into();
+        let mut nodes = ["a", "b", "c", "d", "e", "f"];
+        rotate(&mut nodes, &workspace, &"server".into());
+        let mut again = ["a", "b", "c", "d", "e", "f"];
+        rotate(&mut again, &workspace, &"server".into());
+        assert_eq!(nodes, again);
+        assert_eq!(nodes[3..], ["d", "e", "f"], "backups come last");
+        *first_of.entry(nodes[0]).or_insert(0) += 1;
+    }
+    insta::assert_debug_snapshot!(first_of, @r#"
+    {
+        "a": 28,
+        "b": 31,
+        "c": 31,
+    }
+    "#);
+}
+
+// Guards against owners whose connections for workspaces exceed the server's limit together.
+#[test_case(5, 50; "fifty connections")]
+#[test_case(4, 54; "fifty-four connections")]
+#[test_case(6, 73; "seventy-three connections")]
+fn owners_of_workspaces_stay_within_the_limit(slots: usize, connections: usize) {
+    let share = Capacity { slots, connections }.workspace_share();
+    assert!(share.connections * 3 <= connections);
+    assert!(share.slots >= 1);
+}
--- a/crates/agateport-domain/tests/workspace.rs
+++ b/crates/agateport-domain/tests/workspace.rs
@@ -130,7 +130,7 @@
                 _ => None,
             };
             let digest = KeyDigest::of(key.to_string().as_bytes());
-            let found = directory.workspace(&digest).map(|name| name.to_string());
+            let found = directory.workspace(&digest).map(ToString::to_string);
             prop_assert_eq!(found, expected);
         }
     }
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -9,7 +9,6 @@
 use crate::permit::{self, Cause, Claim, Denial, Permit};
 use crate::probe;
 use crate::protocol::Protocol;
-use crate::server::Role;
 use crate::upstreams::Upstreams;
 use agateport_domain::drain::Step;
 use agateport_domain::prelude::*;
@@ -112,7 +111,7 @@
             return Ok(Err(Denial::Unavailable(Cause::Leaving)));
         }
         let server = self.upstreams.server(&claim.server);
-        let server = server.filter(|server| matches!(*server.role(), Role::Owner));
+        let server = server.filter(|server| server.role().is_owner());
         let Some(server) = server else {
             return Ok(Err(Denial::Unavailable(Cause::NotOwner)));
         };
--- a/crates/agateport-relay/src/ownership.rs
+++ b/crates/agateport-relay/src/ownership.rs
@@ -2,7 +2,7 @@
 
 use crate::record::Member;
 use crate::registry::Entry;
-use crate::server::Role;
+use crate::server::{Place, Role};
 use agateport_domain::admission::Share;
 use agateport_domain::owner::{Assignment, Capacity};
 use agateport_domain::prelude::*;
@@ -92,9 +92,9 @@
     }
 
     /// Returns how this node accesses a server that has this many connections, and the
-    /// share that it may use.
+    /// share that it may use. `has_workspaces` is whether connections belong to workspaces.
     #[must_use]
-    pub fn role(&self, entry: &Entry, connections: usize) -> (Role, Share) {
+    pub fn role(&self, entry: &Entry, connections: usize, has_workspaces: bool) -> (Role, Share) {
         let capacity = Capacity {
             slots: entry.slots,
             connections: connections.saturating_sub(RESERVED_CONNECTIONS).max(1),
@@ -111,6 +111,15 @@
             return (Role::Owner, even);
         }
         let assignment = self.assignment(entry);
+        if assignment.contains(&self.node) && has_workspaces {
+            let places = assignment.nodes().filter_map(|node| {
+                if *node == self.node {
+                    return Some(Place::Here);
+                }
+                members.get(node).map(|member| Place::Node(member.address))
+            });
+            return (Role::CoOwner(places.collect()), capacity.workspace_share());
+        }
         if assignment.contains(&self.node) {
             return (Role::Owner, capacity.owner_share());
         }
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -8,7 +8,7 @@
 use crate::message::{Answer, Code, Command, State, Status, Values};
 use crate::probe;
 use crate::protocol::Protocol;
-use crate::server::{Role, Server};
+use crate::server::{Place, Role, Server};
 use crate::slot::{Slot, Usage};
 use crate::trace::Site;
 use agateport_domain::owner::rotate;
@@ -195,17 +195,21 @@
     claim: &Claim,
 ) -> Result<Permit<W>, Denial> {
     let role = server.role();
-    let Role::Borrower(owners) = &*role else {
-        return acquire_local(server, claim).await;
+    let mut places: Vec<_> = match &*role {
+        Role::Owner => return acquire_local(server, claim).await,
+        Role::Borrower(owners) => owners.iter().copied().map(Place::Node).collect(),
+        Role::CoOwner(places) => places.clone(),
     };
-    let sent_at = uptime();
-    let latest = Instant::now() + claim.max_wait;
-    let mut owners = owners.clone();
     if let Some(workspace) = &claim.workspace {
-        rotate(&mut owners, workspace, &claim.server);
+        rotate(&mut places, workspace, &claim.server);
     }
-    for owner in &owners {
-        match borrow(server, channels, *owner, claim).await {
+    let sent_at = uptime();
+    let latest = Instant::now() + claim.max_wait;
+    for place in places {
+        let Place::Node(owner) = place else {
+            return acquire_local(server, claim).await;
+        };
+        match borrow(server, channels, owner, claim).await {
             Err(Denial::Unavailable(Cause::NotOwner | Cause::Leaving | Cause::Unresponsive)) => {}
             acquired => return acquired,
         }
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -33,8 +33,8 @@
 /// pauses between the statements of most workspaces, as a new connection takes a slot.
 const WORKSPACE_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
 
-/// Part of the share's connections that a node keeps open for workspaces. The shares of three
-/// owners add up to one and a half times the limit, so two thirds of each stay within it.
+/// Part of the share's connections that a node keeps open for workspaces. When all nodes lose
+/// power, the server counts their connections for 3 s more; the rest leaves room for new ones.
 const KEPT_NUMERATOR: usize = 2;
 const KEPT_DENOMINATOR: usize = 3;
 
@@ -57,6 +57,26 @@
     Owner,
     /// The node borrows permits from these owners and backups, tried in order.
     Borrower(Vec<SocketAddr>),
+    /// The node is one of these owners and backups, and each workspace has its connections at
+    /// one of them. So that they stay few, the node borrows permits from the others.
+    CoOwner(Vec<Place>),
+}
+
+/// Where an owner of a server is.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Place {
+    /// This node.
+    Here,
+    /// Another node, with its address.
+    Node(SocketAddr),
+}
+
+impl Role {
+    /// Returns whether the node connects to the server itself.
+    #[must_use]
+    pub fn is_owner(&self) -> bool {
+        matches!(self, Self::Owner | Self::CoOwner(_))
+    }
 }
 
 #[derive(Debug)]
@@ -102,10 +122,9 @@
     /// further connection stays within the node's part of the server's connections.
     fn make_room(&mut self) {
         let kept = self.share.connections * KEPT_NUMERATOR / KEPT_DENOMINATOR;
-        let is_kept = |link: &&Link<W>| link.workspace().is_some();
-        while self.queue.connections_in_use() + self.idle.len() >= kept.max(1) {
+        while self.queue.connections_in_use() + self.idle.len() > kept.max(1) {
             let idle = self.idle.iter().enumerate();
-            let idle = idle.filter(|(_, link)| is_kept(link));
+            let idle = idle.filter(|(_, link)| link.workspace().is_some());
             let Some((index, _)) = idle.min_by_key(|(_, link)| link.idle_since) else {
                 return;
             };
@@ -293,11 +312,15 @@
     #[must_use]
     pub fn idle_link(&self, values: &Values, workspace: Option<&WorkspaceId>) -> Option<Link<W>> {
         let mut inner = self.lock();
-        inner.idle.retain(Link::is_open);
-        let usable = inner.idle.iter().enumerate();
-        let usable = usable.filter(|(_, link)| link.workspace() == workspace);
-        let (index, _) = usable.min_by_key(|(_, link)| link.distance(values))?;
-        Some(inner.idle.swap_remove(index))
+        loop {
+            let usable = inner.idle.iter().enumerate();
+            let usable = usable.filter(|(_, link)| link.workspace() == workspace);
+            let (index, _) = usable.min_by_key(|(_, link)| link.distance(values))?;
+            let link = inner.idle.swap_remove(index);
+            if link.is_open() {
+                return Some(link);
+            }
+        }
     }
 
     /// Returns an idle connection of any workspace, or opens one for none. The node's own
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -428,9 +428,11 @@
 
     /// Returns how this node accesses a server, and the share that it may use.
     fn share(&self, entry: &Entry) -> (Role, Share) {
-        let declared = self.catalog().connections.get(&entry.group).copied();
+        let catalog = self.catalog();
+        let declared = catalog.connections.get(&entry.group).copied();
         let total = declared.unwrap_or(DEFAULT_CONNECTIONS);
-        self.ownership.role(entry, total)
+        let has_workspaces = catalog.workspaces.is_some();
+        self.ownership.role(entry, total, has_workspaces)
     }
 
     /// Selects the leader of each group among the servers that report that they are
