workspace: keep half of a share's connections for 10 s

After the loss of power of all nodes, 1,481 statements were refused for lack of a connection, because the server counts the former ones for 3 s more.

Change: the number of kept connections is what limits them, at half of the share, so that as many new ones find room after a restart.

--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -29,14 +29,14 @@
 /// [`SCARCE_CONNECTIONS`] connections: the time of a few statements.
 const SCARCE_IDLE_TIMEOUT: Duration = Duration::from_millis(100);
 
-/// Idle timeout of a workspace's connection, which no other workspace can use: longer than the
-/// pauses between the statements of most workspaces, as a new connection takes a slot.
-const WORKSPACE_IDLE_TIMEOUT: Duration = Duration::from_secs(3);
+/// Idle timeout of a workspace's connection, which no other workspace can use. The number of
+/// such connections is limited, so the timeout only closes those of workspaces that have left.
+const WORKSPACE_IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
-/// Part of the share's connections that a node keeps open for workspaces. When all nodes lose
-/// power, the server counts their connections for 3 s more; the rest leaves room for new ones.
-const KEPT_NUMERATOR: usize = 2;
-const KEPT_DENOMINATOR: usize = 3;
+/// Divisor of the share's connections for those that a node keeps open for workspaces. When all
+/// nodes lose power, the server counts their connections for 3 s more; the other half leaves
+/// room for as many new ones.
+const KEPT_DIVISOR: usize = 2;
 
 /// Number of connections in a node's share below which idle ones are closed early,
 /// so that other nodes can use them.
@@ -121,7 +121,7 @@
     /// Closes the connections of workspaces that have been unused for the longest, until a
     /// further connection stays within the node's part of the server's connections.
     fn make_room(&mut self) {
-        let kept = self.share.connections * KEPT_NUMERATOR / KEPT_DENOMINATOR;
+        let kept = self.share.connections / KEPT_DIVISOR;
         while self.queue.connections_in_use() + self.idle.len() > kept.max(1) {
             let idle = self.idle.iter().enumerate();
             let idle = idle.filter(|(_, link)| link.workspace().is_some());
