--- /dev/null
+++ b/crates/agateport-domain/src/allowance/views.rs
@@ -0,0 +1,216 @@
+//! The lists of members that a node has read, and how long each of them counts.
+
+use super::VIEW_DELAY;
+use crate::id::{NodeId, Uptime, Zone};
+use std::collections::{BTreeMap, BTreeSet};
+use std::sync::Arc;
+
+/// The members of the cluster, by zone.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Members {
+    zones: BTreeMap<Zone, BTreeSet<NodeId>>,
+    count: usize,
+}
+
+impl<'a> FromIterator<(&'a NodeId, &'a Zone)> for Members {
+    /// Collects nodes, whose names differ, with their zones.
+    fn from_iter<I: IntoIterator<Item = (&'a NodeId, &'a Zone)>>(nodes: I) -> Self {
+        let mut members = Self::default();
+        for (node, zone) in nodes {
+            let zone = members.zones.entry(zone.clone()).or_default();
+            members.count += usize::from(zone.insert(node.clone()));
+        }
+        members
+    }
+}
+
+impl Members {
+    /// Returns the nodes of each zone.
+    #[must_use]
+    pub fn zones(&self) -> &BTreeMap<Zone, BTreeSet<NodeId>> {
+        &self.zones
+    }
+
+    /// Returns the number of nodes.
+    #[must_use]
+    pub fn count(&self) -> usize {
+        self.count
+    }
+
+    /// Returns the zone of a node, if it is a member.
+    #[must_use]
+    pub fn zone_of(&self, node: &NodeId) -> Option<&Zone> {
+        let mut zones = self.zones.iter();
+        let (zone, _) = zones.find(|(_, nodes)| nodes.contains(node))?;
+        Some(zone)
+    }
+
+    fn union(&self, other: &Self) -> Self {
+        let nodes = |members: &Self| -> Vec<(NodeId, Zone)> {
+            let zones = members.zones.iter();
+            let pairs = zones.flat_map(|(zone, nodes)| {
+                nodes.iter().map(move |node| (node.clone(), zone.clone()))
+            });
+            pairs.collect()
+        };
+        let mut merged: BTreeMap<NodeId, Zone> = nodes(other).into_iter().collect();
+        merged.extend(nodes(self));
+        merged.iter().collect()
+    }
+}
+
+/// A list of members and when it was in force at this node.
+#[derive(Clone, Debug)]
+pub(super) struct View {
+    /// Number of the list, unique on this node.
+    pub id: u64,
+    /// The list.
+    pub members: Arc<Members>,
+    /// When another list replaced it; none for the current one.
+    pub replaced_at: Option<Uptime>,
+    /// When its shares are known to have been in effect.
+    effective_at: Uptime,
+}
+
+/// The lists of members that determine a node's shares.
+///
+/// A node may use the lowest share that any list gives it that was in force in the last
+/// [`VIEW_DELAY`], and none if the current list was not confirmed during that time.
+#[derive(Clone, Debug)]
+pub struct Views {
+    node: NodeId,
+    /// The lists that count, the current one last.
+    lists: Vec<View>,
+    /// Revision of the store's rows that the current list was read from.
+    revision: Option<u64>,
+    /// Latest time at which the current list is known to have been that of the store.
+    confirmed_at: Uptime,
+    /// When the shares came back after the list had not been confirmed for too long.
+    resumed_at: Uptime,
+    next_id: u64,
+}
+
+impl Views {
+    /// Creates the state of a node that has read no list.
+    #[must_use]
+    pub fn new(node: NodeId) -> Self {
+        Self {
+            node,
+            lists: Vec::new(),
+            revision: None,
+            confirmed_at: Uptime::ZERO,
+            resumed_at: Uptime::ZERO,
+            next_id: 0,
+        }
+    }
+
+    /// Applies the list of a read that was sent at `read_at`. `gone` are the nodes that do
+    /// not answer but may still be running, and `revision` changes with each change of the
+    /// list.
+    pub fn apply(
+        &mut self,
+        members: impl FnOnce() -> Members,
+        gone: impl FnOnce() -> Members,
+        revision: u64,
+        read_at: Uptime,
+        now: Uptime,
+    ) {
+        let is_known = self.revision == Some(revision);
+        let is_first = self.revision.is_none();
+        // Lists that were in force in the meantime may have been missed, and the nodes that
+        // they added may still use their shares.
+        let is_interrupted = is_first || read_at > self.confirmed_at + VIEW_DELAY;
+        if is_interrupted {
+            self.resumed_at = now;
+        }
+        self.confirmed_at = self.confirmed_at.max(read_at);
+        self.forget(now);
+        if is_known {
+            return;
+        }
+        self.revision = Some(revision);
+        let members = members();
+        if is_interrupted {
+            let all = members.union(&gone());
+            self.push(all, is_first, now);
+        }
+        self.push(members, is_first, now);
+    }
+
+    fn push(&mut self, members: Members, is_first: bool, now: Uptime) {
+        if let Some(current) = self.lists.last_mut() {
+            if *current.members == members {
+                return;
+            }
+            current.replaced_at = Some(now);
+        }
+        self.lists.push(View {
+            id: self.next_id,
+            members: Arc::new(members),
+            replaced_at: None,
+            effective_at: if is_first { now } else { now + VIEW_DELAY },
+        });
+        self.next_id += 1;
+    }
+
+    /// Drops the lists that no longer count.
+    fn forget(&mut self, now: Uptime) {
+        self.lists.retain(|view| view.counts(now));
+    }
+
+    /// Returns the name of this node.
+    #[must_use]
+    pub fn node(&self) -> &NodeId {
+        &self.node
+    }
+
+    /// Returns the current list; none before the first one.
+    #[must_use]
+    pub fn current(&self) -> Option<&Arc<Members>> {
+        self.lists.last().map(|view| &view.members)
+    }
+
+    /// Returns the lists that count at `now`, the current one last.
+    pub(super) fn counting(&self, now: Uptime) -> impl Iterator<Item = &View> {
+        self.lists.iter().filter(move |view| view.counts(now))
+    }
+
+    /// Returns the number of the current list; none before the first one.
+    pub(super) fn current_id(&self) -> Option<u64> {
+        self.lists.last().map(|view| view.id)
+    }
+
+    /// Returns the time until which the shares may be used.
+    #[must_use]
+    pub fn valid_until(&self) -> Uptime {
+        if self.lists.is_empty() {
+            return Uptime::ZERO;
+        }
+        self.confirmed_at + VIEW_DELAY
+    }
+
+    /// Returns whether the shares may be used.
+    #[must_use]
+    pub fn are_valid(&self, now: Uptime) -> bool {
+        now < self.valid_until()
+    }
+
+    /// Returns when the shares last came back after an interruption.
+    pub(super) fn resumed_at(&self) -> Uptime {
+        self.resumed_at
+    }
+
+    /// Returns a time since which the shares that hold at `now` have been in effect.
+    pub(super) fn effective_at(&self, now: Uptime) -> Uptime {
+        let first = self.counting(now).next();
+        let effective_at = first.map_or(now, |view| view.effective_at);
+        effective_at.max(self.resumed_at).min(now)
+    }
+}
+
+impl View {
+    fn counts(&self, now: Uptime) -> bool {
+        self.replaced_at
+            .is_none_or(|replaced_at| now < replaced_at + VIEW_DELAY)
+    }
+}
--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -6,6 +6,7 @@
 //! message is encoded.
 
 pub mod admission;
+pub mod allowance;
 pub mod bundle;
 pub mod drain;
 pub mod group;
