allowance: lend operations between nodes, and settings of the tolerance

The sessions of a node need one call that takes an operation of a workspace.

The simulation runs nodes in three zones with lost and late messages, frozen, cut off, restarted and replaced nodes, and changes of the limits.

--- /dev/null
+++ b/crates/agateport-domain/tests/allowance.rs
@@ -0,0 +1,201 @@
+//! Allowances of a workspace over several nodes.
+
+#[path = "allowance/simulation.rs"]
+mod simulation;
+
+use agateport_domain::allowance::Tolerance;
+use agateport_domain::prelude::*;
+use agateport_domain::workspace::Limits;
+use proptest::prelude::*;
+use simulation::Cluster;
+use test_case::test_case;
+
+fn limits(rate: f64, burst: f64) -> Limits {
+    Limits::new(rate, burst).expect("the limits are positive")
+}
+
+/// A change of the cluster.
+#[derive(Clone, Debug)]
+enum Event {
+    Freeze(usize),
+    CutOff(usize),
+    /// Cuts a whole zone off.
+    CutOffZone(usize),
+    /// Ends a process without notice and starts the next one.
+    Restart(usize),
+    /// Ends a process, with or without notice.
+    Stop(usize, bool),
+    /// Ends the faults of a node, and starts it if it has no process.
+    Recover(usize),
+    RecoverAll,
+    Limits(f64, f64),
+    /// Sets the demand at a node as a multiple of the first rate.
+    Demand(usize, f64),
+    Messages {
+        loss: f64,
+        delay: u64,
+    },
+}
+
+fn event(nodes: usize) -> impl Strategy<Value = Event> {
+    let node = 0..nodes;
+    prop_oneof![
+        2 => node.clone().prop_map(Event::Freeze),
+        2 => node.clone().prop_map(Event::CutOff),
+        1 => (0..3_usize).prop_map(Event::CutOffZone),
+        1 => node.clone().prop_map(Event::Restart),
+        2 => (node.clone(), any::<bool>()).prop_map(|(node, graceful)| Event::Stop(node, graceful)),
+        4 => node.clone().prop_map(Event::Recover),
+        1 => Just(Event::RecoverAll),
+        1 => (1.0..400.0, 1.0..200.0).prop_map(|(rate, burst)| Event::Limits(rate, burst)),
+        2 => (node, 0.0..2.0).prop_map(|(node, demand)| Event::Demand(node, demand)),
+        1 => (0.0..0.5, 0..8_u64).prop_map(|(loss, delay)| Event::Messages { loss, delay }),
+    ]
+}
+
+fn apply(cluster: &mut Cluster, event: &Event, rate: f64) {
+    match *event {
+        Event::Freeze(node) => cluster.machines[node].is_frozen = true,
+        Event::CutOff(node) => cluster.machines[node].is_cut_off = true,
+        Event::CutOffZone(zone) => {
+            for node in (zone..cluster.machines.len()).step_by(3) {
+                cluster.machines[node].is_cut_off = true;
+            }
+        }
+        Event::Restart(node) => {
+            cluster.stop(node, false);
+            cluster.start(node);
+        }
+        Event::Stop(node, is_graceful) => cluster.stop(node, is_graceful),
+        Event::Recover(node) => {
+            cluster.machines[node].is_frozen = false;
+            cluster.machines[node].is_cut_off = false;
+            cluster.start(node);
+        }
+        Event::RecoverAll => {
+            for node in 0..cluster.machines.len() {
+                apply(cluster, &Event::Recover(node), rate);
+            }
+        }
+        Event::Limits(rate, burst) => cluster.set_limits(limits(rate, burst)),
+        Event::Demand(node, demand) => cluster.machines[node].demand = demand * rate,
+        Event::Messages { loss, delay } => (cluster.loss, cluster.delay) = (loss, delay),
+    }
+}
+
+/// Returns the events, each with the time in milliseconds for which the cluster runs after it.
+fn events(nodes: usize) -> impl Strategy<Value = Vec<(Event, u64)>> {
+    let pause = prop_oneof![0..1_500_u64, 2_000..14_000_u64];
+    prop::collection::vec((event(nodes), pause), 1..24)
+}
+
+proptest! {
+    #![proptest_config(ProptestConfig {
+        cases: 384,
+        // Shrinking a case of many events otherwise takes minutes.
+        max_shrink_time: 10_000,
+        ..ProptestConfig::default()
+    })]
+
+    /// Guards against shares that add up to more than the whole: of a node that was replaced,
+    /// that knows an old list, or whose list or limits changed.
+    #[test]
+    fn operations_stay_within_the_limits(
+        (nodes, events) in (3..9_usize).prop_flat_map(|nodes| (Just(nodes), events(nodes))),
+        rate in 1.0..400.0,
+        burst in 1.0..200.0,
+        seed in any::<u64>(),
+    ) {
+        let mut cluster = Cluster::new(nodes, limits(rate, burst), seed);
+        for machine in &mut cluster.machines {
+            machine.demand = rate;
+        }
+        cluster.run(Duration::from_secs(10));
+        for (event, pause) in &events {
+            apply(&mut cluster, event, rate);
+            cluster.run(Duration::from_millis(*pause));
+        }
+        prop_assert_eq!(cluster.excess(&Tolerance::default()), None);
+    }
+
+    /// Guards against allowances that are kept at nodes which do not need them.
+    #[test]
+    fn uneven_demand_below_the_limit_is_served(
+        weights in prop::collection::vec(0.0..1.0_f64, 3..13),
+        load in 0.3..0.6,
+        rate in 20.0..400.0,
+        burst in 5.0..200.0,
+        seed in any::<u64>(),
+    ) {
+        // The square makes some nodes have most of the load.
+        let weights: Vec<f64> = weights.into_iter().map(|weight| weight * weight + 0.001).collect();
+        let total: f64 = weights.iter().sum();
+        let mut cluster = Cluster::new(weights.len(), limits(rate, burst), seed);
+        cluster.run(Duration::from_secs(10));
+        for (machine, weight) in cluster.machines.iter_mut().zip(&weights) {
+            machine.demand = rate * load * weight / total;
+        }
+        cluster.run(Duration::from_secs(30));
+        let (wanted, served) = cluster.totals();
+        prop_assert!(served * 100 >= wanted * 99, "{} of {} were served", served, wanted);
+    }
+}
+
+/// Runs a cluster of six nodes at twice the limit for 20 s.
+fn loaded(rate: f64, burst: f64) -> Cluster {
+    let mut cluster = Cluster::new(6, limits(rate, burst), 1);
+    for machine in &mut cluster.machines {
+        machine.demand = rate / 3.0;
+    }
+    cluster.run(Duration::from_secs(20));
+    cluster
+}
+
+/// Returns the operations of each following second.
+fn seconds(cluster: &mut Cluster, count: usize) -> Vec<usize> {
+    let run = |_| {
+        let start = cluster.now;
+        cluster.run(Duration::from_secs(1));
+        cluster.runs_since(start)
+    };
+    (0..count).map(run).collect()
+}
+
+/// Guards against the loss of more than the allocator's part, and against its part being used
+/// twice: by the node that lost it and by the one that takes it over.
+#[test_case("frozen"; "an allocator that does not run")]
+#[test_case("cut off"; "an allocator that is cut off and considers itself the allocator")]
+#[test_case("killed"; "an allocator that ended")]
+fn an_allocator_is_lost(fault: &str) {
+    let mut cluster = loaded(120.0, 60.0);
+    let allocator = cluster.allocator("zone-1");
+    match fault {
+        "frozen" => cluster.machines[allocator].is_frozen = true,
+        "cut off" => cluster.machines[allocator].is_cut_off = true,
+        _ => cluster.stop(allocator, false),
+    }
+    let during = seconds(&mut cluster, 25);
+    cluster.machines[allocator].is_frozen = false;
+    cluster.machines[allocator].is_cut_off = false;
+    cluster.start(allocator);
+    let after = seconds(&mut cluster, 20);
+    assert_eq!(cluster.excess(&Tolerance::default()), None);
+    insta::assert_debug_snapshot!(format!("lost_allocator_{fault}"), (during, after));
+}
+
+/// Guards against a lower limit that takes effect late, and a raised one that takes effect
+/// twice or not at all.
+#[test_case(120.0, 60.0, 12.0, 6.0; "lowered so far that no part is divided")]
+#[test_case(120.0, 60.0, 60.0, 30.0; "lowered")]
+#[test_case(60.0, 30.0, 120.0, 60.0; "raised")]
+#[test_case(12.0, 6.0, 120.0, 60.0; "raised so far that a part is divided")]
+fn a_limit_changes(rate: f64, burst: f64, new_rate: f64, new_burst: f64) {
+    let mut cluster = loaded(rate, burst);
+    for machine in &mut cluster.machines {
+        machine.demand = 50.0;
+    }
+    cluster.set_limits(limits(new_rate, new_burst));
+    let after = seconds(&mut cluster, 15);
+    assert_eq!(cluster.excess(&Tolerance::default()), None);
+    insta::assert_debug_snapshot!(format!("limit_from_{rate}_to_{new_rate}"), after);
+}
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -12,6 +12,7 @@
 use crate::message::{Answer, Command, Outcome, Prepared, State, Values};
 use crate::permit::{Cause, Claim, Denial};
 use crate::probe;
+use agateport_domain::allowance::Lent;
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -89,6 +90,13 @@
     Probed(probe::Outcome),
     /// The suspicion was recorded.
     Acknowledged,
+    /// Operations were lent, which expire soon.
+    Lent {
+        /// Number of operations, which may be zero.
+        count: u32,
+        /// Time after which more are expected to be available.
+        retry_after: Duration,
+    },
 }
 
 impl From<Result<Answer, exchange::Failure>> for Reply {
@@ -289,6 +297,27 @@
         }
     }
 
+    /// Requests a lease of operations from another node; none if it does not reply.
+    pub async fn borrow(
+        self: &Arc<Self>,
+        node: SocketAddr,
+        workspace: &WorkspaceId,
+        version: BundleVersion,
+        count: u32,
+    ) -> Option<Lent> {
+        let call = Call::Borrow {
+            workspace: workspace.clone(),
+            version,
+            count,
+        };
+        let reply = self.request(node, &call, Duration::ZERO).await;
+        let (channel, Reply::Lent { count, retry_after }) = reply? else {
+            return None;
+        };
+        channel.release();
+        Some(Lent { count, retry_after })
+    }
+
     /// Records whether a node replied to a request made over another connection.
     pub fn record_reachability(&self, node: SocketAddr, is_reachable: bool) {
         if is_reachable {
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -76,6 +76,15 @@
     Probe(ServerId),
     /// Reports that a primary may be down.
     Suspect(ServerId),
+    /// Requests a lease of operations.
+    Borrow {
+        /// Workspace that runs them.
+        workspace: WorkspaceId,
+        /// Version of the borrower's configuration.
+        version: BundleVersion,
+        /// Number of operations.
+        count: u32,
+    },
 }
 
 /// Versions that the querying node already has.
--- a/crates/agateport-relay/src/control/poller.rs
+++ b/crates/agateport-relay/src/control/poller.rs
@@ -391,6 +391,8 @@
         let read_at = is_member.then_some(snapshot.sent_at);
         self.upstreams.apply_leaderships(records, read_at);
         self.upstreams.apply_members(&records.members);
+        let allowances = self.upstreams.allowances();
+        allowances.apply_members(records, snapshot.sent_at);
         if former.is_none() {
             snapshot.report_adopted();
         }
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -64,6 +64,19 @@
                     self.suspicions.report(server);
                     send(&mut transport, &Reply::Acknowledged).await?;
                 }
+                Call::Borrow {
+                    workspace,
+                    version,
+                    count,
+                } => {
+                    let allowances = self.upstreams.allowances();
+                    let lent = allowances.lend(workspace, *version, *count);
+                    let reply = Reply::Lent {
+                        count: lent.count,
+                        retry_after: lent.retry_after,
+                    };
+                    send(&mut transport, &reply).await?;
+                }
                 // An update is not valid on a channel, and a command needs a permit.
                 Call::Update(_) | Call::Execute(_) => return Ok(()),
             }
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -5,6 +5,7 @@
 //! Decisions are made in `agateport-domain`.
 
 pub mod accept;
+pub mod allowance;
 pub mod budget;
 pub mod caller;
 pub mod catalog;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::statement::Runner;
 use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
+use agateport_domain::allowance::Tolerance;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
@@ -65,6 +66,8 @@
     pub grace: Duration,
     /// Time for which a server that announced that it leaves keeps serving.
     pub drain: Duration,
+    /// How exactly the limits of workspaces are kept.
+    pub tolerance: Tolerance,
 }
 
 /// Services of the platform that a node runs on.
@@ -107,6 +110,7 @@
         upstreams: Arc::new(
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
                 .with_drain(config.drain)
+                .with_tolerance(config.tolerance)
                 .with_metrics(metrics.clone()),
         ),
         config,
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -5,6 +5,7 @@
 use crate::group::Group;
 use crate::message::{Answer, Code, Outcome, State};
 use crate::work::Failure;
+use agateport_domain::allowance;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
 
@@ -42,6 +43,12 @@
     busy(&refusal.to_string(), retry)
 }
 
+/// Returns the answer to a statement that its workspace's allowance does not permit.
+#[must_use]
+pub fn not_allowed(refusal: &allowance::Refusal) -> Answer {
+    busy(&refusal.to_string(), refusal.retry_after)
+}
+
 /// Returns the answer to a statement that no server could run.
 #[must_use]
 pub fn no_server(group: &Group, reason: &str) -> Answer {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -1,5 +1,6 @@
 //! Groups and servers known to a node.
 
+use crate::allowance::Allowances;
 use crate::catalog::Catalog;
 use crate::channel;
 use crate::context;
@@ -15,6 +16,7 @@
 use crate::source::{Reading, Revision};
 use crate::trace::Trace;
 use agateport_domain::admission::Share;
+use agateport_domain::allowance::Tolerance;
 use agateport_domain::prelude::*;
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -56,6 +58,8 @@
     fingerprint: AtomicU64,
     /// Logs and counts prepared statements.
     trace: Arc<Trace>,
+    /// Operations that the workspaces may run.
+    allowances: Allowances,
 }
 
 impl<W: Protocol> Upstreams<W> {
@@ -63,6 +67,7 @@
     #[must_use]
     pub fn new(node: NodeId, zone: Zone) -> Self {
         Self {
+            allowances: Allowances::new(node.clone(), zone.clone()),
             ownership: Ownership::new(node, zone.clone()),
             zone,
             leaving_limit: Duration::MAX,
@@ -81,10 +86,11 @@
         }
     }
 
-    /// Sets the metrics that prepared statements are logged and counted with.
+    /// Sets the metrics that prepared statements and allowances are logged and counted with.
     #[must_use]
     pub fn with_metrics(self, metrics: Arc<Metrics>) -> Self {
         Self {
+            allowances: self.allowances.with_metrics(metrics.clone()),
             trace: Arc::new(Trace::new(metrics)),
             ..self
         }
@@ -96,6 +102,21 @@
         &self.trace
     }
 
+    /// Sets how exactly the limits of workspaces are kept.
+    #[must_use]
+    pub fn with_tolerance(self, tolerance: Tolerance) -> Self {
+        Self {
+            allowances: self.allowances.with_tolerance(tolerance),
+            ..self
+        }
+    }
+
+    /// Returns the allowances of the workspaces.
+    #[must_use]
+    pub fn allowances(&self) -> &Allowances {
+        &self.allowances
+    }
+
     /// Sets the time for which a leaving server keeps serving.
     #[must_use]
     pub fn with_drain(self, drain: Duration) -> Self {
@@ -385,6 +406,7 @@
     pub fn close_idle(&self) {
         self.servers.for_each(|_, server| server.close_idle());
         self.channels.close_idle();
+        self.allowances.close_idle();
     }
 
     fn registry_revision(&self) -> MutexGuard<'_, Revision> {
--- /dev/null
+++ b/crates/agateport-relay/tests/allowance.rs
@@ -0,0 +1,106 @@
+//! Allowances over real channels on loopback.
+
+use agateport_domain::prelude::*;
+use agateport_domain::workspace::{Directory, Entry, Limits};
+use agateport_relay::allowance::Allowances;
+use agateport_relay::channel::{Reply, Transport, send};
+use agateport_relay::clock::uptime;
+use agateport_relay::control::peer::Call;
+use agateport_relay::record::{Member, Records};
+use futures::StreamExt;
+use std::net::SocketAddr;
+use tokio::net::TcpListener;
+use tokio_util::codec::{Framed, LengthDelimitedCodec};
+
+const RATE: f64 = 100.0;
+const BURST: f64 = 1.0;
+
+/// Serves the calls for leases as `lend.rs` does.
+async fn serve(listener: TcpListener, allowances: Arc<Allowances>) {
+    while let Ok((stream, _)) = listener.accept().await {
+        let allowances = allowances.clone();
+        tokio::spawn(async move {
+            let mut transport: Transport = Framed::new(stream, LengthDelimitedCodec::new());
+            while let Some(Ok(frame)) = transport.next().await {
+                let call: Call = postcard::from_bytes(&frame).expect("a call");
+                let Call::Borrow {
+                    workspace,
+                    version,
+                    count,
+                } = call
+                else {
+                    panic!("an unexpected call");
+                };
+                let lent = allowances.lend(&workspace, version, count);
+                let reply = Reply::Lent {
+                    count: lent.count,
+                    retry_after: lent.retry_after,
+                };
+                send(&mut transport, &reply)
+                    .await
+                    .expect("the channel is open");
+            }
+        });
+    }
+}
+
+fn member(zone: &str, address: SocketAddr) -> Member {
+    Member {
+        zone: zone.into(),
+        address,
+        capacity: 0,
+        process: 0,
+        is_gone: false,
+    }
+}
+
+/// Guards against leases that are lost between the messages and the accounts, and against a
+/// node whose allocators are all at other nodes. The burst is too small to be divided, so each
+/// operation comes from one of the two allocators.
+#[tokio::test]
+async fn operations_are_lent_to_another_node() {
+    let mut records = Records::default();
+    let mut nodes = Vec::new();
+    for (name, zone) in [("one", "a"), ("two", "b")] {
+        let listener = TcpListener::bind("127.0.0.1:0")
+            .await
+            .expect("a port is free");
+        let address = listener.local_addr().expect("the port is known");
+        records.members.insert(name.into(), member(zone, address));
+        nodes.push((
+            Arc::new(Allowances::new(name.into(), zone.into())),
+            listener,
+        ));
+    }
+    records.revision.version = 1;
+    let entry = Entry {
+        name: "acme".to_owned(),
+        keys: Vec::new(),
+        rate: Some(RATE),
+        burst: Some(BURST),
+    };
+    let (directory, faults) = Directory::new([entry], |_| true);
+    assert_eq!(faults, []);
+    let mut borrower = None;
+    for (allowances, listener) in nodes {
+        allowances.apply_members(&records, uptime());
+        allowances.apply_directory(1, directory.clone());
+        tokio::spawn(serve(listener, allowances.clone()));
+        borrower.get_or_insert(allowances);
+    }
+    let borrower = borrower.expect("there are two nodes");
+    tokio::time::sleep(Duration::from_millis(400)).await;
+    let limits = Some(Limits::new(RATE, BURST).expect("the limits are positive"));
+    let mut taken = 0;
+    let refusal = loop {
+        match borrower.take(&"acme".into(), limits).await {
+            Ok(()) => taken += 1,
+            Err(refusal) => break refusal,
+        }
+        assert!(taken < 1_000, "the allowance has an end");
+    };
+    // Both buckets hold half of the slack and of the burst; one alone holds 10 operations.
+    assert!(taken >= 15, "only {taken} operations were allowed");
+    assert!(refusal.retry_after > Duration::ZERO);
+    assert!(borrower.take(&"acme".into(), None).await.is_ok());
+}
