--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -292,6 +292,9 @@
             Ok(target) => target,
             Err(refusal) => return *refusal,
         };
+        if let Err(refusal) = self.take_operation(&target).await {
+            return refusal;
+        }
         let work = self.work(&request.id, &target, uptime(), Instant::now());
         let answer = self.runner.run_single(&work, request, access).await;
         if access == Access::Write {
@@ -315,6 +318,10 @@
         // The time limits exclude the caller's pause between BEGIN and the first
         // statement.
         let started = (*started).max(Instant::now());
+        if let Err(refusal) = self.take_operation(&target).await {
+            self.transaction = Transaction::Failed;
+            return Err(refusal);
+        }
         let work = self.work(&request.id, &target, arrived, started);
         let opened = self.runner.begin(&work, *is_read_only).await;
         match opened {
--- a/crates/agateport-relay/src/caller/identity.rs
+++ b/crates/agateport-relay/src/caller/identity.rs
@@ -102,6 +102,27 @@
         })
     }
 
+    /// Takes an operation out of the allowance of the caller's workspace: one for a single
+    /// statement, and one for a whole transaction.
+    ///
+    /// # Errors
+    ///
+    /// The answer if there is none; nothing was run.
+    pub(super) async fn take_operation(&self, target: &Target) -> Result<(), Answer> {
+        let Some(workspace) = &target.workspace else {
+            return Ok(());
+        };
+        let upstreams = self.runner.upstreams();
+        let catalog = upstreams.catalog();
+        // A workspace that is no longer listed may run nothing.
+        let limits = catalog
+            .workspaces
+            .as_deref()
+            .and_then(|directory| directory.limits(workspace));
+        let taken = upstreams.allowances().take(workspace, limits).await;
+        taken.map_err(|refusal| reply::not_allowed(&refusal))
+    }
+
     /// Returns the workspace of the caller under the configuration in force, which was
     /// confirmed `age` ago.
     fn identify(
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -78,6 +78,15 @@
     Suspect(ServerId),
     /// Requests a permit at a server, over a connection of the workspace.
     ClaimFor(WorkspaceId, Claim),
+    /// Requests a lease of operations.
+    Borrow {
+        /// Workspace that runs them.
+        workspace: WorkspaceId,
+        /// Version of the borrower's configuration.
+        version: BundleVersion,
+        /// Number of operations.
+        count: u32,
+    },
 }
 
 /// Versions that the querying node already has.
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -27,6 +27,7 @@
 use crate::statement::Runner;
 use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
+use agateport_domain::allowance::Tolerance;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
@@ -67,6 +68,8 @@
     pub drain: Duration,
     /// Age of the configuration up to which the key of a workspace is accepted.
     pub key_validity: Duration,
+    /// How exactly the limits of workspaces are kept.
+    pub tolerance: Tolerance,
 }
 
 /// Services of the platform that a node runs on.
@@ -110,6 +113,7 @@
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
                 .with_drain(config.drain)
                 .with_key_validity(config.key_validity)
+                .with_tolerance(config.tolerance)
                 .with_metrics(metrics.clone()),
         ),
         config,
