admission: a limit that compares the latency of each priority with its own past

The limit compares the latency of all statements with a long-term average of all of them, so more requests of a priority with long statements look like an overload, and it falls by a tenth every four samples only.

`PriorityLimit` averages samples relative to the normal latency of their priority, and lowers the limit by a quarter. Only samples with more than half of the slots in use lower it; the others adapt the normal latency, because a latency that is high even then does not come from the concurrency. A lowered limit is raised by a slot after 2 s without a change. It keeps what it learned when the share changes. A queue has it only if it asks for it; `Limit` is unchanged.

In the tests, the limit halves within half of the samples that `Limit` needs.

--- a/crates/agateport-domain/src/admission/limit.rs
+++ b/crates/agateport-domain/src/admission/limit.rs
@@ -1,6 +1,8 @@
 //! A concurrency limit that adapts to the measured latency.
 
-use std::time::Duration;
+use super::priority_limit::PriorityLimit;
+use crate::id::PriorityId;
+use std::time::{Duration, Instant};
 
 /// Weight of a new sample in the moving average of the recent latency.
 const RECENT_WEIGHT: f64 = 0.05;
@@ -96,3 +98,37 @@
         }
     }
 }
+
+/// The limit of a queue.
+#[derive(Clone, Debug)]
+pub enum Adaptive {
+    /// Compares the latency of all statements with their past.
+    Overall(Limit),
+    /// Compares the latency of each priority with its own past.
+    ByPriority(PriorityLimit),
+}
+
+impl Adaptive {
+    /// Returns the number of slots that may be in use, at least one.
+    pub fn slots(&self) -> usize {
+        match self {
+            Self::Overall(limit) => limit.slots(),
+            Self::ByPriority(limit) => limit.slots(),
+        }
+    }
+
+    /// Adds the latency of a statement that ended while `in_use` slots were in use, and
+    /// adapts the limit.
+    pub fn record(
+        &mut self,
+        priority: &PriorityId,
+        latency: Duration,
+        in_use: usize,
+        now: Instant,
+    ) {
+        match self {
+            Self::Overall(limit) => limit.record(latency),
+            Self::ByPriority(limit) => limit.record(priority, latency, in_use, now),
+        }
+    }
+}
--- a/crates/agateport-domain/src/admission/mod.rs
+++ b/crates/agateport-domain/src/admission/mod.rs
@@ -14,6 +14,7 @@
 mod error;
 mod estimate;
 mod limit;
+mod priority_limit;
 mod queue;
 mod rate;
 mod throttle;
@@ -22,6 +23,7 @@
 pub use error::Error;
 pub use estimate::Estimate;
 pub use limit::Limit;
+pub use priority_limit::PriorityLimit;
 pub use queue::Queue;
 pub use throttle::Throttle;
 
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -1,7 +1,8 @@
 //! The queue that assigns the slots of one upstream server to requests.
 
 use super::class::Class;
-use super::{Admission, Decision, Error, Limit, MIN_RETRY_DELAY, Share, Ticket};
+use super::limit::Adaptive;
+use super::{Admission, Decision, Error, Limit, MIN_RETRY_DELAY, PriorityLimit, Share, Ticket};
 use crate::bundle::Priority;
 use crate::id::{PriorityId, RequestId};
 use crate::request::{Reason, Refusal};
@@ -21,7 +22,7 @@
 /// The queue of one upstream server.
 #[derive(Debug)]
 pub struct Queue {
-    limit: Limit,
+    limit: Adaptive,
     connections: usize,
     capacity: usize,
     classes: BTreeMap<PriorityId, Class>,
@@ -62,7 +63,7 @@
             .iter()
             .map(|priority| (priority.name.clone(), Class::new(priority)));
         Ok(Self {
-            limit: Limit::new(share.slots),
+            limit: Adaptive::Overall(Limit::new(share.slots)),
             connections: share.connections,
             capacity,
             classes: classes.collect(),
@@ -83,6 +84,12 @@
         }
     }
 
+    /// Makes the limit compare the latency of each priority with its own past, instead of
+    /// that of all statements.
+    pub fn limit_by_priority(&mut self, now: Instant) {
+        self.limit = Adaptive::ByPriority(PriorityLimit::new(self.limit.slots(), now));
+    }
+
     /// Starts or queues a request.
     ///
     /// # Errors
@@ -224,6 +231,10 @@
         next.running = std::mem::take(&mut self.running);
         next.paused = std::mem::take(&mut self.paused);
         next.is_reserving = self.is_reserving;
+        if let Adaptive::ByPriority(limit) = &mut self.limit {
+            limit.resize(share.slots);
+            next.limit = Adaptive::ByPriority(limit.clone());
+        }
         *self = next;
         Ok(())
     }
@@ -266,6 +277,13 @@
         self.running.len()
     }
 
+    /// Returns the priority of a request that holds a slot.
+    #[must_use]
+    pub fn running_priority(&self, request: RequestId) -> Option<&PriorityId> {
+        let running = self.running.get(&request)?;
+        Some(&running.priority)
+    }
+
     /// Returns the number of requests that hold a connection.
     #[must_use]
     pub fn connections_in_use(&self) -> usize {
@@ -316,7 +334,8 @@
     fn release(&mut self, request: RequestId, now: Instant) -> Option<PriorityId> {
         let running = self.running.remove(&request)?;
         let held = now.saturating_duration_since(running.since);
-        self.limit.record(held);
+        let in_use = self.running.len() + 1;
+        self.limit.record(&running.priority, held, in_use, now);
         if let Some(class) = self.classes.get_mut(&running.priority) {
             class.hold_time.record(held, now);
             if let Some(charged) = running.charged {
