pace: how slow a server is relative to the others of its group

Placement counts the requests at a server, so a slow server looks like a fast one, and one that fails its statements quickly looks idle and attracts more.

The `pace` aggregate averages the time of statements by priority and the failures per response over about a second, and compares them with the lower median of the group's other servers. A factor below 1.5, or one that rests on fewer than 8 responses, has no effect. A server without responses drifts back to normal, so that it is tried again. The factor is bounded and rules no server out. A report of the measurement can be sent to other nodes, which compare the servers themselves, because an owner of one server often has no connection to the others.

Ruled out: weighting by the ratio of slots to the limit (one slot less lifted noise over the threshold, and a slowdown of all servers made them differ); the median over all servers of the group, which hides that two of three are slow.

--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -12,6 +12,7 @@
 pub mod id;
 pub mod membership;
 pub mod owner;
+pub mod pace;
 pub mod platform;
 pub mod prelude;
 pub mod request;
