placement: weigh the load of a server by its pace, if the deployment asks for it

The cost of a server was its number of requests, so reads went to slow and failing servers as to the others.

With the setting `adapts_to_servers`, a node records the time and the outcome of each exchange over its own connections, its queues limit slots by priority, and the cost of a server is its expected work. An owner sends its measurement with a granted permit (`Reply::GrantedAt`, the last variant); without the setting it sends `Granted` as before. Only reads are timed, because writes and commits run at the primary alone. 3 ms are added to each mean time: on loopback, servers that answered in 0.2 ms and 0.8 ms differed by more than the threshold without any fault.

Ruled out: recording in `Queue::release`, whose times include the messages of a borrower; sending a factor instead of times, which an owner without connections to the other servers cannot know.

--- a/crates/agateport-domain/src/pace/compare.rs
+++ b/crates/agateport-domain/src/pace/compare.rs
@@ -1,9 +1,10 @@
 //! Compares the servers of a group.
 
-use super::report::Report;
+use super::report::{Report, Time};
 use super::standing::{Factor, Standing};
 use super::{DRIFT_DELAY, DRIFT_HALF_LIFE, PRIOR_WEIGHT};
 use crate::id::PriorityId;
+use std::time::Duration;
 
 /// Statements that one failed statement counts as.
 ///
@@ -12,6 +13,10 @@
 /// normal range, and one that fails 40 percent counts as five times as slow.
 const FAILURE_COST: f64 = 10.0;
 
+/// Time that is added to each mean: a round trip between zones. Without it, servers in
+/// other zones would count as slow for statements that take a millisecond.
+const ROUND_TRIP: Duration = Duration::from_millis(3);
+
 /// Weight from which a mean time is compared with, in thousandths of a response. A server
 /// that has few responses says little about what is normal.
 const REFERENCE_WEIGHT: u32 = 4_000;
@@ -56,7 +61,7 @@
             .filter_map(|other| mean(other, &time.priority));
         if let Some(median) = lower_median(times) {
             let weight = f64::from(time.weight) / 1_000.0;
-            taken += weight * time.mean.as_secs_f64() + PRIOR_WEIGHT * median;
+            taken += weight * seconds(time) + PRIOR_WEIGHT * median;
             normal += (weight + PRIOR_WEIGHT) * median;
         }
     }
@@ -73,7 +78,11 @@
     if time.weight < REFERENCE_WEIGHT {
         return None;
     }
-    Some(time.mean.as_secs_f64())
+    Some(seconds(time))
+}
+
+fn seconds(time: &Time) -> f64 {
+    time.mean.saturating_add(ROUND_TRIP).as_secs_f64()
 }
 
 /// Returns how much longer a successful statement takes because others fail.
--- a/crates/agateport-domain/src/session/placement.rs
+++ b/crates/agateport-domain/src/session/placement.rs
@@ -2,6 +2,7 @@
 
 use super::Watermark;
 use crate::id::ServerId;
+use crate::pace::{Factor, Standing};
 
 /// Cost of a server in another zone, in waiting requests.
 ///
@@ -33,6 +34,8 @@
     pub is_recent: bool,
     /// Requests of this node that run at the server or wait for it.
     pub load: usize,
+    /// How the server stands among the others.
+    pub standing: Standing,
 }
 
 /// Returns the servers that may run a read, the best first.
@@ -53,22 +56,28 @@
         .collect()
 }
 
-/// Returns the cost of a server, in waiting requests; none if it cannot run the
-/// read.
+/// Returns the cost of a server, in hundredths of a waiting request at a normal server;
+/// none if it cannot run the read.
 fn cost(candidate: &Candidate, floor: Option<Watermark>) -> Option<usize> {
     let zone_cost = if candidate.is_same_zone { 0 } else { ZONE_COST };
+    let work = candidate.standing.work(candidate.load);
+    let cost = |fixed: usize| work.saturating_add((zone_cost + fixed) * percent(Factor::NORMAL));
     if candidate.is_primary {
-        return Some(candidate.load + zone_cost + PRIMARY_COST);
+        return Some(cost(PRIMARY_COST));
     }
     let floor = floor?;
     let is_caught_up = candidate
         .watermark
         .is_some_and(|watermark| watermark >= floor);
     if is_caught_up {
-        return Some(candidate.load + zone_cost);
+        return Some(cost(0));
     }
     if candidate.is_recent {
         return None;
     }
-    Some(candidate.load + zone_cost + UNCERTAINTY_COST)
+    Some(cost(UNCERTAINTY_COST))
+}
+
+fn percent(factor: Factor) -> usize {
+    usize::try_from(factor.percent()).unwrap_or(usize::MAX)
 }
--- a/crates/agateport-domain/tests/placement.rs
+++ b/crates/agateport-domain/tests/placement.rs
@@ -1,5 +1,6 @@
 //! Ranking of the servers that may run a read.
 
+use agateport_domain::pace::Standing;
 use agateport_domain::prelude::*;
 use agateport_domain::session::placement::{Candidate, order};
 
@@ -17,6 +18,7 @@
         watermark: position.map(|position| Watermark { term: 1, position }),
         is_recent: words[1].contains('r'),
         load: words[3].parse().expect("the load is a number"),
+        standing: Standing::NORMAL,
     }
 }
 
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -12,6 +12,8 @@
 use crate::message::{Answer, Command, Outcome, Prepared, State, Values};
 use crate::permit::{Cause, Claim, Denial};
 use crate::probe;
+use crate::server::Grant;
+use agateport_domain::pace::Report;
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -89,6 +91,23 @@
     Probed(probe::Outcome),
     /// The suspicion was recorded.
     Acknowledged,
+    /// The permit is granted by an owner that adapts to its servers. Nodes of former
+    /// versions do not know this reply.
+    GrantedAt {
+        /// Number of requests at the owner that use the server or wait for it.
+        load: usize,
+        /// Pace and limit of the server, as the owner measures them.
+        pace: Report,
+    },
+}
+
+impl From<Grant> for Reply {
+    fn from(Grant { load, pace }: Grant) -> Self {
+        match pace {
+            Some(pace) => Self::GrantedAt { load, pace },
+            None => Self::Granted { load },
+        }
+    }
 }
 
 impl From<Result<Answer, exchange::Failure>> for Reply {
@@ -245,7 +264,7 @@
 }
 
 impl Pool {
-    /// Borrows a permit from `owner`, and returns its channel with the owner's load.
+    /// Borrows a permit from `owner`, and returns its channel with the owner's report.
     ///
     /// # Errors
     ///
@@ -254,10 +273,14 @@
         self: &Arc<Self>,
         owner: SocketAddr,
         claim: &Claim,
-    ) -> Result<(Channel, usize), Denial> {
+    ) -> Result<(Channel, Grant), Denial> {
         let call = Call::Claim(claim.clone());
         match self.request(owner, &call, claim.max_wait).await {
-            Some((channel, Reply::Granted { load })) => Ok((channel, load)),
+            Some((channel, Reply::Granted { load })) => Ok((channel, Grant { load, pace: None })),
+            Some((channel, Reply::GrantedAt { load, pace })) => {
+                let pace = Some(pace);
+                Ok((channel, Grant { load, pace }))
+            }
             Some((channel, Reply::Denied(denial))) => {
                 channel.release();
                 if denial == Denial::Unavailable(Cause::Leaving) {
--- a/crates/agateport-relay/src/exchange.rs
+++ b/crates/agateport-relay/src/exchange.rs
@@ -62,8 +62,26 @@
     ///
     /// [`Failure`] if no answer was received. Unless it is [`Failure::Unsent`], the
     /// command may have been run.
-    pub async fn run(self, setup: &Setup<'_>, command: Command) -> Result<Answer, Failure> {
+    pub async fn run(mut self, setup: &Setup<'_>, command: Command) -> Result<Answer, Failure> {
         let sent_at = uptime();
+        let result = self.receive(setup, command, sent_at).await;
+        if result == Err(Failure::Disconnected) {
+            self.server.record_failure(sent_at);
+        }
+        // For a borrowed permit, the owner measures the server, without the time of the
+        // messages between the nodes.
+        if let Permit::Local { slot, .. } = &*self.permit {
+            slot.record_response(&result, uptime().saturating_sub(sent_at));
+        }
+        result
+    }
+
+    async fn receive(
+        &mut self,
+        setup: &Setup<'_>,
+        command: Command,
+        sent_at: Uptime,
+    ) -> Result<Answer, Failure> {
         let deadline = Deadline::from_std(self.deadline);
         let response_deadline = deadline.min(Deadline::now() + RESPONSE_TIMEOUT);
         let mut running = pin!(self.permit.run(setup, command, self.deadline));
@@ -72,10 +90,6 @@
             self.server.record_failure(sent_at);
             result = timeout_at(deadline, running).await;
         }
-        let result = result.unwrap_or(Err(Failure::TimedOut));
-        if result == Err(Failure::Disconnected) {
-            self.server.record_failure(sent_at);
-        }
-        result
+        result.unwrap_or(Err(Failure::TimedOut))
     }
 }
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -145,8 +145,7 @@
             )
             .await;
         };
-        let load = server.load();
-        send(transport, &Reply::Granted { load }).await?;
+        send(transport, &Reply::from(server.grant())).await?;
         let cut = self.drain.cut.clone();
         while let Some(Some(frame)) = cut.run_until_cancelled(transport.next()).await {
             let Call::Execute(request) = postcard::from_bytes(&frame?)? else {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -65,6 +65,8 @@
     pub grace: Duration,
     /// Time for which a server that announced that it leaves keeps serving.
     pub drain: Duration,
+    /// Whether placement and limits follow the measured pace of the servers.
+    pub adapts_to_servers: bool,
 }
 
 /// Services of the platform that a node runs on.
@@ -107,6 +109,7 @@
         upstreams: Arc::new(
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
                 .with_drain(config.drain)
+                .with_adaptation(config.adapts_to_servers)
                 .with_metrics(metrics.clone()),
         ),
         config,
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -239,8 +239,8 @@
     claim: &Claim,
 ) -> Result<Permit<W>, Denial> {
     let usage = Usage::new(server.clone());
-    let (channel, load) = channels.acquire(owner, claim).await?;
-    server.record_owner_load(load);
+    let (channel, grant) = channels.acquire(owner, claim).await?;
+    server.record_grant(grant);
     Ok(Permit::Borrowed { channel, usage })
 }
 
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -11,6 +11,7 @@
 use crate::server::Server;
 use crate::statement::Runner;
 use crate::work::{Attempt, Failure, Work};
+use agateport_domain::pace::{self, Standing};
 use agateport_domain::prelude::*;
 use agateport_domain::session::placement::{self, Candidate};
 
@@ -142,9 +143,14 @@
         }
         let floor = group.floor(work.freshness_bound(), work.last_write);
         let servers = self.upstreams().servers(&work.route.group);
+        let paces = servers.iter().map(|server| server.pace());
+        let standings = pace::compare(&paces.collect::<Vec<_>>());
         let candidates: Vec<_> = servers
             .iter()
-            .filter_map(|server| self.candidate(server, leader.as_ref(), excluded))
+            .zip(standings)
+            .filter_map(|(server, standing)| {
+                self.candidate(server, standing, leader.as_ref(), excluded)
+            })
             .collect();
         let order = placement::order(&candidates, floor);
         self.upstreams().server(order.first()?)
@@ -153,6 +159,7 @@
     fn candidate(
         &self,
         server: &Server<W>,
+        standing: Standing,
         leader: Option<&ServerId>,
         excluded: &BTreeSet<ServerId>,
     ) -> Option<Candidate> {
@@ -168,6 +175,7 @@
             watermark: watermark.map(|(watermark, _)| watermark),
             is_recent: watermark.is_some_and(|(_, is_recent)| is_recent),
             load: server.load(),
+            standing,
         })
     }
 }
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -1,5 +1,9 @@
-//! State of an upstream server at one node: its request queue, its connections and
-//! its reachability.
+//! State of an upstream server at one node: its request queue, its connections, its
+//! reachability and its pace.
+
+mod pacing;
+
+pub use pacing::Grant;
 
 use crate::clock::uptime;
 use crate::link::{self, Link};
@@ -14,6 +18,7 @@
 use agateport_domain::group::Detector;
 use agateport_domain::prelude::*;
 use agateport_domain::request::{Reason, Refusal};
+use pacing::Pacing;
 use std::net::SocketAddr;
 use std::sync::{Mutex, MutexGuard, PoisonError, RwLock};
 use tokio::sync::oneshot;
@@ -58,6 +63,8 @@
     watermark: Option<(Uptime, Watermark)>,
     /// Load last reported by the server's owner.
     owner_load: Option<(Uptime, usize)>,
+    /// What is known of the server's pace; none if the node does not adapt to it.
+    pacing: Option<Pacing>,
     /// Number of permits that this node has borrowed, or is claiming, from owners.
     borrowed: usize,
     detector: Detector,
@@ -124,6 +131,7 @@
             idle: Vec::new(),
             watermark: None,
             owner_load: None,
+            pacing: None,
             borrowed: 0,
             detector: Detector::default(),
             last_request: 0,
--- a/crates/agateport-relay/src/slot.rs
+++ b/crates/agateport-relay/src/slot.rs
@@ -1,6 +1,8 @@
 //! Guards that account for the use of a server: a slot of this node, or a
 //! borrowed permit.
 
+use crate::exchange::Failure;
+use crate::message::Answer;
 use crate::protocol::Protocol;
 use crate::server::Server;
 use agateport_domain::prelude::*;
@@ -30,6 +32,12 @@
         self.server.resume(self.request);
     }
 
+    /// Records what the result of a statement that held the slot shows about the server.
+    pub fn record_response(&self, result: &Result<Answer, Failure>, elapsed: Duration) {
+        let server = &self.server;
+        server.record_response(self.request, result, elapsed);
+    }
+
     /// Returns the server that the slot belongs to.
     #[must_use]
     pub fn server(&self) -> &Arc<Server<W>> {
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -35,6 +35,8 @@
     zone: Zone,
     /// Time for which new work is sent to a leaving server.
     leaving_limit: Duration,
+    /// Whether placement and limits follow the measured pace of the servers.
+    adapts_to_servers: bool,
     groups: Sharded<GroupId, Arc<Group>>,
     servers: Sharded<ServerId, Arc<Server<W>>>,
     registry: RwLock<Arc<Registry>>,
@@ -66,6 +68,7 @@
             ownership: Ownership::new(node, zone.clone()),
             zone,
             leaving_limit: Duration::MAX,
+            adapts_to_servers: false,
             groups: Sharded::new(),
             servers: Sharded::new(),
             registry: RwLock::default(),
@@ -105,6 +108,15 @@
         }
     }
 
+    /// Sets whether placement and limits follow the measured pace of the servers.
+    #[must_use]
+    pub fn with_adaptation(self, adapts_to_servers: bool) -> Self {
+        Self {
+            adapts_to_servers,
+            ..self
+        }
+    }
+
     /// Returns the time for which new work is sent to a leaving server if no other can run
     /// it.
     #[must_use]
@@ -312,6 +324,11 @@
         let priorities = priority::all();
         match Server::new(entry.clone(), share, &priorities, self.trace.clone()) {
             Ok(server) => {
+                let server = if self.adapts_to_servers {
+                    server.adapting()
+                } else {
+                    server
+                };
                 server.set_role(role, share, &priorities);
                 self.servers.insert(entry.server.clone(), Arc::new(server));
             }
