--- a/crates/agateport-domain/src/allowance/account.rs
+++ b/crates/agateport-domain/src/allowance/account.rs
@@ -4,7 +4,7 @@
 use super::demand::Demand;
 use super::role::{Role, Shares, allocators};
 use super::views::Views;
-use super::{Cause, LEASE, Refusal, Tolerance, VIEW_DELAY};
+use super::{Cause, FIXED, LEASE, Refusal, Tolerance, VIEW_DELAY};
 use crate::id::{NodeId, Uptime, WorkspaceId, Zone};
 use crate::workspace::Limits;
 use std::collections::BTreeMap;
@@ -126,7 +126,7 @@
         if limits == self.limits && views.current_id() == self.view && !is_due {
             return;
         }
-        if limits.burst().total_cmp(&self.limits.burst()).is_ne() {
+        if limits.burst().total_cmp(&self.limits.burst()).is_ne() && !self.is_covered(limits) {
             let former = self.limits.burst();
             self.former_bursts
                 .retain(|(burst, _)| burst.total_cmp(&former).is_ne());
@@ -136,6 +136,15 @@
         self.compute(views, now);
     }
 
+    /// Returns whether lower limits can be lent as a whole while other nodes still use their
+    /// fixed shares of the former ones. Both together stay within the former limits, and lower
+    /// ones only bind once all nodes know them.
+    fn is_covered(&self, limits: Limits) -> bool {
+        let rest = 1.0 - FIXED;
+        let former = self.limits;
+        limits.rate() <= former.rate() * rest && limits.burst() <= former.burst() * rest
+    }
+
     /// Adds what the buckets received until `now`; nothing while the shares are not valid.
     fn accrue(&mut self, views: &Views, now: Uptime) {
         for bucket in [&mut self.fixed, &mut self.leased] {
