intake: the budget for what clients make a node hold, as an aggregate

Nothing limited what clients make a node hold. `Budget` keeps an account for each connection and an atomic sum. The first 16 KiB of a connection do not count. When the sum exceeds a quarter of the VM's memory, the connection that holds the most is closed, of equal ones the one without progress for the longest; what it holds no longer counts at once, so that one shortage does not close more than it must. `Gate` counts connections; beyond the limit the oldest one that has sent nothing gives way, and without one the new one is refused. `Limits` derives the figures.

Silent connections do not count towards "nearly full": whoever opens many would make each node unready. Ruled out: refusing the newest instead of closing the largest, because few clients could then keep all others from messages over 16 KiB.

Tests: the order in which connections are closed, the limits of the smallest VM, and by proptest that the sum is that of the open accounts and never over the limit. Nothing uses the aggregate yet. `rustfmt` joins a line of the prelude.

--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod drain;
 pub mod group;
 pub mod id;
+pub mod intake;
 pub mod membership;
 pub mod owner;
 pub mod platform;
--- a/crates/agateport-domain/src/prelude.rs
+++ b/crates/agateport-domain/src/prelude.rs
@@ -2,8 +2,7 @@
 
 pub use crate::id::{
     BundleVersion, CallerId, DatabaseId, Fence, GroupId, LinkId, NodeId, Position, PriorityId,
-    RequestId, ServerId, SessionId, Term, Uptime,
-    WorkspaceId, Zone,
+    RequestId, ServerId, SessionId, Term, Uptime, WorkspaceId, Zone,
 };
 pub use crate::session::Watermark;
 pub use crate::shard::Sharded;
