relay, platform: limits on what clients make a node hold

Clients outside our control could make a node hold memory and descriptors without a limit: messages begun and not finished, answers not read, silent connections; see the cases of tests/hostile.rs.

- Input, output and answers of each connection count in the budget of the intake aggregate.
Without growth beyond 16 KiB that is one comparison of an atomic for each change of a size; beyond, the lock of the connection's own account.
- A message over 16 KiB is received in blocks of one size and joined when it may be complete.
- Rows are encoded a part at a time; an answer was held twice while it was sent.
- `take_line` continues where the last search ended, so decoding is linear; proptest: any split of any stream of lines, also of several blocks, and of frames gives the same messages.
- First message, rest of a message and 64 KiB of an answer have 10 s each.
`received` stops after one message; it read for as long as data came.
- Callers and connections of other nodes are limited; silent ones give way.
At nine tenths of the callers that have sent something the node is not ready, but keeps its idle sessions.
HTTP: 32 connections for each address, 16 KiB and 10 s for a header.
Frames use memory as they arrive.
- An answer over its limit closes the caller's connection.
It is not reported as a failure of the server, which a client could otherwise make look down, and the statement does not run elsewhere.
- Values and prepared statements have a fifth of the memory, at most 32 MiB as before (the same for 160 MB).
- Settings `memory_megabytes`, `descriptors`, `first_message_seconds`, `message_seconds` and `unread_seconds`.
Each close is counted by reason and logged at a limited rate.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -181,8 +181,7 @@
             answer.state = self.state();
             self.runner
                 .report(&self.database, &request, &answer, started);
-            W::encode_answer(&answer, &mut self.connection.output);
-            self.connection.flush().await?;
+            self.connection.answer(answer).await?;
         }
     }
 
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -8,6 +8,7 @@
 use crate::clock::uptime;
 use crate::control::peer::Call;
 use crate::exchange;
+use crate::frames::Frames;
 use crate::link::{Setup, configure_socket};
 use crate::message::{Answer, Command, Outcome, Prepared, State, Values};
 use crate::permit::{Cause, Claim, Denial};
@@ -22,7 +23,7 @@
 use thiserror::Error;
 use tokio::net::TcpStream;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 
 /// Timeout for a node's first reply: some round trips between zones and the pauses of
 /// a busy VM. It is short enough that a caller can still be served elsewhere
@@ -43,7 +44,7 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(5);
 
 /// A channel's connection, split into frames.
-pub type Transport = Framed<TcpStream, LengthDelimitedCodec>;
+pub type Transport = Framed<TcpStream, Frames>;
 
 /// A request to execute a command with a borrowed permit.
 #[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
@@ -356,7 +357,7 @@
         let stream = TcpStream::connect(node).await?;
         configure_socket(&stream)?;
         Ok(Channel {
-            transport: Framed::new(stream, LengthDelimitedCodec::new()),
+            transport: Framed::new(stream, Frames::default()),
             node,
             idle_since: Uptime::ZERO,
             pool: self.clone(),
--- a/crates/agateport-relay/src/context.rs
+++ b/crates/agateport-relay/src/context.rs
@@ -63,12 +63,30 @@
 }
 
 /// Size of the values and prepared statements of all sessions of a node.
-#[derive(Debug, Default)]
+#[derive(Debug)]
 pub struct Usage {
     bytes: AtomicUsize,
+    /// Maximum size in bytes.
+    limit: usize,
+}
+
+impl Default for Usage {
+    fn default() -> Self {
+        Self::new(MAX_NODE_BYTES)
+    }
 }
 
 impl Usage {
+    /// Creates the usage of a node that keeps at most `limit` bytes, and never more than
+    /// [`MAX_NODE_BYTES`].
+    #[must_use]
+    pub fn new(limit: usize) -> Self {
+        Self {
+            bytes: AtomicUsize::new(0),
+            limit: limit.min(MAX_NODE_BYTES),
+        }
+    }
+
     /// Returns the size in bytes.
     #[must_use]
     pub fn bytes(&self) -> usize {
@@ -79,7 +97,7 @@
     fn add(&self, bytes: usize) -> bool {
         let added = |used: usize| {
             let total = used.checked_add(bytes)?;
-            (total <= MAX_NODE_BYTES).then_some(total)
+            (total <= self.limit).then_some(total)
         };
         self.bytes
             .fetch_update(Ordering::Relaxed, Ordering::Relaxed, added)
--- a/crates/agateport-relay/src/control/peer.rs
+++ b/crates/agateport-relay/src/control/peer.rs
@@ -9,6 +9,8 @@
 use crate::clock::uptime;
 use crate::control::snapshot::Snapshot;
 use crate::currency::VALIDITY;
+use crate::frames::{Frames, next_frame};
+use crate::intake::{HOLDING, Holding, Kind};
 use crate::lend::Lender;
 use crate::link::configure_socket;
 use crate::name;
@@ -18,6 +20,7 @@
 use crate::registry;
 use crate::source::Revision;
 use crate::upstreams::Upstreams;
+use agateport_domain::intake::Reason;
 use agateport_domain::prelude::*;
 use bytes::Bytes;
 use futures::{SinkExt, StreamExt};
@@ -29,7 +32,7 @@
 use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 use tokio::time::timeout;
-use tokio_util::codec::{Framed, LengthDelimitedCodec};
+use tokio_util::codec::Framed;
 use tokio_util::sync::CancellationToken;
 
 /// Timeout for a query that a node answers at once, including its connection: some round
@@ -42,9 +45,6 @@
 /// Maximum time for which a node waits for news before it answers a query.
 const MAX_WAIT: Duration = Duration::from_millis(500);
 
-/// Time without a query after which a node's connection is closed.
-const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
-
 /// A failed exchange with another node.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -149,7 +149,7 @@
     pub last: Watermark,
 }
 
-type Connection = Framed<TcpStream, LengthDelimitedCodec>;
+type Connection = Framed<TcpStream, Frames>;
 
 /// Answers other nodes until `token` is cancelled.
 pub async fn serve<W: Protocol>(
@@ -164,13 +164,12 @@
             accepted = listener.accept() => accepted,
         };
         match accepted {
-            Ok((stream, _)) => {
-                let answering = answer_all(stream, lender.clone(), snapshots.clone());
-                tokio::spawn(async move {
-                    if let Err(error) = answering.await {
-                        tracing::debug!(%error, "the connection of another node ended with an error");
-                    }
-                });
+            Ok((stream, address)) => {
+                let intake = lender.upstreams.intake();
+                if let Some(holding) = intake.admit(Kind::Peer, address) {
+                    let (lender, snapshots) = (lender.clone(), snapshots.clone());
+                    tokio::spawn(serve_node(stream, holding, lender, snapshots));
+                }
             }
             Err(error) => {
                 tracing::warn!(event = "accept_failed", %error, "the connection of a node could not be accepted");
@@ -181,8 +180,26 @@
     }
 }
 
+async fn serve_node<W: Protocol>(
+    stream: TcpStream,
+    holding: Arc<Holding>,
+    lender: Lender<W>,
+    snapshots: watch::Receiver<Option<Snapshot>>,
+) {
+    let answering = answer_all(stream, &holding, lender, snapshots);
+    let answered = tokio::select! {
+        biased;
+        () = holding.closed() => return,
+        answered = HOLDING.scope(holding.clone(), answering) => answered,
+    };
+    if let Err(error) = answered {
+        tracing::debug!(%error, "the connection of another node ended with an error");
+    }
+}
+
 async fn answer_all<W: Protocol>(
     stream: TcpStream,
+    holding: &Arc<Holding>,
     lender: Lender<W>,
     snapshots: watch::Receiver<Option<Snapshot>>,
 ) -> Result<(), Error> {
@@ -192,8 +209,8 @@
         snapshots,
         has_answered: false,
     };
-    let mut connection = Framed::new(stream, LengthDelimitedCodec::new());
-    while let Ok(Some(frame)) = timeout(IDLE_TIMEOUT, connection.next()).await {
+    let mut connection = Framed::new(stream, Frames::new(holding.clone()));
+    while let Some(frame) = next_frame(&mut connection, holding, news.has_answered).await {
         let query = match postcard::from_bytes(&frame?)? {
             Call::Update(query) => query,
             call => return Ok(lender.serve(connection, call).await?),
@@ -205,7 +222,12 @@
         let snapshot = news.take();
         let waited = uptime().saturating_sub(received_at);
         let update = answer(&lender.upstreams, snapshot.as_ref(), query, waited);
-        connection.send(encode(&update)?).await?;
+        let sending = connection.send(encode(&update)?);
+        let Ok(sent) = timeout(holding.limits().unread, sending).await else {
+            holding.close(Reason::Unread);
+            return Ok(());
+        };
+        sent?;
     }
     Ok(())
 }
@@ -345,7 +367,7 @@
     } else {
         let stream = TcpStream::connect(address).await?;
         stream.set_nodelay(true)?;
-        Framed::new(stream, LengthDelimitedCodec::new())
+        Framed::new(stream, Frames::default())
     };
     connection.send(encode(&Call::Update(query))?).await?;
     let frame = connection.next().await;
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -3,6 +3,7 @@
 use crate::clock::uptime;
 use crate::control::snapshot::Snapshot;
 use crate::error::Error;
+use crate::intake::{Intake, Kind};
 use crate::metrics::{Metrics, millis};
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
@@ -11,10 +12,23 @@
 use axum::Router;
 use axum::http::StatusCode;
 use axum::routing::get;
+use hyper::server::conn::http1;
+use hyper_util::rt::{TokioIo, TokioTimer};
+use hyper_util::service::TowerToHyperService;
 use std::net::SocketAddr;
-use tokio::net::TcpListener;
+use tokio::net::{TcpListener, TcpStream};
 use tokio::sync::watch;
 
+/// Timeout for the header of a request. The platform checks readiness once a second, so a
+/// connection that it keeps open is not closed.
+const HEADER_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Maximum size in bytes of what is received of a request and of what is sent at once.
+const MAX_BUFFER: usize = 16 << 10;
+
+/// Pause after a failure to accept a connection, which avoids a busy loop.
+const RETRY_DELAY: Duration = Duration::from_millis(10);
+
 /// Serves the readiness check at `path`.
 ///
 /// # Errors
@@ -25,6 +39,7 @@
     path: &'static str,
     readiness: Readiness<W>,
 ) -> Result<(), Error> {
+    let intake = readiness.upstreams.intake().clone();
     let answer = move || {
         let status = if readiness.is_ready() {
             StatusCode::OK
@@ -34,7 +49,7 @@
         std::future::ready(status)
     };
     let router = Router::new().route(path, get(answer));
-    spawn_http(address, router).await
+    spawn_http(address, router, intake, Kind::Ready).await
 }
 
 /// Serves the metrics of a node.
@@ -48,16 +63,17 @@
     snapshots: watch::Receiver<Option<Snapshot>>,
     metrics: Arc<Metrics>,
 ) -> Result<(), Error> {
+    let intake = upstreams.intake().clone();
     let answer = move || {
         let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
         std::future::ready(metrics.render(&gauges))
     };
     let router = Router::new().route("/metrics", get(answer));
-    spawn_http(address, router).await
+    spawn_http(address, router, intake, Kind::Metrics).await
 }
 
 /// Returns the version of the configuration, the size of what the sessions set and
-/// prepared, and the ages of what the node knows, in milliseconds; the age of something
+/// prepared, the number of callers and what clients hold, and the ages of what the node knows, in milliseconds; the age of something
 /// that is not known yet is omitted.
 fn gauges<W: Protocol>(
     upstreams: &Upstreams<W>,
@@ -76,17 +92,59 @@
     let context_bytes = upstreams.context_usage().bytes();
     let context_bytes = u64::try_from(context_bytes).unwrap_or(u64::MAX);
     let context_bytes = ("session_context_bytes", context_bytes);
-    ages.chain([version, context_bytes]).collect()
+    let intake = upstreams.intake();
+    let gauge = |value: usize| u64::try_from(value).unwrap_or(u64::MAX);
+    let held = ("client_bytes", gauge(intake.held()));
+    let callers = ("callers", gauge(intake.callers()));
+    ages.chain([version, context_bytes, held, callers])
+        .collect()
 }
 
-async fn spawn_http(address: SocketAddr, router: Router) -> Result<(), Error> {
+async fn spawn_http(
+    address: SocketAddr,
+    router: Router,
+    intake: Arc<Intake>,
+    kind: Kind,
+) -> Result<(), Error> {
     let listener = TcpListener::bind(address).await?;
-    tokio::spawn(async move {
-        if let Err(error) = axum::serve(listener, router).await {
-            tracing::error!(event = "http_ended", %address, %error, "an HTTP server ended with an error");
-        }
-    });
+    tokio::spawn(accept(listener, router, intake, kind));
     let started = uptime();
     tracing::debug!(%address, ?started, "an HTTP server has started");
     Ok(())
 }
+
+/// Accepts connections for as long as the node runs. Beyond the limit the oldest one is
+/// closed, so that connections that are held open keep nobody out.
+async fn accept(listener: TcpListener, router: Router, intake: Arc<Intake>, kind: Kind) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, address)) => {
+                if let Some(holding) = intake.admit(kind, address) {
+                    let router = router.clone();
+                    tokio::spawn(async move {
+                        tokio::select! {
+                            () = holding.closed() => {}
+                            () = serve(stream, router) => {}
+                        }
+                    });
+                }
+            }
+            Err(error) => {
+                tracing::warn!(event = "accept_failed", %error, "an HTTP connection could not be accepted");
+                tokio::time::sleep(RETRY_DELAY).await;
+            }
+        }
+    }
+}
+
+async fn serve(stream: TcpStream, router: Router) {
+    let served = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(HEADER_TIMEOUT)
+        .max_buf_size(MAX_BUFFER)
+        .serve_connection(TokioIo::new(stream), TowerToHyperService::new(router))
+        .await;
+    if let Err(error) = served {
+        tracing::debug!(%error, "an HTTP connection ended with an error");
+    }
+}
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod accept;
 pub mod budget;
+pub mod buffer;
 pub mod caller;
 pub mod catalog;
 pub mod channel;
@@ -18,8 +19,10 @@
 pub mod error;
 pub mod exchange;
 pub mod field;
+pub mod frames;
 pub mod group;
 pub mod http;
+pub mod intake;
 pub mod lease;
 pub mod lend;
 pub mod link;
--- a/crates/agateport-relay/src/link.rs
+++ b/crates/agateport-relay/src/link.rs
@@ -4,13 +4,17 @@
 pub mod names;
 pub mod rejection;
 
+use crate::buffer::{BLOCK, Input};
 use crate::clock::uptime;
+use crate::connection::decodable;
 use crate::context::Context;
 use crate::field::{self, Word};
+use crate::intake::{HOLDING, Holding, Part as HeldPart};
 use crate::message::{
     Answer, Code, Command, Outcome, Part, Prepared, Request, State, Values, Verb,
 };
 use crate::protocol::{self, Protocol};
+use agateport_domain::intake::Reason;
 use agateport_domain::prelude::*;
 use bytes::BytesMut;
 use content::Content;
@@ -38,6 +42,9 @@
 /// Initial capacity of a connection's buffer in bytes; most answers fit.
 const INITIAL_CAPACITY: usize = 2_048;
 
+/// Memory in bytes that counts for each row of an answer besides its text.
+const ROW_BYTES: usize = 64;
+
 /// Failure of a connection, which makes it unusable.
 #[derive(Debug, Error)]
 pub enum Error {
@@ -101,7 +108,7 @@
     /// Number of the connection, unique on this node.
     pub id: LinkId,
     stream: TcpStream,
-    buffer: BytesMut,
+    buffer: Input,
     /// What is set and prepared on the connection.
     content: Content,
     /// When the connection was last released.
@@ -144,7 +151,7 @@
         let mut link = Self {
             id,
             stream,
-            buffer: BytesMut::with_capacity(INITIAL_CAPACITY),
+            buffer: Input::new(INITIAL_CAPACITY),
             content: Content::default(),
             idle_since: Uptime::ZERO,
             protocol: PhantomData,
@@ -269,15 +276,21 @@
     }
 
     async fn answer(&mut self) -> Result<Answer, Error> {
+        let holding = HOLDING.try_with(Arc::clone).ok();
         let mut rows = Vec::new();
+        let mut size = 0;
         let mut outcome = None;
         loop {
-            match self.part().await? {
-                Part::Row(row) => rows.push(row),
+            match self.held_part(holding.as_deref(), size).await? {
+                Part::Row(row) => {
+                    size += row.len() + ROW_BYTES;
+                    rows.push(row);
+                }
                 Part::Outcome(received) => outcome = Some(received),
                 Part::Ready { state, watermark } => {
                     let outcome =
                         outcome.ok_or(protocol::Error::Malformed("answer without an outcome"))?;
+                    self.buffer.release();
                     return Ok(Answer {
                         rows,
                         outcome,
@@ -291,17 +304,46 @@
     }
 
     async fn part(&mut self) -> Result<Part, Error> {
+        self.held_part(None, 0).await
+    }
+
+    /// Receives a part of an answer of which `size` bytes have been received. All of them
+    /// count as held by the client that the statement is run for.
+    async fn held_part(&mut self, holding: Option<&Holding>, size: usize) -> Result<Part, Error> {
         loop {
-            if let Some(part) = W::decode_part(&mut self.buffer)? {
+            let buffer = &mut self.buffer;
+            if decodable::<W>(buffer)
+                && let Some(part) = W::decode_part(&mut buffer.bytes, &mut buffer.searched)?
+            {
                 return Ok(part);
             }
-            if self.stream.read_buf(&mut self.buffer).await? == 0 {
+            if buffer.allocated() > BLOCK {
+                buffer.release();
+            }
+            buffer.make_room();
+            if let Some(holding) = holding {
+                hold(holding, size + buffer.allocated()).await;
+            }
+            if self.stream.read_buf(&mut buffer.bytes).await? == 0 {
                 return Err(Error::Closed);
             }
         }
     }
 }
 
+/// Counts an answer of `size` bytes as held by a client. If the client is closed for it,
+/// this never returns, and the task that serves the client is dropped: a failure would be
+/// recorded as one of the server, and the statement would be run elsewhere.
+async fn hold(holding: &Holding, size: usize) {
+    if holding.limits().answer().is_some_and(|limit| size > limit) {
+        holding.close(Reason::Answer);
+        return std::future::pending().await;
+    }
+    if holding.set(HeldPart::Answer, size).is_err() {
+        std::future::pending::<()>().await;
+    }
+}
+
 /// Disables Nagle's algorithm, and makes the connection fail when its peer becomes
 /// unreachable.
 pub(crate) fn configure_socket(stream: &TcpStream) -> io::Result<()> {
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -17,6 +17,7 @@
 use crate::drain::Drain;
 use crate::error::Error;
 use crate::http;
+use crate::intake::Intake;
 use crate::lend::Lender;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
@@ -27,6 +28,7 @@
 use crate::statement::Runner;
 use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
+use agateport_domain::intake::Limits;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
@@ -65,6 +67,8 @@
     pub grace: Duration,
     /// Time for which a server that announced that it leaves keeps serving.
     pub drain: Duration,
+    /// Limits on what clients make the node hold.
+    pub limits: Limits,
 }
 
 /// Services of the platform that a node runs on.
@@ -103,11 +107,13 @@
     let callers = TcpListener::bind(config.callers).await?;
     let peers = TcpListener::bind(config.peers).await?;
     let (publisher, snapshots) = watch::channel(None);
+    let intake = Arc::new(Intake::new(config.limits, Some(metrics.clone())));
     let node = Node {
         upstreams: Arc::new(
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
                 .with_drain(config.drain)
-                .with_metrics(metrics.clone()),
+                .with_metrics(metrics.clone())
+                .with_intake(intake),
         ),
         config,
         process: rand::random(),
--- a/crates/agateport-relay/src/protocol.rs
+++ b/crates/agateport-relay/src/protocol.rs
@@ -26,10 +26,22 @@
 pub trait Protocol: Send + Sync + 'static {
     /// Removes the next message of a caller from `buffer`; none if it is incomplete.
     ///
+    /// `searched` is the number of bytes at the start of `buffer` in which no message ends.
+    /// It is zero for a new buffer and only changed by this method, so that input is
+    /// searched once however it is split.
+    ///
     /// # Errors
     ///
     /// [`enum@Error`] if the message is malformed.
-    fn decode_message(buffer: &mut BytesMut) -> Result<Option<Message>, Error>;
+    fn decode_message(
+        buffer: &mut BytesMut,
+        searched: &mut usize,
+    ) -> Result<Option<Message>, Error>;
+
+    /// Returns whether a message may end within `bytes`, which follow the byte `last` of it,
+    /// or whether it is too long with its `length`. Only then is it decoded, if it is longer
+    /// than a block.
+    fn may_end(last: Option<u8>, bytes: &[u8], length: usize) -> bool;
 
     /// Appends the message that reports a session to be ready for its next statement.
     fn encode_ready(state: State, watermark: Option<Watermark>, buffer: &mut BytesMut);
@@ -37,6 +49,9 @@
     /// Appends the outcome of a statement or of opening a session.
     fn encode_outcome(outcome: &Outcome, buffer: &mut BytesMut);
 
+    /// Appends a row of an answer to a caller.
+    fn encode_row(row: &Bytes, buffer: &mut BytesMut);
+
     /// Appends a complete answer to a caller.
     fn encode_answer(answer: &Answer, buffer: &mut BytesMut);
 
@@ -44,12 +59,12 @@
     fn encode_command(command: &Command, buffer: &mut BytesMut);
 
     /// Removes the next part of a server's answer from `buffer`; none if it is
-    /// incomplete.
+    /// incomplete. `searched` is as for [`Protocol::decode_message`].
     ///
     /// # Errors
     ///
     /// [`enum@Error`] if the part is malformed.
-    fn decode_part(buffer: &mut BytesMut) -> Result<Option<Part>, Error>;
+    fn decode_part(buffer: &mut BytesMut, searched: &mut usize) -> Result<Option<Part>, Error>;
 
     /// Decodes the row with which a server reports its status.
     ///
--- a/crates/agateport-relay/src/readiness.rs
+++ b/crates/agateport-relay/src/readiness.rs
@@ -46,13 +46,20 @@
 }
 
 impl<W: Protocol> Readiness<W> {
+    /// Returns whether the node accepts new callers: it can serve them and has not nearly as
+    /// many as it accepts.
+    #[must_use]
+    pub fn is_ready(&self) -> bool {
+        self.can_serve() && !self.upstreams.intake().is_nearly_full()
+    }
+
     /// Returns whether the node can serve callers: it has a configuration and
     /// servers, and its leases on their primaries are being renewed.
     ///
     /// When a whole zone is partitioned, its nodes become unready, and callers are
     /// directed to other zones.
     #[must_use]
-    pub fn is_ready(&self) -> bool {
+    pub fn can_serve(&self) -> bool {
         if self.stop.is_cancelled() || self.snapshots.borrow().is_none() {
             return false;
         }
@@ -64,8 +71,8 @@
     }
 }
 
-/// Closes idle sessions while the node is not ready, once the platform has stopped
-/// sending new callers.
+/// Closes idle sessions while the node cannot serve callers, once the platform has stopped
+/// sending new ones. A node that is nearly full keeps its sessions.
 ///
 /// While the value of `shutdown` is true, a session ends once it has no transaction.
 pub async fn close_idle_sessions<W: Protocol>(
@@ -83,7 +90,7 @@
             return;
         }
         let has_started = readiness.snapshots.borrow().is_some();
-        if readiness.is_ready() || !has_started {
+        if readiness.can_serve() || !has_started {
             unready_since = None;
             // Sessions are notified only if the value changes.
             shutdown.send_if_modified(std::mem::take);
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -5,6 +5,7 @@
 use crate::context;
 use crate::currency::{Currencies, Origin};
 use crate::group::Group;
+use crate::intake::Intake;
 use crate::metrics::Metrics;
 use crate::ownership::{Members, Ownership};
 use crate::priority;
@@ -50,6 +51,8 @@
     channels: Arc<channel::Pool>,
     /// Size of the values and prepared statements of this node's sessions.
     context_usage: Arc<context::Usage>,
+    /// What clients make this node hold.
+    intake: Arc<Intake>,
     /// Revision of the registry.
     registry_revision: Mutex<Revision>,
     /// Fingerprint of the registry, for comparison between nodes.
@@ -75,6 +78,7 @@
             changes: watch::Sender::new(0),
             channels: Arc::default(),
             context_usage: Arc::default(),
+            intake: Arc::default(),
             registry_revision: Mutex::default(),
             fingerprint: AtomicU64::new(0),
             trace: Arc::default(),
@@ -90,6 +94,26 @@
         }
     }
 
+    /// Sets the limits on what clients make this node hold.
+    #[must_use]
+    pub fn with_intake(self, intake: Arc<Intake>) -> Self {
+        let context_usage = match intake.limits().contexts {
+            Some(limit) => Arc::new(context::Usage::new(limit)),
+            None => Arc::default(),
+        };
+        Self {
+            context_usage,
+            intake,
+            ..self
+        }
+    }
+
+    /// Returns what clients make this node hold.
+    #[must_use]
+    pub fn intake(&self) -> &Arc<Intake> {
+        &self.intake
+    }
+
     /// Returns the log of prepared statements.
     #[must_use]
     pub fn trace(&self) -> &Trace {
