--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -11,6 +11,7 @@
 pub mod drain;
 pub mod group;
 pub mod id;
+pub mod intake;
 pub mod membership;
 pub mod owner;
 pub mod pace;
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod accept;
 pub mod allowance;
 pub mod budget;
+pub mod buffer;
 pub mod caller;
 pub mod catalog;
 pub mod channel;
@@ -19,8 +20,10 @@
 pub mod error;
 pub mod exchange;
 pub mod field;
+pub mod frames;
 pub mod group;
 pub mod http;
+pub mod intake;
 pub mod lease;
 pub mod lend;
 pub mod link;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -17,6 +17,7 @@
 use crate::drain::Drain;
 use crate::error::Error;
 use crate::http;
+use crate::intake::Intake;
 use crate::lend::Lender;
 use crate::metrics::Metrics;
 use crate::protocol::Protocol;
@@ -28,6 +29,7 @@
 use crate::tasks::Tasks;
 use crate::upstreams::Upstreams;
 use agateport_domain::allowance::Tolerance;
+use agateport_domain::intake::Limits;
 use agateport_domain::prelude::*;
 use agateport_domain::tree::Capacity;
 use std::net::SocketAddr;
@@ -72,6 +74,8 @@
     pub tolerance: Tolerance,
     /// Whether placement and limits follow the measured pace of the servers.
     pub adapts_to_servers: bool,
+    /// Limits on what clients make the node hold.
+    pub limits: Limits,
 }
 
 /// Services of the platform that a node runs on.
@@ -110,6 +114,7 @@
     let callers = TcpListener::bind(config.callers).await?;
     let peers = TcpListener::bind(config.peers).await?;
     let (publisher, snapshots) = watch::channel(None);
+    let intake = Arc::new(Intake::new(config.limits, Some(metrics.clone())));
     let node = Node {
         upstreams: Arc::new(
             Upstreams::<W>::new(config.node.clone(), config.zone.clone())
@@ -117,7 +122,8 @@
                 .with_key_validity(config.key_validity)
                 .with_tolerance(config.tolerance)
                 .with_adaptation(config.adapts_to_servers)
-                .with_metrics(metrics.clone()),
+                .with_metrics(metrics.clone())
+                .with_intake(intake),
         ),
         config,
         process: rand::random(),
