caller: never use a key as the name of a caller

A session that was opened before the configuration listed workspaces kept what its caller presented as a label, and sent it to owners with a claim on a public route. The name now follows from the configuration at each statement, and the label is left out of debug output.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -153,9 +153,6 @@
             self.connection.close().await?;
             return Ok(false);
         }
-        if upstreams.catalog().workspaces.is_some() {
-            self.identity.clear_label();
-        }
         self.runner.metrics().count("session", "opened");
         W::encode_ready(State::Idle, None, &mut self.connection.output);
         self.connection.flush().await?;
@@ -384,7 +381,7 @@
             id,
             session: self.id,
             route: &target.route,
-            caller: target.caller(&self.identity),
+            caller: &target.caller,
             workspace: target.workspace.as_ref(),
             context: &self.context,
             last_write: self.last_write,
--- a/crates/agateport-relay/src/caller/identity.rs
+++ b/crates/agateport-relay/src/caller/identity.rs
@@ -8,15 +8,22 @@
 use crate::reply;
 use agateport_domain::prelude::*;
 use agateport_domain::workspace::{self, KeyDigest, Refusal};
+use std::fmt;
 
 /// What a caller presented to identify itself.
-#[derive(Debug)]
 pub(super) struct Identity {
     key: KeyDigest,
     /// The same as a label, for deployments without workspaces, whose callers have no keys.
     label: CallerId,
 }
 
+impl fmt::Debug for Identity {
+    /// Omits the label, which may be a key.
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        formatter.write_str("Identity")
+    }
+}
+
 impl Default for Identity {
     fn default() -> Self {
         Self::new(&Credential::new(String::new()))
@@ -30,11 +37,6 @@
             label: credential.text().into(),
         }
     }
-
-    /// Forgets the label, which may be a key.
-    pub(super) fn clear_label(&mut self) {
-        self.label = "".into();
-    }
 }
 
 /// What the statements of a session use.
@@ -45,13 +47,9 @@
     /// Workspace of the caller; none in a deployment without workspaces, and for a caller of a
     /// public route that is not identified.
     pub workspace: Option<WorkspaceId>,
-}
-
-impl Target {
-    /// Returns the name under which slots are shared fairly among callers.
-    pub(super) fn caller<'a>(&'a self, identity: &'a Identity) -> &'a CallerId {
-        self.workspace.as_ref().unwrap_or(&identity.label)
-    }
+    /// Name under which slots are shared fairly among callers. Other nodes receive it, so it
+    /// is never a key: where there are workspaces, it is that of the caller, or empty.
+    pub caller: CallerId,
 }
 
 impl<W: Protocol> Session<W> {
@@ -65,7 +63,11 @@
             return Err(Box::new(reply::no_route(age)));
         };
         match self.identify(&route, age) {
-            Ok(workspace) => Ok(Target { route, workspace }),
+            Ok(workspace) => Ok(Target {
+                route,
+                caller: self.caller(workspace.as_ref()),
+                workspace,
+            }),
             Err(refusal) => {
                 self.runner.report_unidentified(&self.database, refusal);
                 Err(Box::new(reply::unidentified(refusal)))
@@ -73,6 +75,16 @@
         }
     }
 
+    fn caller(&self, workspace: Option<&WorkspaceId>) -> CallerId {
+        if let Some(workspace) = workspace {
+            return workspace.clone();
+        }
+        if self.runner.upstreams().catalog().workspaces.is_some() {
+            return "".into();
+        }
+        self.identity.label.clone()
+    }
+
     /// Returns the answer to a statement of an open transaction whose caller's key was
     /// withdrawn, or belongs to another workspace now. The transaction is rolled back.
     pub(super) fn refuse_withdrawn(&mut self, request: &Request) -> Option<Answer> {
