--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -73,8 +73,8 @@
 }
 
 /// Returns the version of the configuration, the size of what the sessions set and
-/// prepared, the number of callers and what clients hold, and the ages of what the node knows, in milliseconds; the age of something
-/// that is not known yet is omitted.
+/// prepared, the number of callers and what clients hold, and the ages of what the node
+/// knows, in milliseconds; the age of something that is not known yet is omitted.
 fn gauges<W: Protocol>(
     upstreams: &Upstreams<W>,
     snapshot: Option<&Snapshot>,
