allowance: keep marked nodes counted for as long as they may use shares

Found by a review, not seen at a caller: the row of a marked node was deleted 5 s after the mark, although the node may use its shares for 8 s. A node that started in between did not count it. The delay is 10 s where standings are kept. A node that a former version marked as gone no longer continues its shares, and updates without standings have the bytes of the former version.

--- a/crates/agateport-relay/src/allowance.rs
+++ b/crates/agateport-relay/src/allowance.rs
@@ -121,7 +121,8 @@
     }
 
     /// Returns what the records say about the nodes that count. A node that left counts until
-    /// its standing is deleted.
+    /// its standing is deleted; this node only if it may continue its shares and is not marked
+    /// as gone.
     fn listing(&self, records: &Records) -> Listing {
         let zoned = |nodes: &Nodes| -> BTreeMap<NodeId, Zone> {
             let nodes = nodes.iter();
@@ -129,13 +130,16 @@
             zoned.collect()
         };
         let mut members = zoned(&records.members);
+        let is_established = records.is_established(&self.node, &self.zone);
+        let is_returning = is_established && !records.gone.contains_key(&self.node);
         let left = records.left();
+        let left = left.filter(|(node, _)| **node != self.node || is_returning);
         members.extend(left.map(|(node, standing)| (node.clone(), standing.zone.clone())));
         Listing {
             era: records.revision.era,
             members: members.iter().collect::<Members>(),
             gone: zoned(&records.gone).iter().collect::<Members>(),
-            is_established: records.is_established(&self.node, &self.zone),
+            is_established,
         }
     }
 
--- a/crates/agateport-relay/src/control/monitor.rs
+++ b/crates/agateport-relay/src/control/monitor.rs
@@ -13,6 +13,7 @@
 use crate::record::{self, Member, Records};
 use crate::source::{Change, Store};
 use crate::upstreams::Upstreams;
+use agateport_domain::allowance::VIEW_DELAY;
 use agateport_domain::group::LEASE_DURATION;
 use agateport_domain::prelude::*;
 use tokio::sync::watch;
@@ -28,6 +29,10 @@
 /// Time from the mark until the row is deleted; several times the lease duration.
 const DELETE_DELAY: Duration = Duration::from_secs(5);
 
+/// The same while nodes count for the allowances of workspaces. A marked node may use its
+/// shares for [`VIEW_DELAY`], and a node that starts meanwhile must read the mark.
+const COUNTED_DELETE_DELAY: Duration = VIEW_DELAY.saturating_add(Duration::from_secs(2));
+
 /// Time from the stop of a node until its standing is deleted: longer than a restart, and not
 /// longer than the time after which a node that ended without notice ceases to count.
 const LEFT_DELAY: Duration = MARK_AFTER;
@@ -96,13 +101,18 @@
         self.change(change, node).await;
     }
 
-    /// Deletes the rows of nodes that were marked at least [`DELETE_DELAY`] ago.
+    /// Deletes the rows of nodes that were marked some time ago.
     async fn delete_marked(&self, records: &Records, marked: &mut BTreeMap<NodeId, Uptime>) {
+        let delay = if records.standings.is_empty() {
+            DELETE_DELAY
+        } else {
+            COUNTED_DELETE_DELAY
+        };
         marked.retain(|node, _| records.gone.contains_key(node));
         for node in records.gone.keys() {
             let since = *marked.entry(node.clone()).or_insert_with(uptime);
             let is_responsible = records.node_before(node) == Some(&self.node);
-            if !is_responsible || uptime() < since + DELETE_DELAY {
+            if !is_responsible || uptime() < since + delay {
                 continue;
             }
             let mut deleted = standing_rows(records, node);
--- a/crates/agateport-relay/src/control/update.rs
+++ b/crates/agateport-relay/src/control/update.rs
@@ -18,7 +18,8 @@
 /// [`postcard::Error`] if it cannot be encoded.
 pub fn encode(update: &Update) -> Result<Bytes, postcard::Error> {
     let mut bytes = postcard::to_stdvec(update)?;
-    if let Some(records) = &update.records {
+    let records = update.records.as_ref();
+    if let Some(records) = records.filter(|records| !records.standings.is_empty()) {
         bytes.extend(postcard::to_stdvec(&records.standings)?);
     }
     Ok(bytes.into())
