--- a/crates/agateport-relay/src/catalog.rs
+++ b/crates/agateport-relay/src/catalog.rs
@@ -93,42 +93,90 @@
     #[must_use]
     pub fn checked(self) -> Self {
         let version = self.version;
-        let routes = self.routes.into_iter().filter_map(|(database, route)| {
+        let (catalog, invalid) = self.check();
+        for entry in invalid {
+            entry.log(version);
+        }
+        catalog
+    }
+
+    /// Returns the configuration as [`Self::checked`] does, and what is left out of it.
+    #[must_use]
+    pub fn check(self) -> (Self, Vec<Invalid>) {
+        let mut invalid = Vec::new();
+        let mut routes = BTreeMap::new();
+        for (database, route) in self.routes {
             let checked = Route::clone(&route).checked();
-            let checked = checked.filter(|route| route.database == database);
-            if checked.is_none() {
-                tracing::warn!(
-                    event = "route_odd",
-                    version,
-                    database = &*database,
-                    group = &*route.group,
-                    "a route whose names are not valid is ignored"
-                );
+            if let Some(checked) = checked.filter(|route| route.database == database) {
+                routes.insert(database, Arc::new(checked));
+                continue;
             }
-            Some((database, Arc::new(checked?)))
-        });
-        let connections = self.connections.into_iter().filter(|(group, _)| {
-            let is_valid = name::is_valid(group);
-            if !is_valid {
-                tracing::warn!(
-                    event = "group_odd",
-                    version,
-                    group = &**group,
-                    "a group whose name is not valid is ignored"
-                );
+            let group = route.group.clone();
+            invalid.push(Invalid::Route { database, group });
+        }
+        let mut connections = BTreeMap::new();
+        for (group, count) in self.connections {
+            if name::is_valid(&group) {
+                connections.insert(group, count);
+            } else {
+                invalid.push(Invalid::Group(group));
             }
-            is_valid
-        });
+        }
         let idle_timeout = self.idle_transaction_timeout;
-        Self {
-            version,
-            routes: routes.collect(),
-            connections: connections.collect(),
+        let catalog = Self {
+            version: self.version,
+            routes,
+            connections,
             idle_transaction_timeout: idle_timeout.map(|timeout| timeout.min(MAX_DURATION)),
             workspaces: self.workspaces.map(|directory| {
                 let directory = Arc::unwrap_or_clone(directory);
                 Arc::new(directory.checked(name::is_valid))
             }),
+        };
+        (catalog, invalid)
+    }
+}
+
+/// A part of a configuration that is ignored, because a name is not valid.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Invalid {
+    /// The servers of a group.
+    Group(GroupId),
+    /// A route.
+    Route {
+        /// Its database.
+        database: DatabaseId,
+        /// Its group.
+        group: GroupId,
+    },
+}
+
+impl Invalid {
+    /// Returns the reason for metrics.
+    #[must_use]
+    pub fn name(&self) -> &'static str {
+        match self {
+            Self::Group(_) => "group_name",
+            Self::Route { .. } => "route_name",
+        }
+    }
+
+    /// Logs the entry of a configuration of this version.
+    pub fn log(&self, version: BundleVersion) {
+        match self {
+            Self::Group(group) => tracing::warn!(
+                event = "group_odd",
+                version,
+                group = &**group,
+                "a group whose name is not valid is ignored"
+            ),
+            Self::Route { database, group } => tracing::warn!(
+                event = "route_odd",
+                version,
+                database = &**database,
+                group = &**group,
+                "a route whose names are not valid is ignored"
+            ),
         }
     }
 }
