report: show operators the workspaces, servers and refusals of a node

Operators saw neither the use of an allowance nor its allocators, nor the pace and limit of a server.

Nodes of both front ends serve /report at their metrics or admin address, and `agatectl report` prints it, also as JSON. It lists at most 100 workspaces, those with the highest use first, and at most 200 servers, with the number of those left out. It is computed for each request; each shard's lock is held for one closure, and no key is part of it.

--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -21,6 +21,7 @@
   agatectl diff BUNDLE --platform IP:PORT [--json]
   agatectl history --platform IP:PORT
   agatectl status [--json] [--watch] IP:PORT...
+  agatectl report [--json] IP:PORT...
   agatectl drain NODE IP:PORT --key FILE
   agatectl resolve KEY GROUP IP:PORT
   agatectl verifier
@@ -34,6 +35,8 @@
   diff       show the changes of a bundle against the one in force
   history    show the most recent bundles in force
   status     show the status of nodes, given their admin addresses
+  report     show the workspaces, servers and refusals of nodes, given their
+             admin or metrics addresses
   drain      make a node finish its work and exit
   resolve    resolve the outcome of a write by its key, given a node's address
              for callers
@@ -134,6 +137,13 @@
         /// Address of the platform.
         platform: SocketAddr,
     },
+    /// Show the workspaces, servers and refusals of nodes.
+    Report {
+        /// Admin or metrics addresses of the nodes.
+        addresses: Vec<SocketAddr>,
+        /// Whether the reports are printed as JSON.
+        json: bool,
+    },
     /// Show the status of nodes.
     Status {
         /// Admin addresses of the nodes.
@@ -261,6 +271,10 @@
             operators: options.operators,
             threshold: options.threshold.unwrap_or(1),
         },
+        "report" => Command::Report {
+            addresses: operands.addresses()?,
+            json: options.json,
+        },
         "resolve" => Command::Resolve {
             key: operands.next("KEY")?,
             group: operands.next("GROUP")?,
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -7,6 +7,7 @@
 mod exit_codes;
 mod history;
 mod keygen;
+mod report;
 mod resolve;
 mod roll;
 mod sign;
@@ -67,6 +68,7 @@
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
         Command::Resolve { key, group, node } => resolve::resolve(&key, &group, node).await,
+        Command::Report { addresses, json } => report::report(&addresses, json).await,
         Command::Verifier => keygen::verifier(),
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
--- a/crates/agateport-ctl/src/status.rs
+++ b/crates/agateport-ctl/src/status.rs
@@ -10,7 +10,7 @@
 use tokio::time::sleep;
 
 /// Time limit of a status request to a node.
-const TIMEOUT: Duration = Duration::from_secs(2);
+pub const TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Interval between two polls of the nodes.
 const POLL_INTERVAL: Duration = Duration::from_secs(1);
--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod pace;
 pub mod platform;
 pub mod prelude;
+pub mod report;
 pub mod request;
 pub mod session;
 pub mod shard;
--- a/crates/agateport-node/src/control/admin.rs
+++ b/crates/agateport-node/src/control/admin.rs
@@ -5,6 +5,7 @@
 use agateport_domain::bundle::{Drain, Revision};
 use agateport_domain::owner::Policy;
 use agateport_domain::prelude::*;
+use agateport_domain::report::{self, Listed, MAX_SERVERS};
 use agateport_wire::signed;
 use axum::body::Bytes;
 use axum::extract::{DefaultBodyLimit, State};
@@ -62,6 +63,7 @@
     let router = Router::new()
         .route("/status", get(status::<P>))
         .route("/ready", get(ready::<P>))
+        .route("/report", get(report::<P>))
         .route("/drain", post(drain::<P>))
         .layer(DefaultBodyLimit::max(MAX_BODY))
         .with_state(node);
@@ -103,6 +105,44 @@
     })
 }
 
+/// Counters of refusals, by the part of their names before the dot.
+const REFUSALS: [&str; 4] = ["admin", "not_retried", "owner_refused", "refused"];
+
+/// Returns the report to operators. The deployments of this front end have no workspaces.
+async fn report<P>(State(node): State<Arc<Node<P>>>) -> Json<report::Report>
+where
+    P: Policy + Send + Sync + 'static,
+{
+    let bundle = node.bundle();
+    let mut groups = BTreeMap::new();
+    for group in bundle.iter().flat_map(|bundle| &bundle.groups) {
+        for server in &group.servers {
+            groups.insert(server.name.clone(), group.name.clone());
+        }
+    }
+    let mut servers = Vec::new();
+    node.servers.for_each(|name, server| {
+        // A server that the bundle no longer declares has no group.
+        let group = groups.get(name).cloned().unwrap_or_else(|| "".into());
+        servers.push(server.observe(name, &group));
+    });
+    servers.sort_by(|left, right| left.server.cmp(&right.server));
+    let counts = node.metrics.counts().into_iter();
+    let refusals = counts.filter(|(name, _)| {
+        let kind = name.split('.').next();
+        kind.is_some_and(|kind| REFUSALS.contains(&kind))
+    });
+    Json(report::Report {
+        node: node.config.name.clone(),
+        zone: node.config.zone.clone(),
+        configuration: bundle.map(|bundle| bundle.version),
+        configuration_age_ms: None,
+        workspaces: Listed::first(Vec::new(), 0),
+        servers: Listed::first(servers, MAX_SERVERS),
+        refusals: refusals.collect(),
+    })
+}
+
 /// Details of the bundle in force and of the last rejected one.
 struct ActiveBundle {
     digest: Option<String>,
--- a/crates/agateport-node/src/owner/server.rs
+++ b/crates/agateport-node/src/owner/server.rs
@@ -97,6 +97,20 @@
         })
     }
 
+    /// Returns the state of the server for operators.
+    #[must_use]
+    pub fn observe(&self, server: &ServerId, group: &GroupId) -> agateport_domain::report::Server {
+        agateport_domain::report::Server {
+            server: server.clone(),
+            group: group.clone(),
+            pace_percent: None,
+            slots: self.declared.slots,
+            limit: self.queue.slots(),
+            running: self.queue.running(),
+            waiting: self.queue.waiting(),
+        }
+    }
+
     /// Applies another bundle; running and queued requests remain.
     ///
     /// # Errors
--- a/crates/agateport-node/tests/end_to_end/main.rs
+++ b/crates/agateport-node/tests/end_to_end/main.rs
@@ -7,6 +7,7 @@
 mod operation;
 mod path;
 mod platform;
+mod report;
 mod security;
 mod sessions;
 mod support;
--- a/crates/agateport-relay/src/allowance.rs
+++ b/crates/agateport-relay/src/allowance.rs
@@ -1,5 +1,7 @@
 //! Takes operations out of the allowances of workspaces, and lends them to other nodes.
 
+mod usage;
+
 use crate::channel;
 use crate::clock::uptime;
 use crate::metrics::Metrics;
@@ -13,6 +15,7 @@
 use std::sync::atomic::{AtomicU32, Ordering};
 use std::sync::{PoisonError, RwLock, RwLockWriteGuard};
 use tokio::sync::Mutex;
+use usage::Usage;
 
 /// Largest fraction by which a retry time is extended at random, so that refused callers do
 /// not retry together.
@@ -47,6 +50,7 @@
 struct Entry {
     account: Account,
     gate: Arc<Gate>,
+    usage: Usage,
 }
 
 /// Limits of the configuration in force.
@@ -165,7 +169,7 @@
         };
         let (is_taken, gate) = self.with(workspace, limits, |entry, views, now| {
             entry.account.record_demand(now);
-            let is_taken = entry.account.take(views, now);
+            let is_taken = entry.take(views, now);
             (is_taken, (!is_taken).then(|| entry.gate.clone()))
         });
         let Some(gate) = gate.filter(|_| !is_taken) else {
@@ -189,10 +193,10 @@
         loop {
             let waiting = gate.waiting.load(Ordering::Relaxed);
             let step = self.with(workspace, limits, |entry, views, now| {
-                let account = &mut entry.account;
-                if account.take(views, now) {
+                if entry.take(views, now) {
                     return Ok(None);
                 }
+                let account = &mut entry.account;
                 match account.request(waiting, now) {
                     Some(request) => Ok(Some(request)),
                     None => Err(account.refuse(views, now)),
@@ -284,6 +288,7 @@
                     now,
                 ),
                 gate: Arc::default(),
+                usage: Usage::default(),
             });
             entry.account.update(&views, limits, now);
             action(entry, &views, now)
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -5,13 +5,14 @@
 use crate::error::Error;
 use crate::intake::{Intake, Kind};
 use crate::metrics::{Metrics, millis};
+use crate::overview;
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
 use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
-use axum::Router;
 use axum::http::StatusCode;
 use axum::routing::get;
+use axum::{Json, Router};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
 use hyper_util::service::TowerToHyperService;
@@ -52,7 +53,7 @@
     spawn_http(address, router, intake, Kind::Ready).await
 }
 
-/// Serves the metrics of a node.
+/// Serves the metrics of a node, and its report to operators.
 ///
 /// # Errors
 ///
@@ -64,11 +65,15 @@
     metrics: Arc<Metrics>,
 ) -> Result<(), Error> {
     let intake = upstreams.intake().clone();
+    let (reported, counted) = (upstreams.clone(), metrics.clone());
+    let report = move || std::future::ready(Json(overview::report(&reported, &counted)));
     let answer = move || {
         let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
         std::future::ready(metrics.render(&gauges))
     };
-    let router = Router::new().route("/metrics", get(answer));
+    let router = Router::new()
+        .route("/metrics", get(answer))
+        .route("/report", get(report));
     spawn_http(address, router, intake, Kind::Metrics).await
 }
 
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -31,6 +31,7 @@
 pub mod metrics;
 pub mod name;
 pub mod node;
+pub mod overview;
 pub mod ownership;
 pub mod permit;
 pub mod placement;
--- a/crates/agateport-relay/src/metrics.rs
+++ b/crates/agateport-relay/src/metrics.rs
@@ -76,6 +76,18 @@
         latencies.saturating_record(micros);
     }
 
+    /// Returns the counters of these kinds, by kind and reason.
+    #[must_use]
+    pub fn counts(&self, kinds: &[&str]) -> BTreeMap<(&'static str, &'static str), u64> {
+        let mut counts = BTreeMap::new();
+        self.counts.for_each(|key, count| {
+            if kinds.contains(&key.0) {
+                counts.insert(*key, *count);
+            }
+        });
+        counts
+    }
+
     /// Renders all metrics and the given gauges as text.
     #[must_use]
     pub fn render(&self, gauges: &BTreeMap<&'static str, u64>) -> String {
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -1,6 +1,7 @@
 //! State of an upstream server at one node: its request queue, its connections, its
 //! reachability and its pace.
 
+mod observation;
 mod pacing;
 mod pool;
 
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -160,6 +160,12 @@
         }
     }
 
+    /// Returns the zone of this node.
+    #[must_use]
+    pub fn zone(&self) -> &Zone {
+        &self.zone
+    }
+
     /// Returns the allowances of the workspaces.
     #[must_use]
     pub fn allowances(&self) -> &Allowances {
