domain: decide what would happen to a request without changing state

Operators can't see why a request would go to a server or be refused without sending it.

Account::preview and Queue::preview decide on a copy of the account or queue, with the methods that decide for requests. placement::rank returns the cost of each server, or why it is excluded; order sorts by the same costs. The relay's candidates, places and identify are split from the functions that use them.

--- a/crates/agateport-domain/src/admission/class.rs
+++ b/crates/agateport-domain/src/admission/class.rs
@@ -13,7 +13,7 @@
 const CREDIT_WINDOW: f64 = 1.0;
 
 /// The waiting requests of one priority, and its share of the slots.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Class {
     worth: u32,
     share: f64,
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -10,7 +10,7 @@
 use std::time::{Duration, Instant};
 
 /// A request that holds a slot.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 struct Running {
     priority: PriorityId,
     since: Instant,
@@ -20,7 +20,7 @@
 }
 
 /// The queue of one upstream server.
-#[derive(Debug)]
+#[derive(Clone, Debug)]
 pub struct Queue {
     limit: Adaptive,
     connections: usize,
@@ -391,7 +391,7 @@
     }
 
     /// Returns a lower bound for the time that a new request has to wait.
-    fn minimum_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
+    pub(super) fn minimum_wait(&self, ticket: &Ticket, now: Instant) -> Duration {
         let Some(class) = self.classes.get(&ticket.priority) else {
             return Duration::ZERO;
         };
--- a/crates/agateport-domain/src/allowance/mod.rs
+++ b/crates/agateport-domain/src/allowance/mod.rs
@@ -9,6 +9,7 @@
 mod bucket;
 mod demand;
 mod error;
+mod preview;
 mod role;
 mod views;
 
@@ -16,6 +17,7 @@
 pub use bucket::Bucket;
 pub use demand::Demand;
 pub use error::{Cause, Refusal};
+pub use preview::Preview;
 pub use role::{Role, Shares};
 pub use views::{Members, Views};
 
--- a/crates/agateport-domain/src/session/placement.rs
+++ b/crates/agateport-domain/src/session/placement.rs
@@ -38,6 +38,51 @@
     pub standing: Standing,
 }
 
+/// Why a server does not run a request.
+#[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd)]
+pub enum Exclusion {
+    /// It recently reported a watermark behind the one that the request requires.
+    Behind,
+    /// An earlier attempt at it failed.
+    Failed,
+    /// It leaves.
+    Leaving,
+    /// The required watermark is unknown, so only the primary may run the read.
+    NoFloor,
+    /// Only the primary may run the request.
+    NotPrimary,
+    /// It is unreachable for this node.
+    Unreachable,
+}
+
+impl Exclusion {
+    /// Returns the name for operators.
+    #[must_use]
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Behind => "behind the required watermark",
+            Self::Failed => "an earlier attempt failed",
+            Self::Leaving => "leaving",
+            Self::NoFloor => "the required watermark is unknown",
+            Self::NotPrimary => "not the primary",
+            Self::Unreachable => "unreachable",
+        }
+    }
+}
+
+/// Returns the cost of each server, in hundredths of a waiting request at a normal server,
+/// or why it may not run the read. [`order`] sorts by these.
+#[must_use]
+pub fn rank(
+    candidates: &[Candidate],
+    floor: Option<Watermark>,
+) -> Vec<(ServerId, Result<usize, Exclusion>)> {
+    let ranked = candidates
+        .iter()
+        .map(|candidate| (candidate.server.clone(), cost(candidate, floor)));
+    ranked.collect()
+}
+
 /// Returns the servers that may run a read, the best first.
 ///
 /// Replicas that recently reported a watermark behind `floor` are excluded. Other
@@ -47,7 +92,7 @@
 pub fn order(candidates: &[Candidate], floor: Option<Watermark>) -> Vec<ServerId> {
     let mut costs: Vec<_> = candidates
         .iter()
-        .filter_map(|candidate| Some((cost(candidate, floor)?, &candidate.server)))
+        .filter_map(|candidate| Some((cost(candidate, floor).ok()?, &candidate.server)))
         .collect();
     costs.sort();
     costs
@@ -57,25 +102,25 @@
 }
 
 /// Returns the cost of a server, in hundredths of a waiting request at a normal server;
-/// none if it cannot run the read.
-fn cost(candidate: &Candidate, floor: Option<Watermark>) -> Option<usize> {
+/// or why it cannot run the read.
+fn cost(candidate: &Candidate, floor: Option<Watermark>) -> Result<usize, Exclusion> {
     let zone_cost = if candidate.is_same_zone { 0 } else { ZONE_COST };
     let work = candidate.standing.work(candidate.load);
     let cost = |fixed: usize| work.saturating_add((zone_cost + fixed) * percent(Factor::NORMAL));
     if candidate.is_primary {
-        return Some(cost(PRIMARY_COST));
+        return Ok(cost(PRIMARY_COST));
     }
-    let floor = floor?;
+    let floor = floor.ok_or(Exclusion::NoFloor)?;
     let is_caught_up = candidate
         .watermark
         .is_some_and(|watermark| watermark >= floor);
     if is_caught_up {
-        return Some(cost(0));
+        return Ok(cost(0));
     }
     if candidate.is_recent {
-        return None;
+        return Err(Exclusion::Behind);
     }
-    Some(cost(UNCERTAINTY_COST))
+    Ok(cost(UNCERTAINTY_COST))
 }
 
 fn percent(factor: Factor) -> usize {
--- a/crates/agateport-relay/src/caller/identity.rs
+++ b/crates/agateport-relay/src/caller/identity.rs
@@ -6,6 +6,7 @@
 use crate::message::{Answer, Credential, Request, State, Verb};
 use crate::protocol::Protocol;
 use crate::reply;
+use crate::upstreams::Upstreams;
 use agateport_domain::prelude::*;
 use agateport_domain::workspace::{self, KeyDigest, Refusal};
 use std::fmt;
@@ -125,12 +126,7 @@
             return Ok(());
         };
         let upstreams = self.runner.upstreams();
-        let catalog = upstreams.catalog();
-        // A workspace that is no longer listed may run nothing.
-        let limits = catalog
-            .workspaces
-            .as_deref()
-            .and_then(|directory| directory.limits(workspace));
+        let limits = upstreams.catalog().limits(workspace);
         let taken = upstreams.allowances().take(workspace, limits).await;
         taken.map_err(|refusal| reply::not_allowed(&refusal))
     }
@@ -142,14 +138,28 @@
         route: &Route,
         age: Option<Duration>,
     ) -> Result<Option<WorkspaceId>, Refusal> {
-        let upstreams = self.runner.upstreams();
-        let currency = workspace::Currency {
-            age,
-            validity: VALIDITY,
-            key_validity: upstreams.key_validity(),
-        };
-        let catalog = upstreams.catalog();
-        let directory = catalog.workspaces.as_deref();
-        workspace::identify(directory, route.is_public, &self.identity.key, currency)
+        identify(self.runner.upstreams(), route, &self.identity.key, age)
     }
 }
+
+/// Returns the workspace that a key identifies on a route under the configuration in force,
+/// which was confirmed `age` ago.
+///
+/// # Errors
+///
+/// [`Refusal`] if it identifies none.
+pub(crate) fn identify<W: Protocol>(
+    upstreams: &Upstreams<W>,
+    route: &Route,
+    key: &KeyDigest,
+    age: Option<Duration>,
+) -> Result<Option<WorkspaceId>, Refusal> {
+    let currency = workspace::Currency {
+        age,
+        validity: VALIDITY,
+        key_validity: upstreams.key_validity(),
+    };
+    let catalog = upstreams.catalog();
+    let directory = catalog.workspaces.as_deref();
+    workspace::identify(directory, route.is_public, key, currency)
+}
--- a/crates/agateport-relay/src/catalog.rs
+++ b/crates/agateport-relay/src/catalog.rs
@@ -2,7 +2,7 @@
 
 use crate::name;
 use agateport_domain::prelude::*;
-use agateport_domain::workspace::Directory;
+use agateport_domain::workspace::{Directory, Limits};
 use serde::{Deserialize, Serialize};
 
 /// Longest duration of a configuration. It can be added to any time.
@@ -88,6 +88,14 @@
 }
 
 impl Catalog {
+    /// Returns the limits of a workspace; none if it is not limited. A workspace that is no
+    /// longer listed may run nothing.
+    #[must_use]
+    pub fn limits(&self, workspace: &WorkspaceId) -> Option<Limits> {
+        let directory = self.workspaces.as_deref()?;
+        directory.limits(workspace)
+    }
+
     /// Returns the configuration without the routes and groups whose names are not valid,
     /// which are logged, and with durations of at most [`MAX_DURATION`].
     #[must_use]
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -194,15 +194,7 @@
     channels: &Arc<channel::Pool>,
     claim: &Claim,
 ) -> Result<Permit<W>, Denial> {
-    let role = server.role();
-    let mut places: Vec<_> = match &*role {
-        Role::Owner => return acquire_local(server, claim).await,
-        Role::Borrower(owners) => owners.iter().copied().map(Place::Node).collect(),
-        Role::CoOwner(places) => places.clone(),
-    };
-    if let Some(workspace) = &claim.workspace {
-        rotate(&mut places, workspace, &claim.server);
-    }
+    let places = places(&server.role(), claim);
     let sent_at = uptime();
     let latest = Instant::now() + claim.max_wait;
     for place in places {
@@ -225,6 +217,19 @@
     Err(Denial::Unavailable(Cause::Unresponsive))
 }
 
+/// Returns where a permit is requested, in order.
+pub(crate) fn places(role: &Role, claim: &Claim) -> Vec<Place> {
+    let mut places: Vec<_> = match role {
+        Role::Owner => return vec![Place::Here],
+        Role::Borrower(owners) => owners.iter().copied().map(Place::Node).collect(),
+        Role::CoOwner(places) => places.clone(),
+    };
+    if let Some(workspace) = &claim.workspace {
+        rotate(&mut places, workspace, &claim.server);
+    }
+    places
+}
+
 /// Queries the status of a server, directly or through an owner of the server.
 /// Returns `None` if no status is received.
 pub async fn status<W: Protocol>(
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -13,10 +13,10 @@
 use crate::work::{Attempt, Failure, Work};
 use agateport_domain::pace::{self, Standing};
 use agateport_domain::prelude::*;
-use agateport_domain::session::placement::{self, Candidate};
+use agateport_domain::session::placement::{self, Candidate, Exclusion};
 
 /// Maximum number of attempts to run a statement before it is refused.
-const ATTEMPTS: usize = 4;
+pub(crate) const ATTEMPTS: usize = 4;
 
 /// Share of the target latency that a statement may wait for a slot. A caller that
 /// is refused after it can still be served within the target at another node.
@@ -130,30 +130,58 @@
         access: Access,
         excluded: &BTreeSet<ServerId>,
     ) -> Option<Arc<Server<W>>> {
-        let leader = group.leader().map(|leader| leader.server);
-        let needs_leader =
-            access == Access::Write || work.route.consistency == Consistency::Primary;
-        if needs_leader {
-            let leader = leader.filter(|leader| !excluded.contains(leader))?;
+        if needs_leader(work, access) {
+            let leader = group.leader()?.server;
             let server = self.upstreams().server(&leader)?;
-            // No statement waits for an unreachable server, and a leaving one ends soon.
-            let is_ending = server.has_been_leaving_for(self.upstreams().leaving_limit());
-            let is_usable = !server.is_unreachable() && !is_ending;
-            return is_usable.then_some(server);
+            let checked = self.check_leader(&server, excluded);
+            return checked.is_ok().then_some(server);
         }
         let floor = group.floor(work.freshness_bound(), work.last_write);
+        let candidates = self.candidates(group, work, excluded).into_iter();
+        let candidates: Vec<_> = candidates.filter_map(Result::ok).collect();
+        let order = placement::order(&candidates, floor);
+        self.upstreams().server(order.first()?)
+    }
+
+    /// Returns whether a primary may run a statement: no statement waits for an unreachable
+    /// server, and a leaving one ends soon.
+    ///
+    /// # Errors
+    ///
+    /// [`Exclusion`] if it may not.
+    pub(crate) fn check_leader(
+        &self,
+        server: &Server<W>,
+        excluded: &BTreeSet<ServerId>,
+    ) -> Result<(), Exclusion> {
+        if excluded.contains(&server.entry().server) {
+            return Err(Exclusion::Failed);
+        }
+        if server.is_unreachable() {
+            return Err(Exclusion::Unreachable);
+        }
+        if server.has_been_leaving_for(self.upstreams().leaving_limit()) {
+            return Err(Exclusion::Leaving);
+        }
+        Ok(())
+    }
+
+    /// Returns the servers of a group that may run a read as far as this node knows, and why
+    /// the others may not.
+    pub(crate) fn candidates(
+        &self,
+        group: &Group,
+        work: &Work<'_>,
+        excluded: &BTreeSet<ServerId>,
+    ) -> Vec<Result<Candidate, (ServerId, Exclusion)>> {
+        let leader = group.leader().map(|leader| leader.server);
         let servers = self.upstreams().servers(&work.route.group);
         let paces = servers.iter().map(|server| server.pace());
         let standings = pace::compare(&paces.collect::<Vec<_>>());
-        let candidates: Vec<_> = servers
-            .iter()
-            .zip(standings)
-            .filter_map(|(server, standing)| {
-                self.candidate(server, standing, leader.as_ref(), excluded)
-            })
-            .collect();
-        let order = placement::order(&candidates, floor);
-        self.upstreams().server(order.first()?)
+        let servers = servers.iter().zip(standings);
+        servers
+            .map(|(server, standing)| self.candidate(server, standing, leader.as_ref(), excluded))
+            .collect()
     }
 
     fn candidate(
@@ -162,13 +190,20 @@
         standing: Standing,
         leader: Option<&ServerId>,
         excluded: &BTreeSet<ServerId>,
-    ) -> Option<Candidate> {
+    ) -> Result<Candidate, (ServerId, Exclusion)> {
         let entry = server.entry();
-        if entry.is_leaving || excluded.contains(&entry.server) || server.is_unreachable() {
-            return None;
+        let exclusion = if entry.is_leaving {
+            Some(Exclusion::Leaving)
+        } else if excluded.contains(&entry.server) {
+            Some(Exclusion::Failed)
+        } else {
+            server.is_unreachable().then_some(Exclusion::Unreachable)
+        };
+        if let Some(exclusion) = exclusion {
+            return Err((entry.server.clone(), exclusion));
         }
         let watermark = server.watermark();
-        Some(Candidate {
+        Ok(Candidate {
             server: entry.server.clone(),
             is_primary: leader == Some(&entry.server),
             is_same_zone: self.upstreams().is_same_zone(&entry),
@@ -180,6 +215,11 @@
     }
 }
 
+/// Returns whether only the primary may run a statement.
+pub(crate) fn needs_leader(work: &Work<'_>, access: Access) -> bool {
+    access == Access::Write || work.route.consistency == Consistency::Primary
+}
+
 /// Returns the log record of a failed attempt at a server.
 fn failed_attempt<W: Protocol>(
     group: &Group,
@@ -198,7 +238,7 @@
 }
 
 /// Returns the claim of a statement for a permit at a server.
-fn claim<W: Protocol>(server: &Server<W>, work: &Work<'_>) -> Claim {
+pub(crate) fn claim<W: Protocol>(server: &Server<W>, work: &Work<'_>) -> Claim {
     let now = Instant::now();
     Claim {
         server: server.entry().server.clone(),
