explain: show where a node would send a request, and why

An operator with a refused request had to read the logs of all nodes to learn what decided it.

Nodes of the users' platform answer POST /explain at the metrics address, and `agatectl explain` prints the answer, also as JSON. Each step is decided by the code that decides for requests, on a copy of its state. No permit, operation or place in a queue is taken. Only the digest of a key is sent. The body is limited to 4 KiB and 1 s.

--- a/crates/agateport-ctl/src/cli.rs
+++ b/crates/agateport-ctl/src/cli.rs
@@ -2,6 +2,8 @@
 
 use crate::error::Error;
 use crate::status::View;
+use agateport_domain::explanation::Question;
+use agateport_domain::prelude::Watermark;
 use lexopt::{Arg, Parser, ValueExt};
 use std::net::SocketAddr;
 use std::path::PathBuf;
@@ -22,6 +24,8 @@
   agatectl history --platform IP:PORT
   agatectl status [--json] [--watch] IP:PORT...
   agatectl report [--json] IP:PORT...
+  agatectl explain DATABASE IP:PORT [--workspace NAME | --key FILE] [--write]
+      [--priority NAME] [--max-age MS] [--watermark TERM/POSITION] [--json]
   agatectl drain NODE IP:PORT --key FILE
   agatectl resolve KEY GROUP IP:PORT
   agatectl verifier
@@ -37,6 +41,9 @@
   status     show the status of nodes, given their admin addresses
   report     show the workspaces, servers and refusals of nodes, given their
              admin or metrics addresses
+  explain    show where a node would send a request, and why, given its metrics
+             address; the key is read from a file, or from standard input if
+             FILE is -, and only its digest is sent
   drain      make a node finish its work and exit
   resolve    resolve the outcome of a write by its key, given a node's address
              for callers
@@ -137,6 +144,17 @@
         /// Address of the platform.
         platform: SocketAddr,
     },
+    /// Show what would happen to a request.
+    Explain {
+        /// Metrics address of the node.
+        address: SocketAddr,
+        /// The request, without its key.
+        question: Question,
+        /// Path of the file with the caller's key.
+        key: Option<PathBuf>,
+        /// Whether the answer is printed as JSON.
+        json: bool,
+    },
     /// Show the workspaces, servers and refusals of nodes.
     Report {
         /// Admin or metrics addresses of the nodes.
@@ -193,11 +211,16 @@
 struct Options {
     json: bool,
     key: Option<PathBuf>,
+    max_age: Option<u64>,
     operators: Vec<PathBuf>,
     output: Option<PathBuf>,
     platform: Option<SocketAddr>,
+    priority: Option<String>,
     threshold: Option<usize>,
     watch: bool,
+    watermark: Option<Watermark>,
+    workspace: Option<String>,
+    write: bool,
 }
 
 impl Options {
@@ -228,11 +251,16 @@
             Arg::Long("help") | Arg::Short('h') => return Ok(Command::Help),
             Arg::Long("json") => options.json = true,
             Arg::Long("key") => options.key = Some(parser.value()?.parse()?),
+            Arg::Long("max-age") => options.max_age = Some(parser.value()?.parse()?),
             Arg::Long("operator") => options.operators.push(parser.value()?.parse()?),
             Arg::Long("output") => options.output = Some(parser.value()?.parse()?),
             Arg::Long("platform") => options.platform = Some(parser.value()?.parse()?),
+            Arg::Long("priority") => options.priority = Some(parser.value()?.string()?),
             Arg::Long("threshold") => options.threshold = Some(parser.value()?.parse()?),
             Arg::Long("watch") => options.watch = true,
+            Arg::Long("watermark") => options.watermark = Some(parser.value()?.parse()?),
+            Arg::Long("workspace") => options.workspace = Some(parser.value()?.string()?),
+            Arg::Long("write") => options.write = true,
             Arg::Value(value) => operands.push(value.string()?),
             other => return Err(other.unexpected().into()),
         }
@@ -261,6 +289,7 @@
             address: operands.address()?,
             key: options.key()?,
         },
+        "explain" => explain(operands, options)?,
         "history" => Command::History {
             platform: options.platform()?,
         },
@@ -301,6 +330,24 @@
     Ok(command)
 }
 
+fn explain(operands: &mut Operands, options: Options) -> Result<Command, Error> {
+    let question = Question {
+        database: operands.next("DATABASE")?.into(),
+        workspace: options.workspace.map(Into::into),
+        key: None,
+        is_write: options.write,
+        priority: options.priority.map(Into::into),
+        max_age_ms: options.max_age,
+        watermark: options.watermark,
+    };
+    Ok(Command::Explain {
+        address: operands.address()?,
+        question,
+        key: options.key,
+        json: options.json,
+    })
+}
+
 fn keygen(operands: &mut Operands) -> Result<Command, Error> {
     let kind = operands.next("authority, node or operator")?;
     let directory = operands.path("DIRECTORY")?;
--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -5,6 +5,7 @@
 mod drain;
 mod error;
 mod exit_codes;
+mod explain;
 mod history;
 mod keygen;
 mod report;
@@ -46,6 +47,12 @@
         }
         Command::Check { bundle } => bundle::check(&bundle),
         Command::Servers { bundle } => bundle::servers(&bundle),
+        Command::Explain {
+            address,
+            question,
+            key,
+            json,
+        } => explain::explain(address, question, key.as_deref(), json).await,
         Command::KeygenAuthority { directory } => keygen::authority(&directory),
         Command::KeygenNode { directory, name } => keygen::node(&directory, &name),
         Command::KeygenOperator { directory, name } => keygen::operator(&directory, &name),
--- a/crates/agateport-domain/src/lib.rs
+++ b/crates/agateport-domain/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod allowance;
 pub mod bundle;
 pub mod drain;
+pub mod explanation;
 pub mod group;
 pub mod id;
 pub mod intake;
--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -16,6 +16,7 @@
 use crate::transaction::Pinned;
 use crate::work::Work;
 use agateport_domain::prelude::*;
+pub(crate) use identity::identify;
 use identity::{Identity, Target};
 use std::io;
 use tokio::sync::watch;
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -8,10 +8,14 @@
 use crate::overview;
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
+use crate::statement::Runner;
 use crate::upstreams::Upstreams;
+use agateport_domain::explanation::Explanation;
 use agateport_domain::prelude::*;
+use axum::body::Body;
+use axum::extract::State;
 use axum::http::StatusCode;
-use axum::routing::get;
+use axum::routing::{get, post};
 use axum::{Json, Router};
 use hyper::server::conn::http1;
 use hyper_util::rt::{TokioIo, TokioTimer};
@@ -27,6 +31,12 @@
 /// Maximum size in bytes of what is received of a request and of what is sent at once.
 const MAX_BUFFER: usize = 16 << 10;
 
+/// Maximum size in bytes of the body of a question; its names are far shorter.
+const MAX_QUESTION: usize = 4 << 10;
+
+/// Timeout for the body of a question, within the time limit of `agatectl`.
+const QUESTION_TIMEOUT: Duration = Duration::from_secs(1);
+
 /// Pause after a failure to accept a connection, which avoids a busy loop.
 const RETRY_DELAY: Duration = Duration::from_millis(10);
 
@@ -53,7 +63,7 @@
     spawn_http(address, router, intake, Kind::Ready).await
 }
 
-/// Serves the metrics of a node, and its report to operators.
+/// Serves the metrics of a node, its report to operators, and explanations of requests.
 ///
 /// # Errors
 ///
@@ -65,6 +75,7 @@
     metrics: Arc<Metrics>,
 ) -> Result<(), Error> {
     let intake = upstreams.intake().clone();
+    let runner = Runner::new(upstreams.clone(), metrics.clone());
     let (reported, counted) = (upstreams.clone(), metrics.clone());
     let report = move || std::future::ready(Json(overview::report(&reported, &counted)));
     let answer = move || {
@@ -73,10 +84,25 @@
     };
     let router = Router::new()
         .route("/metrics", get(answer))
-        .route("/report", get(report));
+        .route("/report", get(report))
+        .route("/explain", post(explain))
+        .with_state(runner);
     spawn_http(address, router, intake, Kind::Metrics).await
 }
 
+/// Explains what would happen to the request in the body. The body is limited in size and time,
+/// because anybody who reaches the address may send it.
+async fn explain<W: Protocol>(
+    State(runner): State<Runner<W>>,
+    body: Body,
+) -> Result<Json<Explanation>, StatusCode> {
+    let body = tokio::time::timeout(QUESTION_TIMEOUT, axum::body::to_bytes(body, MAX_QUESTION));
+    let body = body.await.map_err(|_| StatusCode::REQUEST_TIMEOUT)?;
+    let body = body.map_err(|_| StatusCode::PAYLOAD_TOO_LARGE)?;
+    let question = serde_json::from_slice(&body).map_err(|_| StatusCode::BAD_REQUEST)?;
+    Ok(Json(runner.explain(&question)))
+}
+
 /// Returns the version of the configuration, the size of what the sessions set and
 /// prepared, the number of callers and what clients hold, and the ages of what the node
 /// knows, in milliseconds; the age of something that is not known yet is omitted.
--- a/crates/agateport-relay/src/lease.rs
+++ b/crates/agateport-relay/src/lease.rs
@@ -29,6 +29,15 @@
     group.floor(work.freshness_bound(), work.last_write)
 }
 
+/// Returns the time that the lease of the primary must cover for a statement to be sent to it.
+#[must_use]
+pub fn moment_to_cover(work: &Work<'_>, access: Access) -> Uptime {
+    match access {
+        Access::Read => work.freshness_bound(),
+        Access::Write => work.arrived,
+    }
+}
+
 /// Waits until the primary holds the lease that a statement needs to be sent to it,
 /// and returns whether it does.
 pub async fn wait_before_send<W: Protocol>(
@@ -37,10 +46,7 @@
     work: &Work<'_>,
     access: Access,
 ) -> bool {
-    let moment = match access {
-        Access::Read => work.freshness_bound(),
-        Access::Write => work.arrived,
-    };
+    let moment = moment_to_cover(work, access);
     let deadline = work.deadline().min(Instant::now() + MAX_LEASE_WAIT);
     group
         .wait_for_lease_before_send(&server.entry().server, moment, deadline)
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod drain;
 pub mod error;
 pub mod exchange;
+pub mod explain;
 pub mod field;
 pub mod frames;
 pub mod group;
--- a/crates/agateport-relay/src/reply.rs
+++ b/crates/agateport-relay/src/reply.rs
@@ -82,8 +82,19 @@
     busy(&format!("not run: {refusal}"), DEFAULT_RETRY_DELAY)
 }
 
+/// Text between the reason of a refusal and its retry time in milliseconds.
+const RETRY_MARK: &str = "; retry after ";
+
+/// Returns the retry time in milliseconds that the text of a refusal states.
+#[must_use]
+pub fn retry_ms(text: &[u8]) -> Option<u64> {
+    let text = std::str::from_utf8(text).ok()?;
+    let (_, retry) = text.split_once(RETRY_MARK)?;
+    retry.strip_suffix(" ms")?.parse().ok()
+}
+
 fn busy(reason: &str, retry: Duration) -> Answer {
-    let text = format!("{reason}; retry after {} ms", retry.as_millis());
+    let text = format!("{reason}{RETRY_MARK}{} ms", retry.as_millis());
     Answer::local(Outcome::error(Code::Busy, text), State::Idle)
 }
 
--- a/crates/agateport-relay/src/server/observation.rs
+++ b/crates/agateport-relay/src/server/observation.rs
@@ -1,8 +1,11 @@
 //! What an operator sees of a server.
 
 use super::Server;
+use crate::permit::Claim;
 use crate::protocol::Protocol;
+use agateport_domain::admission::{Preview, Ticket};
 use agateport_domain::pace::Standing;
+use agateport_domain::prelude::*;
 use agateport_domain::report;
 
 impl<W: Protocol> Server<W> {
@@ -21,4 +24,23 @@
             waiting: inner.queue.waiting(),
         }
     }
+
+    /// Returns the number of slots that the measured latency allows at this node.
+    #[must_use]
+    pub fn limit(&self) -> usize {
+        self.lock().queue.slots()
+    }
+
+    /// Returns what would happen to a claim at this node's queue now; nothing is queued.
+    pub(crate) fn preview(&self, claim: &Claim) -> Preview {
+        let now = Instant::now();
+        let inner = self.lock();
+        let ticket = Ticket {
+            request: inner.last_request + 1,
+            priority: claim.priority.clone(),
+            caller: claim.caller.clone(),
+            due: now + claim.due_in,
+        };
+        inner.queue.preview(ticket, now)
+    }
 }
