--- a/crates/agateport-domain/tests/preview.rs
+++ b/crates/agateport-domain/tests/preview.rs
@@ -84,9 +84,10 @@
         count in 1..=NODES.len(),
         rate in 0.5..200.0f64,
         burst in 0.5..50.0f64,
-        steps in prop::collection::vec((0..2_000u64, 0..3u8), 1..60),
+        steps in prop::collection::vec((0..2_000u64, 0..5u8), 1..60),
     ) {
-        let limits = Limits::new(rate, burst).unwrap();
+        let mut limits = Limits::new(rate, burst).unwrap();
+        let mut revision = 1;
         let mut now = Duration::from_secs(1_000);
         let mut views = Views::new("a".into());
         views.apply(|| members(count), Members::default, 1, now, now);
@@ -95,7 +96,7 @@
         for (pause, kind) in steps {
             now += Duration::from_millis(pause);
             match kind {
-                0 => views.apply(Members::default, Members::default, 1, now, now),
+                0 => views.apply(Members::default, Members::default, revision, now, now),
                 1 => {
                     account.update(&views, limits, now);
                     if let Some(request) = account.request(2, now) {
@@ -104,6 +105,16 @@
                         account.receive(&request, Some(lent), now, now);
                     }
                 }
+                // Lower and higher limits, and another list of members.
+                2 => {
+                    let factor = if pause % 2 == 0 { 0.2 } else { 3.0 };
+                    limits = Limits::new(rate * factor, burst * factor).unwrap();
+                }
+                3 => {
+                    revision += 1;
+                    let count = if pause % 2 == 0 { 1 } else { NODES.len() };
+                    views.apply(|| members(count), Members::default, revision, now, now);
+                }
                 _ => {}
             }
             let explained = account.preview(&views, limits, now);
