--- a/crates/agateport-relay/src/explain.rs
+++ b/crates/agateport-relay/src/explain.rs
@@ -37,6 +37,8 @@
 enum Check {
     /// The request gets a slot, after at least this time; none if another node decides.
     Sent(Option<Duration>, String),
+    /// The server is not tried.
+    Unused(&'static str),
     /// The next server is tried.
     Skipped(&'static str),
     /// The queue refuses the request.
@@ -143,20 +145,11 @@
     ) -> Answer {
         let mut refused = None;
         let mut reason = "no server may run it";
-        let mut attempts = 0;
         for (server, rank) in self.ranked(group, work, access) {
-            let check = match rank {
-                Err(exclusion) => Check::Skipped(exclusion.name()),
-                Ok(_) if result.target.is_some() => Check::Skipped("a server before it is used"),
-                Ok(_) if attempts >= ATTEMPTS => Check::Skipped("too many attempts before it"),
-                Ok(_) => {
-                    attempts += 1;
-                    let check = check(group, &server, work, access);
-                    if let Check::Skipped(cause) = &check {
-                        reason = cause;
-                    }
-                    check
-                }
+            let check = if let Some(cause) = unused(rank, result) {
+                Check::Unused(cause)
+            } else {
+                check(group, &server, work, access)
             };
             let text = match check {
                 Check::Sent(wait, text) => {
@@ -164,7 +157,11 @@
                     result.wait_ms = wait.map(millis);
                     text
                 }
-                Check::Skipped(cause) => cause.to_owned(),
+                Check::Unused(cause) => cause.to_owned(),
+                Check::Skipped(cause) => {
+                    reason = cause;
+                    cause.to_owned()
+                }
                 Check::Refused(refusal) => {
                     refused = Some(refusal);
                     refusal.to_string()
@@ -226,6 +223,17 @@
     }
 }
 
+/// Returns why the next server is not tried; none if it is. Those that may run the request
+/// come first, so each server before one of them was tried.
+fn unused(rank: Result<usize, Exclusion>, result: &Explanation) -> Option<&'static str> {
+    match rank {
+        Err(exclusion) => Some(exclusion.name()),
+        Ok(_) if result.target.is_some() => Some("a server before it is used"),
+        Ok(_) if result.servers.len() >= ATTEMPTS => Some("too many attempts before it"),
+        Ok(_) => None,
+    }
+}
+
 /// Returns what an attempt at a server would result in.
 fn check<W: Protocol>(
     group: &Group,
