--- a/crates/agateport-ctl/src/main.rs
+++ b/crates/agateport-ctl/src/main.rs
@@ -5,8 +5,10 @@
 mod drain;
 mod error;
 mod exit_codes;
+mod explain;
 mod history;
 mod keygen;
+mod report;
 mod resolve;
 mod roll;
 mod sign;
@@ -45,6 +47,12 @@
         }
         Command::Check { bundle } => bundle::check(&bundle),
         Command::Servers { bundle } => bundle::servers(&bundle),
+        Command::Explain {
+            address,
+            question,
+            key,
+            json,
+        } => explain::explain(address, question, key.as_deref(), json).await,
         Command::KeygenAuthority { directory } => keygen::authority(&directory),
         Command::KeygenNode { directory, name } => keygen::node(&directory, &name),
         Command::KeygenOperator { directory, name } => keygen::operator(&directory, &name),
@@ -67,6 +75,7 @@
         Command::Drain { node, address, key } => drain::drain(&node, address, &key).await,
         Command::History { platform } => history::history(platform).await,
         Command::Resolve { key, group, node } => resolve::resolve(&key, &group, node).await,
+        Command::Report { addresses, json } => report::report(&addresses, json).await,
         Command::Verifier => keygen::verifier(),
         Command::Status { admins, view } => status::status(&admins, view).await,
     }
