admission: optionally refuse on arrival what is not expected to start in time

The queue compared the best-case wait with the whole target, and a request that could not start was held until its maximum wait had passed.

With the option, which is off, a request is refused if a schedule of the slots, with the load of denser priorities that arrive later, does not let it start within a fifth of its target. The retry time follows from when the queue has drained for those refused before, the densest priorities first.

Ruled out: the shorter wait alone, with which refusals are as late; all requests of a priority below its minimum share as ahead, which refused urgent requests that would have been served.

Queue::discard releases a slot that was used for nothing, without a sample of its time.

--- a/crates/agateport-domain/src/admission/class.rs
+++ b/crates/agateport-domain/src/admission/class.rs
@@ -24,6 +24,8 @@
     pub hold_time: Estimate,
     /// Requests that were refused because no slot was free in time.
     pub refusals: Rate,
+    /// Requests that could not start at once, if the queue refuses on arrival.
+    pub offered: Rate,
     waiting: BTreeMap<CallerId, VecDeque<Ticket>>,
     /// Callers with waiting requests, in round-robin order, the next one first.
     rotation: VecDeque<CallerId>,
@@ -38,6 +40,7 @@
             credit: 0.0,
             hold_time: Estimate::default(),
             refusals: Rate::default(),
+            offered: Rate::default(),
             waiting: BTreeMap::new(),
             rotation: VecDeque::new(),
             count: 0,
@@ -50,6 +53,7 @@
         self.credit = older.credit;
         self.hold_time = older.hold_time;
         self.refusals = older.refusals;
+        self.offered = older.offered;
         self.waiting = older.waiting;
         self.rotation = older.rotation;
         self.count = older.count;
@@ -98,6 +102,28 @@
         self.share
     }
 
+    /// Returns the slot-seconds of the minimum share that are not used yet; negative if more
+    /// were used.
+    pub fn credit(&self) -> f64 {
+        self.credit
+    }
+
+    /// Returns the number of waiting requests that the unused part of the minimum share
+    /// suffices for.
+    #[expect(
+        clippy::cast_possible_truncation,
+        clippy::cast_sign_loss,
+        reason = "the quotient is positive and bounded by the number of requests"
+    )]
+    pub fn owed(&self, now: Instant) -> usize {
+        if !self.is_below_share() {
+            return 0;
+        }
+        let held = self.hold_time.expected(now).as_secs_f64();
+        let requests = (self.credit / held.max(f64::MIN_POSITIVE)).ceil();
+        self.count.min(requests as usize)
+    }
+
     /// Adds the minimum share of `slots` over `elapsed` to the credit.
     pub fn accrue(&mut self, elapsed: Duration, slots: f64) {
         let rate = self.share * slots;
--- a/crates/agateport-domain/src/admission/queue.rs
+++ b/crates/agateport-domain/src/admission/queue.rs
@@ -1,11 +1,14 @@
 //! The queue that assigns the slots of one upstream server to requests.
 
+mod arrival;
+
 use super::class::Class;
 use super::limit::Adaptive;
 use super::{Admission, Decision, Error, Limit, MIN_RETRY_DELAY, PriorityLimit, Share, Ticket};
 use crate::bundle::Priority;
 use crate::id::{PriorityId, RequestId};
 use crate::request::{Reason, Refusal};
+use arrival::Arrivals;
 use std::collections::BTreeMap;
 use std::time::{Duration, Instant};
 
@@ -33,6 +36,8 @@
     accrued_at: Instant,
     /// Whether slots are left free for more urgent requests.
     is_reserving: bool,
+    /// State of the refusals on arrival; none if they are off.
+    arrivals: Option<Arrivals>,
 }
 
 impl Queue {
@@ -71,6 +76,7 @@
             paused: BTreeMap::new(),
             accrued_at: now,
             is_reserving: false,
+            arrivals: None,
         })
     }
 
@@ -84,6 +90,24 @@
         }
     }
 
+    /// Makes the queue refuse on arrival what it does not expect to start in time.
+    #[must_use]
+    pub fn refusing_on_arrival(mut self) -> Self {
+        self.refuse_late_starts();
+        self
+    }
+
+    /// Makes the queue refuse on arrival what it does not expect to start in time.
+    pub fn refuse_late_starts(&mut self) {
+        self.arrivals = Some(Arrivals::default());
+    }
+
+    /// Returns whether the queue refuses on arrival what it does not expect to start in time.
+    #[must_use]
+    pub fn refuses_on_arrival(&self) -> bool {
+        self.arrivals.is_some()
+    }
+
     /// Makes the limit compare the latency of each priority with its own past, instead of
     /// that of all statements.
     pub fn limit_by_priority(&mut self, now: Instant) {
@@ -117,6 +141,9 @@
             self.start(ticket.request, ticket.priority, false, now);
             return Ok(Admission::Started);
         }
+        if let Some(refusal) = self.refuse_on_arrival(&ticket, now) {
+            return Err(refusal);
+        }
         let wait = self.minimum_wait(&ticket, now);
         if now + wait + hold_time > ticket.due {
             if now + hold_time <= ticket.due {
@@ -159,6 +186,19 @@
         }
     }
 
+    /// Releases the slot and the connection of a request that ran nothing, without counting
+    /// the time as that of a statement.
+    pub fn discard(&mut self, request: RequestId, now: Instant) {
+        self.accrue(now);
+        let Some(running) = self.running.remove(&request) else {
+            return;
+        };
+        let class = self.classes.get_mut(&running.priority);
+        if let (Some(class), Some(charged)) = (class, running.charged) {
+            class.charge(-charged);
+        }
+    }
+
     /// Releases the slot of an open transaction until its next statement.
     pub fn pause(&mut self, request: RequestId, now: Instant) {
         self.accrue(now);
@@ -231,6 +271,7 @@
         next.running = std::mem::take(&mut self.running);
         next.paused = std::mem::take(&mut self.paused);
         next.is_reserving = self.is_reserving;
+        next.arrivals = std::mem::take(&mut self.arrivals);
         if let Adaptive::ByPriority(limit) = &mut self.limit {
             limit.resize(share.slots);
             next.limit = Adaptive::ByPriority(limit.clone());
