--- a/crates/agateport-domain/src/pace/mod.rs
+++ b/crates/agateport-domain/src/pace/mod.rs
@@ -8,11 +8,13 @@
 //! Servers are only compared with each other, so nothing changes if all of them slow
 //! down, or if statements fail at all of them.
 
+mod announced;
 mod compare;
 mod measure;
 mod report;
 mod standing;
 
+pub use announced::Announced;
 pub use compare::compare;
 pub use measure::{Measure, Response};
 pub use report::{Latest, Report, Time};
