relay: drop what waits for a client or a node that has left, and take unused permits back

A client that left while its statement waited still got a slot, and its statement was run: a session read nothing while it answered, and an owner read nothing from a channel while its claim waited. A permit of a node that was cut off or frozen kept its slot for as long as the system kept the connection, because an owner waited for the next command without a limit.

- The owner reads the channel while a claim waits, and drops the claim when the channel ends.
- A permit that is used for no command until 1 s after its statement was due, or 1 s after the idle timeout of transactions, is taken back.
Neither that nor a permit that its borrower gave up counts as the time of a statement; when it did, the estimate refused others (seen in the test).
- With `dequeues_disconnected`, which is off, a node notices the end of its client's input while a statement waits, without reading.
It is off because a client that closes only its sending half cannot be told from one that has left.
- With `refuses_on_arrival`, which is off, queues refuse on arrival, the maximum wait is 0.19 of the target, and no request waits on beyond it.

--- a/crates/agateport-relay/src/caller.rs
+++ b/crates/agateport-relay/src/caller.rs
@@ -7,6 +7,7 @@
 use crate::clock::uptime;
 use crate::connection::Connection;
 use crate::context::Context;
+use crate::departure::Departure;
 use crate::drain::Drain;
 use crate::field::Word;
 use crate::message::{Access, Answer, Code, Message, Outcome, Request, State, Verb};
@@ -387,9 +388,16 @@
             last_write: self.last_write,
             arrived,
             started,
+            departure: self.departure(),
         }
     }
 
+    /// Returns the watch of the caller's connection.
+    fn departure(&self) -> Departure<'_> {
+        let is_watched = self.runner.upstreams().dequeues_disconnected();
+        Departure::new(is_watched.then(|| self.connection.stream()))
+    }
+
     /// Records the watermark of a successful write or commit, for later reads of the
     /// session.
     fn record_write(&mut self, answer: &Answer) {
--- a/crates/agateport-relay/src/channel.rs
+++ b/crates/agateport-relay/src/channel.rs
@@ -145,6 +145,12 @@
     /// The node sent an interim reply, but no final reply in time.
     #[error("the node sent no final reply in time")]
     Overdue,
+    /// The node that waits for a permit closed the channel, or broke its protocol.
+    #[error("the channel was closed while a permit was awaited")]
+    Abandoned,
+    /// The borrower sent no command for a granted permit in time.
+    #[error("a permit was not used in time")]
+    Unused,
     /// A message on the channel is malformed.
     #[error("malformed message on the channel: {0}")]
     Malformed(#[from] postcard::Error),
--- a/crates/agateport-relay/src/connection.rs
+++ b/crates/agateport-relay/src/connection.rs
@@ -60,6 +60,12 @@
         })
     }
 
+    /// Returns the TCP connection.
+    #[must_use]
+    pub fn stream(&self) -> &TcpStream {
+        &self.stream
+    }
+
     /// Returns whether part of a message has been received.
     #[must_use]
     pub fn is_receiving(&self) -> bool {
--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -20,6 +20,10 @@
 /// Time without a call after which a channel without a permit is closed.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
+/// Time beyond which a borrower that uses its permit for no command counts as lost, in
+/// addition to the time in which it is expected to: the pauses of a busy VM.
+const BORROWER_GRACE: Duration = Duration::from_secs(1);
+
 /// Time within which a claim is refused after its maximum wait.
 const REFUSAL_TIME: Duration = Duration::from_millis(5);
 
@@ -93,6 +97,18 @@
         }
     }
 
+    /// Returns the time in which a borrower must send the next command. Without a limit, the
+    /// slot of one that is cut off or frozen would be lost for the others.
+    fn command_timeout(&self, claim: &Claim, is_used: bool) -> Duration {
+        let limit = if is_used {
+            // The borrower ends an idle transaction by the same limit.
+            self.upstreams.catalog().idle_transaction_timeout
+        } else {
+            Some(claim.due_in)
+        };
+        limit.map_or(Duration::MAX, |limit| limit.saturating_add(BORROWER_GRACE))
+    }
+
     async fn lend(&self, transport: &mut Transport, claim: &Claim) -> Result<(), channel::Error> {
         let _token = self.lent.token();
         match self.acquire(transport, claim).await? {
@@ -138,15 +154,17 @@
             return Ok(acquired);
         }
         send(transport, &Reply::Pending).await?;
-        if let Ok(acquired) = timeout(claim.max_wait, &mut acquiring).await {
+        let acquired = while_open(transport, timeout(claim.max_wait, &mut acquiring)).await?;
+        if let Ok(acquired) = acquired {
             return Ok(acquired);
         }
         // A refusal follows at once, so a claim that is still waiting is due to start.
-        if let Ok(acquired) = timeout(REFUSAL_TIME, &mut acquiring).await {
+        let acquired = while_open(transport, timeout(REFUSAL_TIME, &mut acquiring)).await?;
+        if let Ok(acquired) = acquired {
             return Ok(acquired);
         }
         send(transport, &Reply::Pending).await?;
-        Ok(acquiring.await)
+        while_open(transport, acquiring).await
     }
 
     /// Executes requests until one fails or leaves the session outside of a
@@ -164,9 +182,22 @@
             )
             .await;
         };
-        send(transport, &Reply::from(server.grant())).await?;
+        if let Err(error) = send(transport, &Reply::from(server.grant())).await {
+            permit.release_unused();
+            return Err(error);
+        }
+        let mut is_used = false;
         let cut = self.drain.cut.clone();
-        while let Some(Some(frame)) = cut.run_until_cancelled(transport.next()).await {
+        loop {
+            let next = cut.run_until_cancelled(transport.next());
+            let limit = self.command_timeout(claim, is_used);
+            let Ok(next) = timeout(limit, next).await else {
+                if !is_used {
+                    permit.release_unused();
+                }
+                return Err(channel::Error::Unused);
+            };
+            let Some(Some(frame)) = next else { break };
             let Call::Execute(request) = postcard::from_bytes(&frame?)? else {
                 return Ok(());
             };
@@ -176,6 +207,7 @@
                 command,
                 time_left,
             } = request;
+            is_used = true;
             if !self.drain.allows(Step::Lent, time_left) {
                 return send(transport, &Reply::Failed(exchange::Failure::Unsent)).await;
             }
@@ -206,6 +238,23 @@
             permit.pause();
             send(transport, &reply).await?;
         }
+        if !is_used {
+            // The borrower left as the permit was granted; its connection can be reused.
+            permit.release_unused();
+        }
         Ok(())
     }
 }
+
+/// Waits for the result of `work` while the borrower waits as well. It sends nothing
+/// meanwhile, so whatever is received ends the channel, and `work` is dropped.
+async fn while_open<T>(
+    transport: &mut Transport,
+    work: impl Future<Output = T>,
+) -> Result<T, channel::Error> {
+    tokio::select! {
+        biased;
+        result = work => Ok(result),
+        _ = transport.next() => Err(channel::Error::Abandoned),
+    }
+}
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -16,6 +16,7 @@
 pub mod context;
 pub mod control;
 pub mod currency;
+pub mod departure;
 pub mod drain;
 pub mod error;
 pub mod exchange;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -74,6 +74,10 @@
     pub tolerance: Tolerance,
     /// Whether placement and limits follow the measured pace of the servers.
     pub adapts_to_servers: bool,
+    /// Whether a statement leaves the queue when its caller closes its connection.
+    pub dequeues_disconnected: bool,
+    /// Whether what is not expected to start in time is refused on arrival.
+    pub refuses_on_arrival: bool,
     /// Limits on what clients make the node hold.
     pub limits: Limits,
 }
@@ -122,6 +126,8 @@
                 .with_key_validity(config.key_validity)
                 .with_tolerance(config.tolerance)
                 .with_adaptation(config.adapts_to_servers)
+                .with_dequeuing(config.dequeues_disconnected)
+                .with_refusal_on_arrival(config.refuses_on_arrival)
                 .with_metrics(metrics.clone())
                 .with_intake(intake),
         ),
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -128,6 +128,14 @@
         }
     }
 
+    /// Releases a permit that was used for nothing. Its connection is kept for reuse.
+    pub fn release_unused(self) {
+        if let Self::Local { slot, .. } = &self {
+            slot.discard();
+        }
+        self.release(State::Idle);
+    }
+
     /// Releases the permit. Its connection is kept for reuse if it is outside of a
     /// transaction; otherwise it is closed, which rolls back.
     pub fn release(self, state: State) {
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -22,6 +22,10 @@
 /// is refused after it can still be served within the target at another node.
 const WAIT_SHARE: f64 = 0.22;
 
+/// The same at a node that refuses on arrival, whose refusals come within a fifth of the
+/// target latency, with some time for the answer.
+const PROMPT_WAIT_SHARE: f64 = 0.19;
+
 /// A permit at the selected server, with the precondition of the statement.
 #[derive(Debug)]
 pub struct Placement<W: Protocol> {
@@ -67,10 +71,14 @@
                 Failure::Refused(refusal) => {
                     refused = Some(refusal);
                     excluded.insert(server.entry().server.clone());
-                    if Instant::now() >= latest_start(work) {
+                    if Instant::now() >= self.latest_start(work) {
                         break;
                     }
                 }
+                Failure::Departed => {
+                    reason = "the caller has left";
+                    break;
+                }
                 Failure::Retry(cause) => reason = cause,
                 Failure::NextServer(cause) => {
                     reason = cause;
@@ -105,8 +113,15 @@
         if at_leader && !wait_before_send(group, server, work, access).await {
             return Err(Failure::NextServer("the primary isn't proven"));
         }
-        let claim = claim(server, work);
-        let acquired = permit::acquire(server, self.upstreams().channels(), &claim).await;
+        let latest = self.latest_start(work);
+        let claim = claim(server, work, latest);
+        let acquired = tokio::select! {
+            biased;
+            acquired = permit::acquire(server, self.upstreams().channels(), &claim) => acquired,
+            // Dropping the claim removes it from the queue; if an owner has it, that closes
+            // the channel.
+            () = work.departure.wait() => return Err(Failure::Departed),
+        };
         let permit = acquired.map_err(|denial| match denial {
             Denial::Refused(refusal) => Failure::Refused(refusal),
             Denial::Unavailable(Cause::Exhausted) => {
@@ -122,6 +137,17 @@
         Ok(Placement { permit, floor })
     }
 
+    /// Returns the latest time at which a statement may start, over all attempts; it is
+    /// refused after that.
+    fn latest_start(&self, work: &Work<'_>) -> Instant {
+        let share = if self.upstreams().refuses_on_arrival() {
+            PROMPT_WAIT_SHARE
+        } else {
+            WAIT_SHARE
+        };
+        work.started + work.route.target.mul_f64(share)
+    }
+
     /// Returns the best server for a statement.
     fn choose(
         &self,
@@ -198,21 +224,15 @@
 }
 
 /// Returns the claim of a statement for a permit at a server.
-fn claim<W: Protocol>(server: &Server<W>, work: &Work<'_>) -> Claim {
+fn claim<W: Protocol>(server: &Server<W>, work: &Work<'_>, latest: Instant) -> Claim {
     let now = Instant::now();
     Claim {
         server: server.entry().server.clone(),
         priority: work.route.priority.clone(),
         caller: work.caller.clone(),
         due_in: work.due().saturating_duration_since(now),
-        max_wait: latest_start(work).saturating_duration_since(now),
+        max_wait: latest.saturating_duration_since(now),
         values: work.context.values().clone(),
         workspace: work.workspace.cloned(),
     }
 }
-
-/// Returns the latest time at which a statement may start, over all attempts; it is
-/// refused after that.
-fn latest_start(work: &Work<'_>) -> Instant {
-    work.started + work.route.target.mul_f64(WAIT_SHARE)
-}
--- a/crates/agateport-relay/src/server.rs
+++ b/crates/agateport-relay/src/server.rs
@@ -225,7 +225,7 @@
         };
         let waited = tokio::time::timeout_at(latest.min(latest_start).into(), &mut receiver).await;
         let waited = match waited {
-            Err(_) if self.lock().queue.is_due_to_start(request, Instant::now()) => {
+            Err(_) if self.may_wait_on(request) => {
                 tokio::time::timeout_at(latest_start.into(), receiver).await
             }
             waited => waited,
@@ -238,6 +238,13 @@
         }
     }
 
+    /// Returns whether a request that has waited for its maximum wait waits on: if it is due
+    /// to start, unless a refusal must not come later.
+    fn may_wait_on(&self, request: RequestId) -> bool {
+        let queue = &self.lock().queue;
+        !queue.refuses_on_arrival() && queue.is_due_to_start(request, Instant::now())
+    }
+
     /// Adds a request to the queue; the receiver gets its result if it is queued.
     #[expect(
         clippy::type_complexity,
@@ -340,6 +347,12 @@
         owner.map_or(own, |(_, owner)| owner.max(own))
     }
 
+    /// Returns the number of requests that hold a slot of this node.
+    #[must_use]
+    pub fn running(&self) -> usize {
+        self.lock().queue.running()
+    }
+
     /// Records the load reported by the server's owner.
     pub fn record_owner_load(&self, load: usize) {
         self.lock().owner_load = Some((uptime(), load));
@@ -403,6 +416,13 @@
         Self::dispatch(&mut inner);
     }
 
+    /// Releases the slot of a request that ran nothing.
+    pub(crate) fn discard(&self, request: RequestId) {
+        let mut inner = self.lock();
+        inner.queue.discard(request, Instant::now());
+        Self::dispatch(&mut inner);
+    }
+
     /// Stops counting a permit that was released, or was not lent.
     pub(crate) fn end_usage(&self) {
         let mut inner = self.lock();
--- a/crates/agateport-relay/src/server/pacing.rs
+++ b/crates/agateport-relay/src/server/pacing.rs
@@ -38,6 +38,13 @@
         self
     }
 
+    /// Makes the queue refuse on arrival what it does not expect to start in time.
+    #[must_use]
+    pub fn refusing_on_arrival(self) -> Self {
+        self.lock().queue.refuse_late_starts();
+        self
+    }
+
     /// Records what the result of an exchange shows about the server, if it measures its
     /// pace. The request must hold a slot.
     pub(crate) fn record_response(
--- a/crates/agateport-relay/src/slot.rs
+++ b/crates/agateport-relay/src/slot.rs
@@ -32,6 +32,12 @@
         self.server.resume(self.request);
     }
 
+    /// Releases a slot that was used for nothing, so that the time does not count as that of
+    /// a statement.
+    pub fn discard(&self) {
+        self.server.discard(self.request);
+    }
+
     /// Records what the result of a statement that held the slot shows about the server.
     pub fn record_response(&self, result: &Result<Answer, Failure>, elapsed: Duration) {
         let server = &self.server;
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -44,6 +44,10 @@
     leaving_limit: Duration,
     /// Whether placement and limits follow the measured pace of the servers.
     adapts_to_servers: bool,
+    /// Whether a statement leaves the queue when its caller closes its connection.
+    dequeues_disconnected: bool,
+    /// Whether what is not expected to start in time is refused on arrival.
+    refuses_on_arrival: bool,
     groups: Sharded<GroupId, Arc<Group>>,
     servers: Sharded<ServerId, Arc<Server<W>>>,
     registry: RwLock<Arc<Registry>>,
@@ -83,6 +87,8 @@
             zone,
             leaving_limit: Duration::MAX,
             adapts_to_servers: false,
+            dequeues_disconnected: false,
+            refuses_on_arrival: false,
             groups: Sharded::new(),
             servers: Sharded::new(),
             registry: RwLock::default(),
@@ -184,6 +190,36 @@
         }
     }
 
+    /// Sets whether a statement leaves the queue when its caller closes its connection.
+    #[must_use]
+    pub fn with_dequeuing(self, dequeues_disconnected: bool) -> Self {
+        Self {
+            dequeues_disconnected,
+            ..self
+        }
+    }
+
+    /// Returns whether a statement leaves the queue when its caller closes its connection.
+    #[must_use]
+    pub fn dequeues_disconnected(&self) -> bool {
+        self.dequeues_disconnected
+    }
+
+    /// Sets whether what is not expected to start in time is refused on arrival.
+    #[must_use]
+    pub fn with_refusal_on_arrival(self, refuses_on_arrival: bool) -> Self {
+        Self {
+            refuses_on_arrival,
+            ..self
+        }
+    }
+
+    /// Returns whether what is not expected to start in time is refused on arrival.
+    #[must_use]
+    pub fn refuses_on_arrival(&self) -> bool {
+        self.refuses_on_arrival
+    }
+
     /// Returns the time for which new work is sent to a leaving server if no other can run
     /// it.
     #[must_use]
@@ -398,6 +434,11 @@
                 } else {
                     server
                 };
+                let server = if self.refuses_on_arrival {
+                    server.refusing_on_arrival()
+                } else {
+                    server
+                };
                 server.set_role(role, share, &priorities);
                 self.servers.insert(entry.server.clone(), Arc::new(server));
             }
--- a/crates/agateport-relay/src/work.rs
+++ b/crates/agateport-relay/src/work.rs
@@ -2,6 +2,7 @@
 
 use crate::catalog::Route;
 use crate::context::Context;
+use crate::departure::Departure;
 use crate::field::Word;
 use agateport_domain::prelude::*;
 use agateport_domain::request::Refusal;
@@ -28,6 +29,8 @@
     pub arrived: Uptime,
     /// When its timeout and its target latency begin, on the clock of timeouts.
     pub started: Instant,
+    /// Notices that the caller closes its connection.
+    pub departure: Departure<'a>,
 }
 
 impl Work<'_> {
@@ -60,6 +63,8 @@
     Retry(&'static str),
     /// Admission control refused the statement.
     Refused(Refusal),
+    /// The caller closed its connection while the statement waited for a permit.
+    Departed,
 }
 
 impl Failure {
@@ -69,6 +74,7 @@
         match self {
             Self::NextServer(reason) | Self::Retry(reason) => reason,
             Self::Refused(refusal) => refusal.reason.name(),
+            Self::Departed => "the caller has left",
         }
     }
 }
