relay: show the pace and the limit of each server that a node adapts to

Operators could not see why reads avoid a server: the factor and the limit that `adapts_to_servers` produces were in no metric and no log line.

--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -5,6 +5,7 @@
 use crate::error::Error;
 use crate::intake::{Intake, Kind};
 use crate::metrics::{Metrics, millis};
+use crate::pacing;
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
 use crate::upstreams::Upstreams;
@@ -66,7 +67,8 @@
     let intake = upstreams.intake().clone();
     let answer = move || {
         let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
-        std::future::ready(metrics.render(&gauges))
+        let paces = pacing::render(&upstreams);
+        std::future::ready(metrics.render(&gauges) + &paces)
     };
     let router = Router::new().route("/metrics", get(answer));
     spawn_http(address, router, intake, Kind::Metrics).await
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -33,6 +33,7 @@
 pub mod name;
 pub mod node;
 pub mod ownership;
+pub mod pacing;
 pub mod permit;
 pub mod placement;
 pub mod priority;
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -20,6 +20,7 @@
 use crate::intake::Intake;
 use crate::lend::Lender;
 use crate::metrics::Metrics;
+use crate::pacing;
 use crate::protocol::Protocol;
 use crate::readiness::{DRAIN_DELAY, Readiness, close_idle_sessions};
 use crate::record::{ProcessId, Records};
@@ -147,7 +148,12 @@
     node.maintain_membership();
     node.run_handover(platform.promoter);
     let upstreams = node.upstreams.clone();
-    let upkeep = run_upkeep(upstreams, node.tasks.clone(), node.end.clone());
+    let upkeep = run_upkeep(
+        upstreams,
+        metrics.clone(),
+        node.tasks.clone(),
+        node.end.clone(),
+    );
     node.tasks.spawn("upkeep", upkeep);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let shutdown = Arc::new(shutdown);
@@ -386,10 +392,12 @@
 /// Starts the confirmation tasks of new groups, and closes idle connections.
 async fn run_upkeep<W: Protocol>(
     upstreams: Arc<Upstreams<W>>,
+    metrics: Arc<Metrics>,
     tasks: Tasks,
     end: CancellationToken,
 ) {
     let mut known = BTreeSet::new();
+    let mut paces = pacing::Watch::default();
     loop {
         for name in upstreams.groups() {
             if known.insert(name.clone()) {
@@ -399,6 +407,7 @@
             }
         }
         upstreams.close_idle();
+        paces.observe(&upstreams, &metrics);
         tokio::select! {
             () = end.cancelled() => return,
             () = tokio::time::sleep(UPKEEP_INTERVAL) => {}
