--- a/crates/agateport-domain/tests/preview.rs
+++ b/crates/agateport-domain/tests/preview.rs
@@ -3,7 +3,7 @@
 #![expect(clippy::unwrap_used, reason = "an invalid fixture fails the test")]
 
 use agateport_domain::admission::{self, Admission, Decision, Queue, Share, Ticket};
-use agateport_domain::allowance::{self, Account, Lent, Members, Tolerance, Views};
+use agateport_domain::allowance::{self, Account, Lent, Listing, Tolerance, Views};
 use agateport_domain::bundle::Priority;
 use agateport_domain::pace::Standing;
 use agateport_domain::prelude::*;
@@ -13,12 +13,16 @@
 
 const NODES: [&str; 3] = ["a", "b", "c"];
 
-fn members(count: usize) -> Members {
+fn members(count: usize) -> Listing {
     let names = NODES[..count].iter();
     let pairs: Vec<_> = names
         .map(|name| (NodeId::from(*name), Zone::from(*name)))
         .collect();
-    pairs.iter().map(|(node, zone)| (node, zone)).collect()
+    Listing {
+        members: pairs.iter().map(|(node, zone)| (node, zone)).collect(),
+        is_established: true,
+        ..Listing::default()
+    }
 }
 
 /// Takes an operation as a node does, up to the first message to another node.
@@ -90,13 +94,13 @@
         let mut revision = 1;
         let mut now = Duration::from_secs(1_000);
         let mut views = Views::new("a".into());
-        views.apply(|| members(count), Members::default, 1, now, now);
+        views.apply(|| members(count), 1, now, now);
         let tolerance = Tolerance::default();
         let mut account = Account::new("acme".into(), "a".into(), limits, tolerance, &views, now);
         for (pause, kind) in steps {
             now += Duration::from_millis(pause);
             match kind {
-                0 => views.apply(Members::default, Members::default, revision, now, now),
+                0 => views.apply(Listing::default, revision, now, now),
                 1 => {
                     account.update(&views, limits, now);
                     if let Some(request) = account.request(2, now) {
@@ -113,7 +117,7 @@
                 3 => {
                     revision += 1;
                     let count = if pause % 2 == 0 { 1 } else { NODES.len() };
-                    views.apply(|| members(count), Members::default, revision, now, now);
+                    views.apply(|| members(count), revision, now, now);
                 }
                 _ => {}
             }
--- a/crates/agateport-relay/src/explain.rs
+++ b/crates/agateport-relay/src/explain.rs
@@ -7,6 +7,7 @@
 use crate::catalog::{Consistency, Route};
 use crate::clock::uptime;
 use crate::context::Context;
+use crate::departure::Departure;
 use crate::field::Word;
 use crate::group::Group;
 use crate::lease::{floor, is_leader, moment_to_cover};
@@ -126,6 +127,7 @@
             last_write: question.watermark,
             arrived: uptime(),
             started: Instant::now(),
+            departure: Departure::new(None),
         };
         result.floor = floor(&group, &work, needs_leader(&work, access));
         let refused = self.attempt_all(&group, &work, access, result);
@@ -149,7 +151,7 @@
             let check = if let Some(cause) = unused(rank, result) {
                 Check::Unused(cause)
             } else {
-                check(group, &server, work, access)
+                check(group, &server, work, access, self.latest_start(work))
             };
             let text = match check {
                 Check::Sent(wait, text) => {
@@ -240,13 +242,14 @@
     server: &Arc<Server<W>>,
     work: &Work<'_>,
     access: Access,
+    latest: Instant,
 ) -> Check {
     let name = server.entry().server.clone();
     let moment = moment_to_cover(work, access);
     if is_leader(group, server) && !group.holds_lease(&name, moment) {
         return Check::Skipped("the primary isn't proven");
     }
-    let claim = claim(server, work);
+    let claim = claim(server, work, latest);
     match places(&server.role(), &claim).first() {
         None => Check::Skipped("the server can't be reached"),
         Some(Place::Node(owner)) => Check::Sent(
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -6,6 +6,7 @@
 use crate::intake::{Intake, Kind};
 use crate::metrics::{Metrics, millis};
 use crate::overview;
+use crate::pacing;
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
 use crate::statement::Runner;
@@ -80,7 +81,8 @@
     let report = move || std::future::ready(Json(overview::report(&reported, &counted)));
     let answer = move || {
         let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
-        std::future::ready(metrics.render(&gauges))
+        let paces = pacing::render(&upstreams);
+        std::future::ready(metrics.render(&gauges) + &paces)
     };
     let router = Router::new()
         .route("/metrics", get(answer))
--- a/crates/agateport-relay/src/node.rs
+++ b/crates/agateport-relay/src/node.rs
@@ -20,6 +20,7 @@
 use crate::intake::Intake;
 use crate::lend::Lender;
 use crate::metrics::Metrics;
+use crate::pacing;
 use crate::protocol::Protocol;
 use crate::readiness::{DRAIN_DELAY, Readiness, close_idle_sessions};
 use crate::record::{ProcessId, Records};
@@ -74,6 +75,10 @@
     pub tolerance: Tolerance,
     /// Whether placement and limits follow the measured pace of the servers.
     pub adapts_to_servers: bool,
+    /// Whether a statement leaves the queue when its caller closes its connection.
+    pub dequeues_disconnected: bool,
+    /// Whether what is not expected to start in time is refused on arrival.
+    pub refuses_on_arrival: bool,
     /// Limits on what clients make the node hold.
     pub limits: Limits,
 }
@@ -122,6 +127,8 @@
                 .with_key_validity(config.key_validity)
                 .with_tolerance(config.tolerance)
                 .with_adaptation(config.adapts_to_servers)
+                .with_dequeuing(config.dequeues_disconnected)
+                .with_refusal_on_arrival(config.refuses_on_arrival)
                 .with_metrics(metrics.clone())
                 .with_intake(intake),
         ),
@@ -141,7 +148,12 @@
     node.maintain_membership();
     node.run_handover(platform.promoter);
     let upstreams = node.upstreams.clone();
-    let upkeep = run_upkeep(upstreams, node.tasks.clone(), node.end.clone());
+    let upkeep = run_upkeep(
+        upstreams,
+        metrics.clone(),
+        node.tasks.clone(),
+        node.end.clone(),
+    );
     node.tasks.spawn("upkeep", upkeep);
     let (shutdown, shutdown_receiver) = watch::channel(false);
     let shutdown = Arc::new(shutdown);
@@ -381,10 +393,12 @@
 /// Starts the confirmation tasks of new groups, and closes idle connections.
 async fn run_upkeep<W: Protocol>(
     upstreams: Arc<Upstreams<W>>,
+    metrics: Arc<Metrics>,
     tasks: Tasks,
     end: CancellationToken,
 ) {
     let mut known = BTreeSet::new();
+    let mut paces = pacing::Watch::default();
     loop {
         for name in upstreams.groups() {
             if known.insert(name.clone()) {
@@ -394,6 +408,7 @@
             }
         }
         upstreams.close_idle();
+        paces.observe(&upstreams, &metrics);
         tokio::select! {
             () = end.cancelled() => return,
             () = tokio::time::sleep(UPKEEP_INTERVAL) => {}
