--- a/crates/agateport-node/src/control/admin.rs
+++ b/crates/agateport-node/src/control/admin.rs
@@ -106,7 +106,7 @@
 }
 
 /// Counters of refusals, by the part of their names before the dot.
-const REFUSALS: [&str; 4] = ["admin", "not_retried", "owner_refused", "refused"];
+const REFUSALS: [&str; 4] = ["admin", "gate_refused", "owner_refused", "refused"];
 
 /// Returns the report to operators. The deployments of this front end have no workspaces.
 async fn report<P>(State(node): State<Arc<Node<P>>>) -> Json<report::Report>
--- a/crates/agateport-relay/src/overview.rs
+++ b/crates/agateport-relay/src/overview.rs
@@ -7,26 +7,34 @@
 use agateport_domain::prelude::*;
 use agateport_domain::report::{Listed, MAX_SERVERS, Report, Server};
 
-/// Counters of refusals. Their reasons are fixed, so the report is bounded.
-const REFUSALS: [&str; 8] = [
+/// Counters of refusals. Their reasons are fixed, so the report is bounded. A refusal is
+/// counted by its cause, if there is a counter for it, and by the code of its answer.
+const REFUSALS: [&str; 6] = [
     "allowance",
     "answer",
     "caller_closed",
     "caller_unidentified",
-    "configuration_rejected",
     "context_limit",
-    "missed",
     "session",
 ];
 
-/// Reasons of these counters that are no refusals.
-const SERVED: [(&str, &str); 2] = [("answer", "done"), ("session", "opened")];
+/// Reasons of these counters that are no refusals: the statement was run, may have been run, or
+/// another node is asked.
+const NOT_REFUSED: [(&str, &str); 6] = [
+    ("allowance", "allocator_silent"),
+    ("answer", "aborted"),
+    ("answer", "done"),
+    ("answer", "failed"),
+    ("answer", "unknown"),
+    ("session", "opened"),
+];
 
 /// Returns the report of a node. It is computed for each request, and nothing is kept.
 #[must_use]
 pub fn report<W: Protocol>(upstreams: &Upstreams<W>, metrics: &Metrics) -> Report {
     let counts = metrics.counts(&REFUSALS);
-    let refusals = counts.into_iter().filter(|(key, _)| !SERVED.contains(key));
+    let counts = counts.into_iter();
+    let refusals = counts.filter(|(key, _)| !NOT_REFUSED.contains(key));
     let version = upstreams.catalog().version;
     Report {
         node: upstreams.allowances().node().clone(),
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -202,7 +202,11 @@
     channels: &Arc<channel::Pool>,
     claim: &Claim,
 ) -> Result<Permit<W>, Denial> {
-    let places = places(&server.role(), claim);
+    let role = server.role();
+    if matches!(*role, Role::Owner) {
+        return acquire_local(server, claim).await;
+    }
+    let places = places(&role, claim);
     let sent_at = uptime();
     let latest = Instant::now() + claim.max_wait;
     for place in places {
