lend: limit only unused permits; pool an unused connection before its slot

Reviews found that an owner ended a live transaction whose client only sent statements that the borrower answers itself, that the next request could open a connection beyond the share while an unused one was being pooled, and that a channel whose permit was not used was kept although its owner still waited for a command.

--- a/crates/agateport-relay/src/lend.rs
+++ b/crates/agateport-relay/src/lend.rs
@@ -21,7 +21,8 @@
 const IDLE_TIMEOUT: Duration = Duration::from_secs(10);
 
 /// Time beyond which a borrower that uses its permit for no command counts as lost, in
-/// addition to the time in which it is expected to: the pauses of a busy VM.
+/// addition to the time until its answer is due: the pauses of a busy VM. Within a transaction
+/// the borrower enforces the limit, because the owner does not see all that its client sends.
 const BORROWER_GRACE: Duration = Duration::from_secs(1);
 
 /// Time within which a claim is refused after its maximum wait.
@@ -97,18 +98,6 @@
         }
     }
 
-    /// Returns the time in which a borrower must send the next command. Without a limit, the
-    /// slot of one that is cut off or frozen would be lost for the others.
-    fn command_timeout(&self, claim: &Claim, is_used: bool) -> Duration {
-        let limit = if is_used {
-            // The borrower ends an idle transaction by the same limit.
-            self.upstreams.catalog().idle_transaction_timeout
-        } else {
-            Some(claim.due_in)
-        };
-        limit.map_or(Duration::MAX, |limit| limit.saturating_add(BORROWER_GRACE))
-    }
-
     async fn lend(&self, transport: &mut Transport, claim: &Claim) -> Result<(), channel::Error> {
         let _token = self.lent.token();
         match self.acquire(transport, claim).await? {
@@ -190,7 +179,11 @@
         let cut = self.drain.cut.clone();
         loop {
             let next = cut.run_until_cancelled(transport.next());
-            let limit = self.command_timeout(claim, is_used);
+            let limit = if is_used {
+                Duration::MAX
+            } else {
+                claim.due_in.saturating_add(BORROWER_GRACE)
+            };
             let Ok(next) = timeout(limit, next).await else {
                 if !is_used {
                     permit.release_unused();
--- a/crates/agateport-relay/src/pacing.rs
+++ b/crates/agateport-relay/src/pacing.rs
@@ -20,6 +20,9 @@
 /// adapt to them.
 fn shown<W: Protocol>(upstreams: &Upstreams<W>) -> Vec<Shown> {
     let mut all = Vec::new();
+    if !upstreams.adapts_to_servers() {
+        return all;
+    }
     for group in upstreams.groups() {
         let servers = upstreams.servers(&group);
         let reports: Vec<_> = servers.iter().map(|server| server.pace()).collect();
--- a/crates/agateport-relay/src/permit.rs
+++ b/crates/agateport-relay/src/permit.rs
@@ -128,12 +128,18 @@
         }
     }
 
-    /// Releases a permit that was used for nothing. Its connection is kept for reuse.
+    /// Releases a permit that was used for nothing.
     pub fn release_unused(self) {
-        if let Self::Local { slot, .. } = &self {
-            slot.discard();
+        match self {
+            Self::Local { slot, link } => {
+                // The next request must find the connection, or it would open another one.
+                slot.server().release_link(link);
+                slot.discard();
+            }
+            // The owner still waits for a command, so the channel cannot be used for another
+            // claim. Closing it returns the permit.
+            Self::Borrowed { channel, .. } => drop(channel),
         }
-        self.release(State::Idle);
     }
 
     /// Releases the permit. Its connection is kept for reuse if it is outside of a
--- a/crates/agateport-relay/src/placement.rs
+++ b/crates/agateport-relay/src/placement.rs
@@ -4,7 +4,7 @@
 use crate::clock::uptime;
 use crate::group::Group;
 use crate::lease::{floor, is_leader, wait_before_send};
-use crate::message::{Access, Answer, State, Tried};
+use crate::message::{Access, Answer, Tried};
 use crate::permit::{self, Cause, Claim, Denial, Permit};
 use crate::protocol::Protocol;
 use crate::reply;
@@ -130,7 +130,7 @@
             Denial::Unavailable(_) => Failure::NextServer("the server can't be reached"),
         })?;
         if at_leader && !is_leader(group, server) {
-            permit.release(State::Idle);
+            permit.release_unused();
             return Err(Failure::NextServer("the primary was replaced"));
         }
         let floor = floor(group, work, at_leader);
--- a/crates/agateport-relay/src/statement.rs
+++ b/crates/agateport-relay/src/statement.rs
@@ -121,7 +121,7 @@
             Err(failure) => return Attempt::Failed(failure),
         };
         let Some(command) = link::command(request, work.context, floor) else {
-            permit.release(State::Idle);
+            permit.release_unused();
             return Attempt::Finished(unprepared(State::Idle));
         };
         let trace = self.upstreams.trace();
--- a/crates/agateport-relay/src/upstreams.rs
+++ b/crates/agateport-relay/src/upstreams.rs
@@ -196,6 +196,12 @@
         }
     }
 
+    /// Returns whether placement and limits follow the measured pace of the servers.
+    #[must_use]
+    pub fn adapts_to_servers(&self) -> bool {
+        self.adapts_to_servers
+    }
+
     /// Sets whether a statement leaves the queue when its caller closes its connection.
     #[must_use]
     pub fn with_dequeuing(self, dequeues_disconnected: bool) -> Self {
