handover: show what a group without a primary waits for

`Step::Wait` now has the condition as its value. Each node logs a condition that lasts for a second, and its end (`handover_waits`, `handover_ended`), exports it as `agateport_handover_wait_milliseconds{group,condition}`, and lists it in its report; `agatectl report` prints it.

--- a/crates/agateport-ctl/src/report.rs
+++ b/crates/agateport-ctl/src/report.rs
@@ -2,10 +2,11 @@
 
 use crate::error::Error;
 use crate::status::TIMEOUT;
-use agateport_domain::report::{Report, Server, Workspace};
+use agateport_domain::report::{Handover, Report, Server, Workspace};
 use serde::Serialize;
 use std::fmt::Write;
 use std::net::SocketAddr;
+use std::time::Duration;
 use tokio::task::JoinSet;
 
 /// Report of one node.
@@ -76,6 +77,10 @@
         let _ = writeln!(text, "  {}", server(entry));
     }
     omitted(&mut text, report.servers.omitted, "servers");
+    for entry in &report.handovers.listed {
+        let _ = writeln!(text, "  {}", handover(entry));
+    }
+    omitted(&mut text, report.handovers.omitted, "handovers");
     for (reason, count) in &report.refusals {
         let _ = writeln!(text, "  refused {reason} {count}");
     }
@@ -113,3 +118,17 @@
         entry.server, entry.group, entry.limit, entry.slots, entry.running, entry.waiting,
     )
 }
+
+fn handover(entry: &Handover) -> String {
+    format!(
+        "handover of {}: waits for {} for {:.1} s, {:.1} s in total",
+        entry.group,
+        entry.condition,
+        seconds(entry.condition_ms),
+        seconds(entry.waiting_ms),
+    )
+}
+
+fn seconds(milliseconds: u64) -> f64 {
+    Duration::from_millis(milliseconds).as_secs_f64()
+}
--- a/crates/agateport-ctl/tests/report.rs
+++ b/crates/agateport-ctl/tests/report.rs
@@ -19,6 +19,8 @@
         "omitted":3},
     "servers":{"listed":[{"server":"i-1","group":"ledger","pace_percent":180,"slots":4,
         "limit":3,"running":2,"waiting":1}],"omitted":0},
+    "handovers":{"listed":[{"group":"ledger","condition":"listing","condition_ms":2300,
+        "waiting_ms":31840}],"omitted":0},
     "refusals":{"allowance.exhausted":12}}"#;
 
 const EXPLANATION: &str = r#"{"node":"n1","configuration":7,"configuration_age_ms":31,
@@ -80,6 +82,7 @@
       workspace bolt: not limited
       3 more workspaces
       server i-1 of ledger: pace 180%, limit 3 of 4 slots, 2 running, 1 waiting
+      handover of ledger: waits for listing for 2.3 s, 31.8 s in total
       refused allowance.exhausted 12
     ");
 }
@@ -89,7 +92,7 @@
     let address = node(REPORT).await.to_string();
     let output = run(&["report", "--json", &address]).await;
     let text = printed(&output).replace(&address, "ADDRESS");
-    insta::assert_snapshot!(text, @r#"[{"address":"ADDRESS","report":{"node":"n1","zone":"a","configuration":7,"configuration_age_ms":31,"workspaces":{"listed":[{"workspace":"acme","allowance":{"rate":100.0,"burst":20.0},"used_per_second":41.25,"used":533,"allocators":["n2","n5"]},{"workspace":"bolt","allowance":null,"used_per_second":0.0,"used":0,"allocators":[]}],"omitted":3},"servers":{"listed":[{"server":"i-1","group":"ledger","pace_percent":180,"slots":4,"limit":3,"running":2,"waiting":1}],"omitted":0},"refusals":{"allowance.exhausted":12}}}]"#);
+    insta::assert_snapshot!(text, @r#"[{"address":"ADDRESS","report":{"node":"n1","zone":"a","configuration":7,"configuration_age_ms":31,"workspaces":{"listed":[{"workspace":"acme","allowance":{"rate":100.0,"burst":20.0},"used_per_second":41.25,"used":533,"allocators":["n2","n5"]},{"workspace":"bolt","allowance":null,"used_per_second":0.0,"used":0,"allocators":[]}],"omitted":3},"servers":{"listed":[{"server":"i-1","group":"ledger","pace_percent":180,"slots":4,"limit":3,"running":2,"waiting":1}],"omitted":0},"handovers":{"listed":[{"group":"ledger","condition":"listing","condition_ms":2300,"waiting_ms":31840}],"omitted":0},"refusals":{"allowance.exhausted":12}}}]"#);
 }
 
 /// Guards against a silent node that hides the others, or that the exit code does not show.
--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -6,6 +6,7 @@
 
 use super::LEASE_DURATION;
 use super::leadership::Leadership;
+use super::wait::Wait;
 use crate::id::{ServerId, Term, Uptime};
 use crate::session::Watermark;
 use std::cmp::Ordering;
@@ -157,8 +158,8 @@
 /// The next step of the coordinator.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum Step {
-    /// Nothing to do for now.
-    Wait,
+    /// Nothing to do until something has happened.
+    Wait(Wait),
     /// Record the server that is already the primary.
     Adopt(ServerId),
     /// Record this server as the new primary.
@@ -177,7 +178,7 @@
 #[must_use]
 pub fn decide(state: &State<'_>, now: Uptime) -> Step {
     match hand_over(state, now) {
-        Step::Wait if state.is_roster_due => Step::Enroll,
+        Step::Wait(_) if state.is_roster_due => Step::Enroll,
         step => step,
     }
 }
@@ -204,10 +205,11 @@
         if recorded.is_leaving {
             return replace_leaving(state, &leadership.primary, now);
         }
-        if is_former_released && !leadership.is_settled {
-            return Step::Settle;
-        }
-        return Step::Wait;
+        return match (leadership.is_settled, is_former_released) {
+            (true, _) => Step::Wait(Wait::Nothing),
+            (false, true) => Step::Settle,
+            (false, false) => Step::Wait(Wait::Leases),
+        };
     }
     if leadership.is_settled {
         // Orders are sent only under unsettled records, so the record shows a new
@@ -224,7 +226,12 @@
         || state.is_released
         || (is_former_released && recorded.is_eligible);
     if !may_promote {
-        return wait_for_demotion(state, recorded, is_stuck, now);
+        let wait = if is_former_released {
+            Wait::Release
+        } else {
+            Wait::Leases
+        };
+        return wait_for_demotion(state, recorded, is_stuck.then_some(now), wait);
     }
     let is_due = state
         .ordered_at
@@ -232,20 +239,26 @@
     if is_due {
         return Step::Promote(leadership.primary.clone());
     }
-    Step::Wait
+    Step::Wait(Wait::Promotion)
 }
 
 /// Decides for a recorded server that must not be promoted yet. One that not every node
-/// knows needs the former primary's demotion, or is replaced by an eligible one.
-fn wait_for_demotion(state: &State<'_>, recorded: &Candidate, is_stuck: bool, now: Uptime) -> Step {
-    let other = replace(state, &recorded.server, now);
-    if is_stuck && other != Step::Wait {
+/// knows needs the former primary's demotion, or is replaced by an eligible one if it is
+/// `stuck_at` this time.
+fn wait_for_demotion(
+    state: &State<'_>,
+    recorded: &Candidate,
+    stuck_at: Option<Uptime>,
+    wait: Wait,
+) -> Step {
+    let other = stuck_at.map(|now| replace(state, &recorded.server, now));
+    if let Some(other) = other.filter(|other| !matches!(other, Step::Wait(_))) {
         return other;
     }
     if state.former == Former::Known && !recorded.is_eligible {
         Step::Demote
     } else {
-        Step::Wait
+        Step::Wait(wait)
     }
 }
 
@@ -256,7 +269,7 @@
     let candidates = state.candidates.iter();
     let answers = candidates.filter(|candidate| candidate.last.is_some());
     if answers.clone().count() * 2 <= state.candidates.len() {
-        return Step::Wait;
+        return Step::Wait(Wait::Answers);
     }
     let leading = answers.filter(|candidate| candidate.led_term.is_some());
     match leading.max_by_key(|candidate| candidate.led_term) {
@@ -288,7 +301,7 @@
     if state.is_leaderless_for(LEADERLESS_TIMEOUT, now) {
         most_advanced(state, None, now)
     } else {
-        Step::Wait
+        Step::Wait(Wait::Registration)
     }
 }
 
@@ -305,7 +318,7 @@
 /// a new server only if no candidate is eligible.
 fn replace_leaving(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
     match replace(state, former, now) {
-        Step::Wait => most_advanced_of(state, Some(former), now, |_| true),
+        Step::Wait(_) => most_advanced_of(state, Some(former), now, |_| true),
         step => step,
     }
 }
@@ -334,11 +347,33 @@
         .filter(|candidate| candidate.last.is_some() && is_allowed(candidate))
         .filter(|candidate| is_any_branch_allowed || state.is_on_branch(candidate));
     let chosen = allowed.max_by_key(|candidate| (state.is_on_branch(candidate), candidate.last));
-    chosen.map_or(Step::Wait, |candidate| {
-        Step::Record(Choice {
-            server: candidate.server.clone(),
-            last: candidate.last,
-            former: state.former_primary().cloned(),
-        })
+    let Some(chosen) = chosen else {
+        return Step::Wait(missing(state, former));
+    };
+    Step::Record(Choice {
+        server: chosen.server.clone(),
+        last: chosen.last,
+        former: state.former_primary().cloned(),
     })
 }
+
+/// Returns what there has to be before a server can be chosen in place of `former`.
+fn missing(state: &State<'_>, former: Option<&ServerId>) -> Wait {
+    let mut others = state
+        .candidates
+        .iter()
+        .filter(|candidate| Some(&candidate.server) != former && !candidate.is_leaving)
+        .peekable();
+    if others.peek().is_none() {
+        return Wait::Server;
+    }
+    let mut answering = others.filter(|other| other.last.is_some()).peekable();
+    if answering.peek().is_none() {
+        return Wait::Answers;
+    }
+    if answering.any(|other| other.is_eligible && !other.is_primary) {
+        Wait::Branch
+    } else {
+        Wait::Listing
+    }
+}
--- a/crates/agateport-domain/src/group/mod.rs
+++ b/crates/agateport-domain/src/group/mod.rs
@@ -13,6 +13,7 @@
 mod quorum;
 mod read_index;
 pub mod roster;
+mod wait;
 
 pub use ballot::{Ballot, PromoterId};
 pub use cooldown::Cooldown;
@@ -26,6 +27,7 @@
 pub use quorum::{Quorum, Vote};
 pub use read_index::ReadIndex;
 pub use roster::Roster;
+pub use wait::Wait;
 
 use crate::id::{ServerId, Term};
 use crate::session::Watermark;
--- a/crates/agateport-domain/src/report.rs
+++ b/crates/agateport-domain/src/report.rs
@@ -2,6 +2,7 @@
 //!
 //! A report holds neither keys nor their digests, and its size is bounded.
 
+use crate::group::Wait;
 use crate::id::{BundleVersion, GroupId, NodeId, ServerId, WorkspaceId, Zone};
 use serde::{Deserialize, Serialize};
 use std::collections::BTreeMap;
@@ -9,6 +10,9 @@
 /// Maximum number of workspaces in a report.
 pub const MAX_WORKSPACES: usize = 100;
 
+/// Maximum number of handovers in a report.
+pub const MAX_HANDOVERS: usize = 100;
+
 /// Maximum number of servers in a report.
 pub const MAX_SERVERS: usize = 200;
 
@@ -21,6 +25,12 @@
     pub omitted: usize,
 }
 
+impl<T> Default for Listed<T> {
+    fn default() -> Self {
+        Self::first(Vec::new(), 0)
+    }
+}
+
 impl<T> Listed<T> {
     /// Keeps the first `limit` entries.
     #[must_use]
@@ -49,6 +59,9 @@
     pub workspaces: Listed<Workspace>,
     /// Servers, in the order of their names.
     pub servers: Listed<Server>,
+    /// Handovers that wait for a condition, in the order of their groups.
+    #[serde(default)]
+    pub handovers: Listed<Handover>,
     /// Number of refusals by kind and reason, separated by a dot.
     pub refusals: BTreeMap<String, u64>,
 }
@@ -78,6 +91,19 @@
     pub burst: f64,
 }
 
+/// A group without a settled primary, as one node knows it.
+#[derive(Clone, Debug, Deserialize, Eq, PartialEq, Serialize)]
+pub struct Handover {
+    /// Name of the group.
+    pub group: GroupId,
+    /// What has to happen before the next step.
+    pub condition: Wait,
+    /// Time for which the handover has waited for this condition, in milliseconds.
+    pub condition_ms: u64,
+    /// Time for which it has waited for any condition, in milliseconds.
+    pub waiting_ms: u64,
+}
+
 /// A server as one node knows it.
 #[derive(Clone, Debug, Deserialize, PartialEq, Serialize)]
 pub struct Server {
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -248,7 +248,7 @@
         let (fence, roster) = (Some(self.fence), &self.record.roster);
         self.tenure.observe(fence, roster, &usable, self.now);
         match self.decide() {
-            Step::Wait => {}
+            Step::Wait(_) => {}
             Step::Adopt(server) => self.write(server, true),
             Step::Settle | Step::Enroll => self.write(self.record.primary.clone(), true),
             Step::Record(choice) => {
--- a/crates/agateport-node/src/control/admin.rs
+++ b/crates/agateport-node/src/control/admin.rs
@@ -139,6 +139,7 @@
         configuration_age_ms: None,
         workspaces: Listed::first(Vec::new(), 0),
         servers: Listed::first(servers, MAX_SERVERS),
+        handovers: Listed::default(),
         refusals: refusals.collect(),
     })
 }
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -12,7 +12,7 @@
 use crate::upstreams::Upstreams;
 use agateport_domain::group::handover::{self, Candidate, Former, State, Step};
 use agateport_domain::group::roster::Tenure;
-use agateport_domain::group::{LEASE_DURATION, Leadership, Reign};
+use agateport_domain::group::{LEASE_DURATION, Leadership, Reign, Wait};
 use agateport_domain::prelude::*;
 use futures::future::join_all;
 use tokio::sync::watch;
@@ -156,6 +156,9 @@
         let candidates = join_all(queries).await;
         for (basis, candidates) in pending.iter().zip(candidates) {
             let step = self.decide_among(basis, &candidates, true);
+            if let Step::Wait(wait) = step {
+                self.record_wait(&basis.group, wait);
+            }
             self.execute(basis, step).await;
         }
     }
@@ -175,11 +178,13 @@
             self.trigger.reread_store();
         }
         let step = self.decide(&basis, false).await;
-        if step == Step::Wait {
+        if let Step::Wait(wait) = step {
+            self.record_wait(group, wait);
             self.transition(&basis).needed_since = None;
             return None;
         }
         if !is_coordinator {
+            self.record_wait(group, Wait::Coordinator);
             // A node that stops would end in the midst of the handover.
             if !self.stop.is_cancelled() {
                 self.take_over(&basis, &snapshot.records, &step).await;
@@ -242,9 +247,14 @@
         handover::decide(&state, uptime())
     }
 
+    fn record_wait(&self, group: &GroupId, wait: Wait) {
+        let pending = &self.upstreams.group(group).pending;
+        pending.record(group, wait, uptime());
+    }
+
     async fn execute(&mut self, basis: &Basis, step: Step) {
         match step {
-            Step::Wait => {}
+            Step::Wait(_) => {}
             Step::Adopt(server) => {
                 self.settle(basis, server).await;
             }
--- a/crates/agateport-relay/src/group.rs
+++ b/crates/agateport-relay/src/group.rs
@@ -1,6 +1,7 @@
 //! State of a database group at one node: its primary, the lease and its progress.
 
 use crate::clock::uptime;
+use crate::pending::Pending;
 use agateport_domain::group::roster::VALIDITY;
 use agateport_domain::group::{LEASE_DURATION, Leadership, Lease, Progress};
 use agateport_domain::prelude::*;
@@ -52,6 +53,8 @@
     /// Name of the group.
     pub name: GroupId,
     inner: Mutex<Inner>,
+    /// What the group's handover waits for.
+    pub pending: Pending,
     /// Publishes the expiry of the lease to waiting statements.
     expiry: watch::Sender<Uptime>,
     /// Wakes the task that queries the group's servers to confirm the primary.
@@ -65,6 +68,7 @@
         Self {
             name,
             inner: Mutex::default(),
+            pending: Pending::default(),
             expiry: watch::Sender::new(Uptime::ZERO),
             confirmation_requested: Notify::new(),
         }
--- a/crates/agateport-relay/src/http.rs
+++ b/crates/agateport-relay/src/http.rs
@@ -7,6 +7,7 @@
 use crate::metrics::{Metrics, millis};
 use crate::overview;
 use crate::pacing;
+use crate::pending;
 use crate::protocol::Protocol;
 use crate::readiness::Readiness;
 use crate::statement::Runner;
@@ -82,7 +83,8 @@
     let answer = move || {
         let gauges = gauges(&upstreams, snapshots.borrow().as_ref());
         let paces = pacing::render(&upstreams);
-        std::future::ready(metrics.render(&gauges) + &paces)
+        let handovers = pending::render(&upstreams, uptime());
+        std::future::ready(metrics.render(&gauges) + &paces + &handovers)
     };
     let router = Router::new()
         .route("/metrics", get(answer))
--- a/crates/agateport-relay/src/lib.rs
+++ b/crates/agateport-relay/src/lib.rs
@@ -36,6 +36,7 @@
 pub mod overview;
 pub mod ownership;
 pub mod pacing;
+pub mod pending;
 pub mod permit;
 pub mod placement;
 pub mod priority;
--- a/crates/agateport-relay/src/overview.rs
+++ b/crates/agateport-relay/src/overview.rs
@@ -1,11 +1,13 @@
 //! The report of a node to operators.
 
+use crate::clock::uptime;
 use crate::metrics::{Metrics, millis};
+use crate::pending;
 use crate::protocol::Protocol;
 use crate::upstreams::Upstreams;
 use agateport_domain::pace;
 use agateport_domain::prelude::*;
-use agateport_domain::report::{Listed, MAX_SERVERS, Report, Server};
+use agateport_domain::report::{Listed, MAX_HANDOVERS, MAX_SERVERS, Report, Server};
 
 /// Counters of refusals. Their reasons are fixed, so the report is bounded. A refusal is
 /// counted by its cause, if there is a counter for it, and by the code of its answer.
@@ -43,6 +45,7 @@
         configuration_age_ms: upstreams.currencies().catalog.age().map(millis),
         workspaces: upstreams.allowances().usage(),
         servers: servers(upstreams),
+        handovers: Listed::first(pending::handovers(upstreams, uptime()), MAX_HANDOVERS),
         refusals: refusals
             .map(|((kind, reason), count)| (format!("{kind}.{reason}"), count))
             .collect(),
