handover: end the states in which a group is never led again

Cause: the decision had states without an event or a deadline that ends them. A record that is not settled listed no further servers, so those that came back under new names never became eligible; and a server that leads was never a candidate while another one is recorded.

- New servers are listed in unsettled records too, once the leases have expired.
- If nobody else can be chosen, the server that leads is demoted (`Retire`) and is a candidate like the others: it is used only once it has been recorded and promoted.
It is demoted only if the record has not changed since it answered that it leads, and in the next term, so a server that was recorded and promoted meanwhile goes on to lead.
- A recorded server that was demoted and has no other is promoted again.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -55,6 +55,9 @@
     Record(Choice),
     /// Demote the former primary once more.
     Demote,
+    /// Demote this server, which leads although another one is recorded, so that it may be
+    /// recorded and promoted.
+    Retire(ServerId),
     /// Order the platform to promote the recorded server.
     Promote(ServerId),
     /// Record that the former primary's leases have expired or been released.
@@ -63,10 +66,29 @@
     Enroll,
 }
 
+impl Step {
+    /// Returns this step, or what `other` returns if this one is to wait.
+    fn or_else(self, other: impl FnOnce() -> Self) -> Self {
+        match self {
+            Self::Wait(_) => other(),
+            step => step,
+        }
+    }
+
+    /// Returns whether the step rests on what the servers answer, not only on what they
+    /// registered.
+    #[must_use]
+    pub fn needs_answers(&self) -> bool {
+        matches!(self, Self::Record(_) | Self::Retire(_))
+    }
+}
+
 /// Decides the next step for a group at `now`.
 #[must_use]
 pub fn decide(state: &State<'_>, now: Uptime) -> Step {
     match hand_over(state, now) {
+        // Another version of the record would delay its release before the leases expire.
+        Step::Wait(Wait::Leases) => Step::Wait(Wait::Leases),
         Step::Wait(_) if state.is_roster_due => Step::Enroll,
         step => step,
     }
@@ -84,7 +106,7 @@
         .iter()
         .find(|candidate| candidate.server == leadership.primary);
     let Some(recorded) = recorded else {
-        return replace(state, &leadership.primary, now);
+        return replace_missing(state, &leadership.primary, now);
     };
     let is_former_released = state.is_released || now >= first_seen + LEASE_DURATION;
     if recorded.is_primary {
@@ -103,7 +125,7 @@
     if leadership.is_settled {
         // Orders are sent only under unsettled records, so the record shows a new
         // coordinator whether an order of its predecessor may still be in progress.
-        return replace(state, &leadership.primary, now);
+        return replace_demoted(state, recorded, now);
     }
     let is_stuck = now >= first_seen + LEASE_DURATION + CANDIDATE_TIMEOUT;
     if recorded.is_leaving || (state.is_unreachable && is_stuck) {
@@ -144,7 +166,10 @@
     if let Some(other) = other.filter(|other| !matches!(other, Step::Wait(_))) {
         return other;
     }
-    if state.former == Former::Known && !recorded.is_eligible {
+    let is_former_registered = state
+        .recorded_former()
+        .is_some_and(|former| state.is_registered(former));
+    if state.former == Former::Known && is_former_registered && !recorded.is_eligible {
         Step::Demote
     } else {
         Step::Wait(wait)
@@ -197,21 +222,63 @@
 /// Chooses a new primary in place of `former`.
 ///
 /// A candidate that reports that it is the primary while another server is
-/// recorded was replaced earlier. It is not eligible: it accepts writes in its
-/// own term and would be used without being promoted.
+/// recorded may have been replaced earlier. It is not chosen: it accepts writes in its
+/// own term and would be used without being promoted. If there is no other one, it is
+/// demoted first.
 fn replace(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
-    most_advanced(state, Some(former), now)
+    most_advanced(state, Some(former), now).or_else(|| retire(state, former))
 }
 
 /// Chooses a new primary in place of `former`, which is leaving and can be demoted. It is
 /// a new server only if no candidate is eligible.
 fn replace_leaving(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
-    match replace(state, former, now) {
-        Step::Wait(_) => most_advanced_of(state, Some(former), now, |_| true),
-        step => step,
+    most_advanced(state, Some(former), now)
+        .or_else(|| most_advanced_of(state, Some(former), now, |_| true))
+        .or_else(|| retire(state, former))
+}
+
+/// Chooses a new primary in place of `former`, which is not registered. It is a new server
+/// only if no candidate is eligible and the entry of `former` is not back for a while. A new
+/// server is promoted once every node knows it.
+fn replace_missing(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
+    let step = replace(state, former, now);
+    let is_due = state
+        .missing_since
+        .is_some_and(|since| now >= since + LEADERLESS_TIMEOUT);
+    if is_due {
+        step.or_else(|| most_advanced_of(state, Some(former), now, |_| true))
+    } else {
+        step
     }
 }
 
+/// Chooses a new primary in place of the recorded server, which is a replica although it was
+/// the primary. If there is no other one for a long time, it is promoted again.
+fn replace_demoted(state: &State<'_>, recorded: &Candidate, now: Uptime) -> Step {
+    let step = replace(state, &recorded.server, now);
+    if state.is_leaderless_for(BRANCH_TIMEOUT, now) {
+        step.or_else(|| most_advanced(state, None, now))
+    } else {
+        step
+    }
+}
+
+/// Demotes the candidate with the most advanced log of those that lead in place of `former`.
+fn retire(state: &State<'_>, former: &ServerId) -> Step {
+    let leading = state.candidates.iter().filter(|candidate| {
+        candidate.server != *former && candidate.is_primary && !candidate.is_leaving
+    });
+    let answering = leading.filter(|candidate| candidate.led_term.is_some());
+    let is_current = matches!(state.record, Record::Current(..));
+    let chosen = answering
+        .filter(|_| is_current)
+        .max_by_key(|candidate| (state.is_on_branch(candidate), candidate.last));
+    chosen.map_or_else(
+        || Step::Wait(missing(state, Some(former))),
+        |candidate| Step::Retire(candidate.server.clone()),
+    )
+}
+
 /// Chooses the eligible candidate with the most advanced log.
 ///
 /// A log that left the primary's branch looks advanced, but to promote its server would
--- a/crates/agateport-domain/src/group/handover/state.rs
+++ b/crates/agateport-domain/src/group/handover/state.rs
@@ -62,6 +62,9 @@
     pub term: Option<Term>,
     /// Since when no server reports that it is the primary, if none does.
     pub leaderless_since: Option<Uptime>,
+    /// Since when the recorded server is not registered while another server of the group is,
+    /// if that is so.
+    pub missing_since: Option<Uptime>,
     /// Whether a quorum of nodes cannot reach the primary.
     pub is_unreachable: bool,
     /// What is known of the former primary.
@@ -71,7 +74,7 @@
     pub is_released: bool,
     /// When the last order to promote was sent under this record.
     pub ordered_at: Option<Uptime>,
-    /// Whether the settled record lists other servers than it should.
+    /// Whether the record lists other servers than it should.
     pub is_roster_due: bool,
 }
 
@@ -108,6 +111,19 @@
         }
     }
 
+    /// Returns the server that the record names as the former primary.
+    pub(super) fn recorded_former(&self) -> Option<&ServerId> {
+        match self.record {
+            Record::Current(leadership, _) => leadership.former.as_ref(),
+            _ => None,
+        }
+    }
+
+    pub(super) fn is_registered(&self, server: &ServerId) -> bool {
+        let mut candidates = self.candidates.iter();
+        candidates.any(|candidate| candidate.server == *server)
+    }
+
     /// Returns whether the recorded server is known to have been the primary.
     pub(super) fn has_led(&self) -> bool {
         matches!(self.record, Record::Current(leadership, _) if leadership.is_settled)
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -60,6 +60,11 @@
 /// time since the record was read, and the step.
 fn row(record: Option<Leadership>, servers: &str, marks: &str, milliseconds: u64) -> String {
     let candidates: Vec<_> = servers.split(' ').map(candidate).collect();
+    let has_former = marks.contains(['d', 'f']);
+    let record = record.map(|record| Leadership {
+        former: has_former.then(|| "a".into()),
+        ..record
+    });
     let state = State {
         record: match &record {
             _ if marks.contains('u') => Record::Outdated,
@@ -70,6 +75,7 @@
         base: None,
         term: None,
         leaderless_since: marks.contains('n').then(|| at(0)),
+        missing_since: None,
         is_unreachable: marks.contains('x'),
         former: if marks.contains('d') {
             Former::Demoted
@@ -205,6 +211,7 @@
         base,
         term: mark.parse().ok(),
         leaderless_since: Some(at(0)),
+        missing_since: None,
         is_unreachable: true,
         former: Former::Unknown,
         is_released: false,
@@ -322,6 +329,7 @@
                 base: None,
                 term: None,
                 leaderless_since: None,
+                missing_since: None,
                 is_unreachable: true,
                 former: Former::Unknown,
                 is_released: false,
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -176,6 +176,19 @@
         })
     }
 
+    /// Returns the record with other servers that may be promoted; none if there is no record.
+    ///
+    /// The fencing token stays: it shows a new coordinator whether an order of its predecessor
+    /// may still be in progress.
+    #[must_use]
+    pub fn enroll(&self, roster: Roster) -> Option<Leadership> {
+        let (leadership, _) = self.leadership.as_ref()?;
+        Some(Leadership {
+            roster,
+            ..leadership.clone()
+        })
+    }
+
     /// Returns the record of a server that leads already; none if there is no coordinator.
     ///
     /// Its base is unknown unless this coordinator or another one has chosen the server, and
--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -4,6 +4,7 @@
 use super::handover::Handover;
 use crate::message::Command;
 use crate::protocol::Protocol;
+use crate::record;
 use crate::source::{Promoter, Store};
 use agateport_domain::prelude::*;
 
@@ -48,6 +49,38 @@
         is_demoted != Some(false)
     }
 
+    /// Demotes a server that leads although the record names another one.
+    ///
+    /// If the record has not changed since the server answered that it leads, then no node
+    /// uses it in that term. The order names the next term, so it has no effect on a server
+    /// that was promoted meanwhile.
+    pub(super) async fn retire(&mut self, basis: &Basis, server: &ServerId) {
+        let Some(term) = self.led_term(server).await else {
+            return;
+        };
+        let row = self.store.row(&record::leadership_key(&basis.group)).await;
+        let is_current = row.is_ok_and(|(row, revision)| {
+            let version = row.map(|row| row.version);
+            revision.era == basis.revision.era && version == Some(basis.version())
+        });
+        let server = self.upstreams.server(server).filter(|_| is_current);
+        let Some(server) = server else {
+            self.trigger.reread_store();
+            return;
+        };
+        let command = Command::Demote(term.saturating_add(1));
+        let status = server.request_status(command).await;
+        tracing::info!(
+            event = "primary_retired",
+            group = &*basis.group,
+            server = &*server.entry().server,
+            term,
+            recorded = basis.primary().map(|primary| &**primary),
+            is_demoted = status.is_ok_and(|status| !status.is_primary),
+            "a server that led although another one is recorded was ordered to be a replica"
+        );
+    }
+
     /// Returns whether `former` has confirmed that it is a replica; none if it does not
     /// answer.
     async fn request_demotion(&self, group: &GroupId, former: &ServerId) -> Option<bool> {
--- a/crates/agateport-relay/src/control/enrollment.rs
+++ b/crates/agateport-relay/src/control/enrollment.rs
@@ -20,9 +20,9 @@
         tenure.observe(basis.fence(), &roster, &usable, uptime());
     }
 
-    /// Returns whether the settled record of a group lists other servers than it should.
+    /// Returns whether the record of a group lists other servers than it should.
     pub(super) fn is_roster_due(&self, basis: &Basis) -> bool {
-        let primary = basis.primary().filter(|_| basis.is_settled());
+        let primary = basis.primary().filter(|_| !basis.is_outdated());
         primary.is_some_and(|primary| self.next_roster(basis, primary) != self.listed(basis))
     }
 
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -35,6 +35,8 @@
     pub(super) needed_since: Option<Uptime>,
     /// Since when no server reports that it is the primary.
     leaderless_since: Option<Uptime>,
+    /// Since when the recorded server is not registered while another server is.
+    missing_since: Option<Uptime>,
     /// Revision of this node's last write of the record.
     written: Revision,
 }
@@ -48,13 +50,23 @@
         }
     }
 
-    /// Updates the time since when no server reports that it is the primary.
-    fn track_leaderless(&mut self, has_leader: bool) {
-        if has_leader {
-            self.leaderless_since = None;
-        } else {
-            self.leaderless_since.get_or_insert_with(uptime);
-        }
+    /// Updates since when no server reports that it is the primary, and since when the
+    /// server `recorded` is missing.
+    fn track(&mut self, candidates: &[Candidate], recorded: Option<&ServerId>) {
+        let has_leader = candidates.iter().any(|candidate| candidate.is_primary);
+        track(&mut self.leaderless_since, !has_leader);
+        let is_recorded = |candidate: &Candidate| Some(&candidate.server) == recorded;
+        let is_missing = !candidates.is_empty() && !candidates.iter().any(is_recorded);
+        track(&mut self.missing_since, is_missing);
+    }
+}
+
+/// Updates the time since when a condition holds.
+fn track(since: &mut Option<Uptime>, holds: bool) {
+    if holds {
+        since.get_or_insert_with(uptime);
+    } else {
+        *since = None;
     }
 }
 
@@ -192,7 +204,7 @@
             return None;
         }
         // Only the coordinator queries the servers for their current watermarks.
-        if matches!(step, Step::Record(_)) || basis.is_outdated() {
+        if step.needs_answers() || basis.is_outdated() {
             return Some(basis);
         }
         self.execute(&basis, step).await;
@@ -223,9 +235,8 @@
 
     /// Decides the next step for a group whose servers are in this state.
     fn decide_among(&mut self, basis: &Basis, candidates: &[Candidate], is_queried: bool) -> Step {
-        let has_leader = candidates.iter().any(|candidate| candidate.is_primary);
         let transition = self.transition(basis);
-        transition.track_leaderless(has_leader);
+        transition.track(candidates, basis.primary());
         let transition = transition.clone();
         let reported = candidates.iter().find(|candidate| candidate.is_primary);
         let reported = reported.map(|candidate| &candidate.server);
@@ -238,6 +249,7 @@
             base: basis.base().filter(|_| is_queried),
             term: basis.term(),
             leaderless_since: transition.leaderless_since,
+            missing_since: transition.missing_since,
             is_unreachable,
             former: transition.former_state(basis.former()),
             is_released: basis.is_released(),
@@ -258,6 +270,12 @@
             Step::Adopt(server) => {
                 self.settle(basis, server).await;
             }
+            Step::Enroll if !basis.is_settled() => {
+                if let Some(primary) = basis.primary() {
+                    let roster = self.next_roster(basis, primary);
+                    self.write(basis, basis.enroll(roster)).await;
+                }
+            }
             Step::Settle | Step::Enroll => {
                 if let Some(primary) = basis.primary().cloned() {
                     self.settle(basis, primary).await;
@@ -274,6 +292,7 @@
                 let former = basis.former().cloned();
                 self.demote(&basis.group, former).await;
             }
+            Step::Retire(server) => self.retire(basis, &server).await,
             Step::Promote(server) => {
                 if self.is_still_demoted(basis).await {
                     self.promote(basis, &server).await;
@@ -290,7 +309,7 @@
     }
 
     /// Returns the term in which a server answers that it leads, if it does.
-    async fn led_term(&self, server: &ServerId) -> Option<Term> {
+    pub(super) async fn led_term(&self, server: &ServerId) -> Option<Term> {
         let server = self.upstreams.server(server)?;
         if server.is_unreachable() {
             return None;
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -9,6 +9,7 @@
 use agateport_domain::group::LEASE_DURATION;
 use agateport_domain::group::handover::Step;
 use agateport_domain::prelude::*;
+use std::mem::discriminant;
 
 /// Time for which a group must have needed a leadership record before another node
 /// becomes the coordinator: longer than the coordinator takes to detect the need
@@ -79,7 +80,7 @@
             .is_none_or(|member| channels.is_backing_off(member.address));
         let timeout = match step {
             _ if is_vacant => VACANT_TIMEOUT,
-            Step::Adopt(_) | Step::Record(_) => RECORD_TIMEOUT,
+            Step::Adopt(_) | Step::Record(_) | Step::Retire(_) => RECORD_TIMEOUT,
             _ => STEP_TIMEOUT,
         };
         let rank = u32::try_from(records.succession_rank(&self.node)).unwrap_or(u32::MAX);
@@ -87,10 +88,14 @@
             return;
         }
         transition.needed_since = None;
-        // Without a query it is not known which logs are on the primary's branch; the
-        // coordinator may be waiting for one.
-        let is_uncertain = matches!(step, Step::Record(_)) && basis.base().is_some();
-        if is_uncertain && !matches!(self.decide(basis, true).await, Step::Record(_)) {
+        // Without a query it is not known which servers lead, and which logs are on the
+        // primary's branch; the coordinator may be waiting for one.
+        let is_uncertain = match step {
+            Step::Record(_) => basis.base().is_some(),
+            step => step.needs_answers(),
+        };
+        // Meanwhile another step may have become due, for which the time has not passed.
+        if is_uncertain && discriminant(&self.decide(basis, true).await) != discriminant(step) {
             return;
         }
         let version = records
