handover: go on with a primary that is back under another name

The record has the term in which its primary leads. A term is led by one server only, so a server that answers that it leads in the recorded term is the recorded one, whose process has ended. It is recorded under its name at once, in a new reign with the same base and term (`Resume`); no demotion, promotion or listing is needed, and none of its commits is lost. The term is queried again directly before the conditional write.

A node that asks the servers before it becomes the coordinator now goes on only if the same step is confirmed, or another one within the time that a coordinator needs: after a slow answer several nodes took the duty over at once.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -53,6 +53,8 @@
     Adopt(ServerId),
     /// Record this server as the new primary.
     Record(Choice),
+    /// Record that the recorded server goes on to lead under this name.
+    Resume(ServerId),
     /// Demote the former primary once more.
     Demote,
     /// Demote this server, which leads although another one is recorded, so that it may be
@@ -79,7 +81,7 @@
     /// registered.
     #[must_use]
     pub fn needs_answers(&self) -> bool {
-        matches!(self, Self::Record(_) | Self::Retire(_))
+        matches!(self, Self::Record(_) | Self::Resume(_) | Self::Retire(_))
     }
 }
 
@@ -241,6 +243,9 @@
 /// only if no candidate is eligible and the entry of `former` is not back for a while. A new
 /// server is promoted once every node knows it.
 fn replace_missing(state: &State<'_>, former: &ServerId, now: Uptime) -> Step {
+    if let Some(resumed) = state.resumed() {
+        return Step::Resume(resumed.clone());
+    }
     let step = replace(state, former, now);
     let is_due = state
         .missing_since
--- a/crates/agateport-domain/src/group/handover/state.rs
+++ b/crates/agateport-domain/src/group/handover/state.rs
@@ -111,6 +111,20 @@
         }
     }
 
+    /// Returns the server that leads in the term of the recorded primary, if the record is
+    /// settled. A term is led by one server only, so the recorded one has ended and was started
+    /// again under this name with its log.
+    pub(super) fn resumed(&self) -> Option<&ServerId> {
+        let term = self.term.filter(|_| self.has_led())?;
+        let mut candidates = self.candidates.iter();
+        let resumed = candidates.find(|candidate| {
+            candidate.led_term == Some(term)
+                && !candidate.is_leaving
+                && self.is_on_branch(candidate)
+        });
+        resumed.map(|candidate| &candidate.server)
+    }
+
     /// Returns the server that the record names as the former primary.
     pub(super) fn recorded_former(&self) -> Option<&ServerId> {
         match self.record {
--- a/crates/agateport-domain/tests/convergence.rs
+++ b/crates/agateport-domain/tests/convergence.rs
@@ -229,6 +229,15 @@
         match step {
             Step::Wait(_) => {}
             Step::Adopt(server) => self.settle(server),
+            Step::Resume(server) => {
+                let roster = self.next_roster(&server);
+                self.write(Leadership {
+                    primary: server,
+                    roster,
+                    succession: self.record.succession + 1,
+                    ..self.record.clone()
+                });
+            }
             Step::Settle => self.settle(self.record.primary.clone()),
             Step::Enroll => self.record.roster = self.next_roster(&self.record.primary),
             Step::Demote => self.demote_former(),
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -9,6 +9,9 @@
 
 const SERVERS: [&str; 4] = ["a", "b", "c", "d"];
 
+/// Names under which servers are back after a crash.
+const RETURNED: [&str; 4] = ["e", "f", "g", "h"];
+
 /// Number of nodes that read the record at times of their own.
 const NODES: usize = 3;
 
@@ -91,6 +94,9 @@
     Reach(bool),
     /// The coordinator's orders to demote are carried out, or are not.
     Demote(bool),
+    /// A server crashes, or is back with its log under another name.
+    Crash(usize),
+    Return(usize),
     /// Another node becomes the coordinator.
     Replace,
     /// Every node accepts the record.
@@ -108,6 +114,8 @@
         1 => Just(Event::LeavePrimary),
         2 => any::<bool>().prop_map(Event::Reach),
         2 => any::<bool>().prop_map(Event::Demote),
+        2 => (0..SERVERS.len()).prop_map(Event::Crash),
+        2 => (0..SERVERS.len()).prop_map(Event::Return),
         1 => Just(Event::Replace),
         1 => Just(Event::Accept),
         2 => Just(Event::Pause),
@@ -129,6 +137,11 @@
     demotes: bool,
     registered: BTreeSet<ServerId>,
     leaving: BTreeSet<ServerId>,
+    /// Servers whose processes have ended.
+    crashed: BTreeSet<ServerId>,
+    /// Servers that are back under another name.
+    returned: BTreeSet<ServerId>,
+    missing_since: Option<Uptime>,
     /// Servers that accept writes.
     primaries: BTreeSet<ServerId>,
     /// The term that each server has received, if it is not the first one.
@@ -165,6 +178,9 @@
             demotes: true,
             registered: names("a b"),
             leaving: BTreeSet::new(),
+            crashed: BTreeSet::new(),
+            returned: BTreeSet::new(),
+            missing_since: None,
             primaries: names("a"),
             terms: BTreeMap::new(),
             leader: "a".into(),
@@ -187,6 +203,12 @@
             Event::LeavePrimary => {
                 self.leaving.insert(self.record.primary.clone());
             }
+            Event::Crash(server) => {
+                let server = ServerId::from(SERVERS[server]);
+                self.registered.remove(&server);
+                self.crashed.insert(server);
+            }
+            Event::Return(server) => self.bring_back(server),
             Event::Reach(is_reached) => self.is_reached = is_reached,
             Event::Demote(demotes) => self.demotes = demotes,
             Event::Replace => {
@@ -206,6 +228,28 @@
         }
     }
 
+    /// Starts a crashed server again with its log, under another name. It leads as before if no
+    /// other server was promoted meanwhile.
+    fn bring_back(&mut self, server: usize) {
+        let [former, name] = [SERVERS[server], RETURNED[server]].map(ServerId::from);
+        if !self.crashed.contains(&former) || !self.returned.insert(former.clone()) {
+            return;
+        }
+        let term = self.term(&former);
+        self.terms.insert(name.clone(), term);
+        if self.leader == former {
+            self.leader = name.clone();
+            if self.primaries.contains(&former) {
+                self.primaries.insert(name.clone());
+            }
+        }
+        self.registered.insert(name);
+    }
+
+    fn term(&self, server: &ServerId) -> Term {
+        self.terms.get(server).copied().unwrap_or(1)
+    }
+
     fn usable(&self) -> BTreeSet<ServerId> {
         &self.registered - &self.leaving
     }
@@ -219,9 +263,10 @@
     fn decide(&self) -> Step {
         let candidates = self.registered.iter().map(|server| Candidate {
             server: server.clone(),
-            last: Some(Watermark::default()),
+            last: (!self.crashed.contains(server)).then(Watermark::default),
             is_primary: self.primaries.contains(server),
-            led_term: None,
+            led_term: (self.primaries.contains(server) && !self.crashed.contains(server))
+                .then(|| self.term(server)),
             is_leaving: self.leaving.contains(server),
             is_eligible: self
                 .tenure
@@ -232,9 +277,9 @@
             record: Record::Current(&self.record, self.first_seen),
             candidates: &candidates,
             base: None,
-            term: None,
+            term: self.record.term,
             leaderless_since: None,
-            missing_since: None,
+            missing_since: self.missing_since,
             is_unreachable: !self.is_reached,
             former: self.demotion,
             is_released: self.is_released,
@@ -245,6 +290,10 @@
     }
 
     fn check(&mut self) {
+        let is_missing =
+            !self.registered.is_empty() && !self.registered.contains(&self.record.primary);
+        let since = self.missing_since.unwrap_or(self.now);
+        self.missing_since = is_missing.then_some(since);
         let usable = self.usable();
         let (fence, roster) = (Some(self.fence), &self.record.roster);
         self.tenure.observe(fence, roster, &usable, self.now);
@@ -262,6 +311,13 @@
             Step::Retire(server) => {
                 self.primaries.remove(&server);
             }
+            Step::Resume(server) => {
+                let term = self.record.term;
+                self.write(server, true);
+                self.record.term = term;
+            }
+            // The platform refuses to promote a server that does not run.
+            Step::Promote(server) if self.crashed.contains(&server) => {}
             Step::Promote(server) => {
                 let term = self.terms.values().max().map_or(2, |term| term + 1);
                 self.terms.insert(server.clone(), term);
@@ -277,25 +333,29 @@
         let roster = self.tenure.next(roster, &usable, &primary, self.now);
         if self.record.primary != primary {
             self.first_seen = self.now;
+            self.missing_since = None;
             self.former = None;
             self.demotion = Former::Unknown;
         }
         self.record = Leadership {
-            primary,
             fence: self.fence,
             is_settled,
             roster,
             base: None,
-            term: None,
+            term: self
+                .primaries
+                .contains(&primary)
+                .then(|| self.term(&primary)),
             former: None,
             succession: 0,
+            primary,
         };
         self.is_released = false;
     }
 
     fn demote(&mut self) {
         self.demotion = match self.former.clone() {
-            Some(former) if self.demotes => {
+            Some(former) if self.demotes && !self.crashed.contains(&former) => {
                 self.primaries.remove(&former);
                 Former::Demoted
             }
@@ -310,13 +370,17 @@
         let is_recent = self.now < *read_at + VALIDITY;
         let answer = |server: &ServerId| Answer {
             is_primary: self.primaries.contains(server),
-            term: self.terms.get(server).copied().unwrap_or(1),
+            term: self.term(server),
         };
         let others = record.roster.servers();
         let others = others.filter(|server| **server != record.primary);
         let others: Vec<_> = others.map(answer).collect();
         let is_only = is_only_primary(answer(&record.primary), &others);
-        (is_recent && is_only).then_some(&record.primary)
+        let do_answer = record
+            .roster
+            .servers()
+            .all(|server| !self.crashed.contains(server));
+        (is_recent && is_only && do_answer).then_some(&record.primary)
     }
 }
 
--- a/crates/agateport-relay/src/control/basis.rs
+++ b/crates/agateport-relay/src/control/basis.rs
@@ -189,6 +189,20 @@
         })
     }
 
+    /// Returns the record of the recorded server under its new name; none if there is no
+    /// coordinator or no record.
+    #[must_use]
+    pub fn resume(&self, primary: ServerId, roster: Roster) -> Option<Leadership> {
+        let (leadership, _) = self.leadership.as_ref()?;
+        Some(Leadership {
+            primary,
+            fence: self.fence?,
+            roster,
+            succession: self.next_succession(),
+            ..leadership.clone()
+        })
+    }
+
     /// Returns the record of a server that leads already; none if there is no coordinator.
     ///
     /// Its base is unknown unless this coordinator or another one has chosen the server, and
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -270,6 +270,13 @@
             Step::Adopt(server) => {
                 self.settle(basis, server).await;
             }
+            Step::Resume(server) => {
+                let term = self.led_term(&server).await;
+                if term.is_some() && term == basis.term() {
+                    let roster = self.next_roster(basis, &server);
+                    self.write(basis, basis.resume(server, roster)).await;
+                }
+            }
             Step::Enroll if !basis.is_settled() => {
                 if let Some(primary) = basis.primary() {
                     let roster = self.next_roster(basis, primary);
--- a/crates/agateport-relay/src/control/succession.rs
+++ b/crates/agateport-relay/src/control/succession.rs
@@ -80,7 +80,8 @@
             .is_none_or(|member| channels.is_backing_off(member.address));
         let timeout = match step {
             _ if is_vacant => VACANT_TIMEOUT,
-            Step::Adopt(_) | Step::Record(_) | Step::Retire(_) => RECORD_TIMEOUT,
+            Step::Adopt(_) => RECORD_TIMEOUT,
+            step if step.needs_answers() => RECORD_TIMEOUT,
             _ => STEP_TIMEOUT,
         };
         let rank = u32::try_from(records.succession_rank(&self.node)).unwrap_or(u32::MAX);
@@ -94,8 +95,7 @@
             Step::Record(_) => basis.base().is_some(),
             step => step.needs_answers(),
         };
-        // Meanwhile another step may have become due, for which the time has not passed.
-        if is_uncertain && discriminant(&self.decide(basis, true).await) != discriminant(step) {
+        if is_uncertain && !self.is_due_still(basis, step).await {
             return;
         }
         let version = records
@@ -121,4 +121,15 @@
         self.taken_over = Some((uptime(), taken.ok()));
         self.trigger.reread_store();
     }
+
+    /// Returns whether the answers of the servers confirm that a step is due.
+    ///
+    /// Servers that do not answer can take longer than the timeout. Another step may then be due
+    /// that the coordinator has not had the time for.
+    async fn is_due_still(&mut self, basis: &Basis, step: &Step) -> bool {
+        let sent_at = uptime();
+        let confirmed = self.decide(basis, true).await;
+        let is_same = discriminant(&confirmed) == discriminant(step);
+        is_same || (confirmed.needs_answers() && uptime() < sent_at + RECORD_TIMEOUT)
+    }
 }
