handover: keep entries that a handover may have dropped out of unsettled records too

While a record is not settled, a server whose log goes beyond the base of the recorded one was chosen at once if no other was registered.

Such a server is now chosen only after 8 s without a primary, as under a settled record, unless it led in place of the recorded one when the coordinator demoted it: a primary that was replaced comes back as a replica. Its whole log is then kept, in preference to a replica that has less.

--- a/crates/agateport-domain/src/group/handover.rs
+++ b/crates/agateport-domain/src/group/handover.rs
@@ -298,7 +298,7 @@
     now: Uptime,
     is_allowed: impl Fn(&Candidate) -> bool,
 ) -> Step {
-    let is_any_branch_allowed = !state.has_led() || state.is_leaderless_for(BRANCH_TIMEOUT, now);
+    let is_any_branch_allowed = state.is_leaderless_for(BRANCH_TIMEOUT, now);
     let allowed = state
         .candidates
         .iter()
--- a/crates/agateport-domain/src/group/handover/state.rs
+++ b/crates/agateport-domain/src/group/handover/state.rs
@@ -4,6 +4,7 @@
 use crate::id::{ServerId, Term, Uptime};
 use crate::session::Watermark;
 use std::cmp::Ordering;
+use std::collections::BTreeSet;
 use std::time::Duration;
 
 /// A server that may become its group's primary, with its state as known to one
@@ -67,6 +68,9 @@
     pub missing_since: Option<Uptime>,
     /// Whether a quorum of nodes cannot reach the primary.
     pub is_unreachable: bool,
+    /// Servers that led after the record was written, although it names another one. While it
+    /// is not settled, they show that the recorded server has replaced no primary.
+    pub leading: &'a BTreeSet<ServerId>,
     /// What is known of the former primary.
     pub former: Former,
     /// Whether every node has accepted the record and stopped using the former
@@ -85,6 +89,9 @@
         let (Some(base), Some(last)) = (self.base, candidate.last) else {
             return true;
         };
+        if !self.has_led() && self.leading.contains(&candidate.server) {
+            return true;
+        }
         match last.term.cmp(&base.term) {
             Ordering::Less => false,
             Ordering::Equal => last <= base,
--- a/crates/agateport-domain/tests/convergence.rs
+++ b/crates/agateport-domain/tests/convergence.rs
@@ -75,6 +75,7 @@
     tenure: Tenure,
     leaderless_since: Option<Uptime>,
     missing_since: Option<Uptime>,
+    leading: BTreeSet<ServerId>,
     ordered: Option<(ServerId, Uptime)>,
     is_former_demoted: bool,
     /// Whether all nodes accept each record at once.
@@ -131,6 +132,7 @@
             tenure: Tenure::default(),
             leaderless_since: None,
             missing_since: None,
+            leading: BTreeSet::new(),
             ordered: None,
             is_former_demoted: false,
             has_acceptances,
@@ -191,6 +193,7 @@
             term: self.record.term.filter(|_| is_current),
             leaderless_since: self.leaderless_since,
             missing_since: self.missing_since,
+            leading: &self.leading,
             is_unreachable: false,
             former,
             is_released: self.has_acceptances,
@@ -241,7 +244,10 @@
             Step::Settle => self.settle(self.record.primary.clone()),
             Step::Enroll => self.record.roster = self.next_roster(&self.record.primary),
             Step::Demote => self.demote_former(),
-            Step::Retire(server) => self.demote(&server),
+            Step::Retire(server) => {
+                self.demote(&server);
+                self.leading.insert(server);
+            }
             Step::Promote(server) => self.ordered = Some((server, self.now)),
             Step::Record(choice) => {
                 let roster = self.next_roster(&choice.server);
@@ -282,6 +288,7 @@
             self.ordered = None;
             self.is_former_demoted = false;
             self.missing_since = None;
+            self.leading.clear();
         }
         self.stored = if record.is_settled {
             Stored::Settled
--- a/crates/agateport-domain/tests/handover.rs
+++ b/crates/agateport-domain/tests/handover.rs
@@ -76,6 +76,7 @@
         term: None,
         leaderless_since: marks.contains('n').then(|| at(0)),
         missing_since: None,
+        leading: &BTreeSet::new(),
         is_unreachable: marks.contains('x'),
         former: if marks.contains('d') {
             Former::Demoted
@@ -193,6 +194,17 @@
     mark: &str,
     logs: &[(&str, Watermark)],
     leaderless: u64,
+) -> String {
+    branch_row_of(base, mark, logs, leaderless, &[])
+}
+
+/// The same if the servers `leading` led after the record was written.
+fn branch_row_of(
+    base: Option<Watermark>,
+    mark: &str,
+    logs: &[(&str, Watermark)],
+    leaderless: u64,
+    leading: &[&str],
 ) -> String {
     let record = Leadership {
         base,
@@ -212,6 +224,7 @@
         term: mark.parse().ok(),
         leaderless_since: Some(at(0)),
         missing_since: None,
+        leading: &leading.iter().copied().map(ServerId::from).collect(),
         is_unreachable: true,
         former: Former::Unknown,
         is_released: false,
@@ -231,6 +244,24 @@
     )
 }
 
+/// The recorded server was lost before it was promoted, or just after. Only a server that leads
+/// in its place shows that reads have missed none of its entries.
+#[test]
+fn a_server_that_led_after_an_unsettled_record_keeps_its_entries() {
+    let base = Some(watermark(1, 40));
+    let replica = ("b", watermark(1, 40));
+    let former = ("c", watermark(1, 42));
+    let rows = [
+        branch_row_of(base, "?", &[replica, former], 0, &["c"]),
+        branch_row_of(base, "?", &[replica, former], 0, &[]),
+        branch_row_of(base, "?", &[former], 0, &["c"]),
+        branch_row_of(base, "?", &[former], 0, &[]),
+        branch_row_of(base, "?", &[former], 8_000, &[]),
+        branch_row_of(base, "", &[replica, former], 0, &["c"]),
+    ];
+    insta::assert_snapshot!(rows.join("\n"));
+}
+
 /// A former primary may return with entries that the handover dropped. Reads at its
 /// successor did not see them, so they must not come back.
 #[test]
@@ -330,6 +361,7 @@
                 term: None,
                 leaderless_since: None,
                 missing_since: None,
+                leading: &BTreeSet::new(),
                 is_unreachable: true,
                 former: Former::Unknown,
                 is_released: false,
--- a/crates/agateport-domain/tests/roster.rs
+++ b/crates/agateport-domain/tests/roster.rs
@@ -280,6 +280,7 @@
             term: self.record.term,
             leaderless_since: None,
             missing_since: self.missing_since,
+            leading: &BTreeSet::new(),
             is_unreachable: !self.is_reached,
             former: self.demotion,
             is_released: self.is_released,
--- a/crates/agateport-relay/src/control/demotion.rs
+++ b/crates/agateport-relay/src/control/demotion.rs
@@ -68,6 +68,8 @@
             self.trigger.reread_store();
             return;
         };
+        let name = server.entry().server.clone();
+        self.transition(basis).leading.insert(name);
         let command = Command::Demote(term.saturating_add(1));
         let status = server.request_status(command).await;
         tracing::info!(
--- a/crates/agateport-relay/src/control/handover.rs
+++ b/crates/agateport-relay/src/control/handover.rs
@@ -37,6 +37,8 @@
     leaderless_since: Option<Uptime>,
     /// Since when the recorded server is not registered while another server is.
     missing_since: Option<Uptime>,
+    /// Servers that led after the record was written, although it names another one.
+    pub(super) leading: BTreeSet<ServerId>,
     /// Revision of this node's last write of the record.
     written: Revision,
 }
@@ -251,6 +253,7 @@
             leaderless_since: transition.leaderless_since,
             missing_since: transition.missing_since,
             is_unreachable,
+            leading: &transition.leading,
             former: transition.former_state(basis.former()),
             is_released: basis.is_released(),
             ordered_at: transition.ordered_at,
