suspicion: report a recorded server that does not lead yet

A handover to a server that is registered, but that no node reaches, was never given up: `decide` replaces a recorded server that a quorum cannot reach, but nodes reported only servers that lead, so no quorum was ever asked about one that is still to be promoted. The group was refused with BUSY until the entry expired or the server could be reached.

Nodes now report the recorded server as well. `a_recorded_server_is_suspected_before_it_leads` fails without the change.

--- a/crates/agateport-relay/src/control/suspicion.rs
+++ b/crates/agateport-relay/src/control/suspicion.rs
@@ -214,10 +214,16 @@
     join_all(reports).await;
 }
 
+/// Returns the primaries in use, and those that are recorded and may not lead yet.
 fn primaries<W: Protocol>(upstreams: &Upstreams<W>) -> BTreeSet<ServerId> {
     let groups = upstreams.groups().into_iter();
-    let leaders = groups.filter_map(|group| upstreams.group(&group).leader());
-    leaders.map(|leader| leader.server).collect()
+    let servers = groups.flat_map(|group| {
+        let group = upstreams.group(&group);
+        let leader = group.leader().map(|leader| leader.server);
+        let recorded = group.leadership().map(|(leadership, _)| leadership.primary);
+        [leader, recorded]
+    });
+    servers.flatten().collect()
 }
 
 /// Returns the other nodes that a suspicion is sent to. If this node is one of the
